--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Set-up on a machine that has Go: `make demo` runs the main job, `make test`
+# the tests. Everything else is for developers.
+MODULES := ./core/... ./daemon/... ./ctl/...
+BIN := bin
+
+.PHONY: all build demo test race vet fmt lint
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./daemon/cmd/cardamomwickd ./ctl/cmd/cardamomctl
+
+demo: build
+	go build -o $(BIN)/demo ./ctl/internal/demo
+	$(BIN)/demo $(BIN)
+
+test: build
+	go test $(MODULES)
+
+race:
+	go test -race ./core/... ./daemon/...
+
+vet:
+	go vet $(MODULES)
+
+fmt:
+	@test -z "$$(gofmt -l core daemon ctl)" || { echo "not gofmt clean:"; gofmt -l core daemon ctl; exit 1; }
+
+lint:
+	cd ctl && go tool staticcheck ../core/... && go tool staticcheck ./... && go tool staticcheck ../daemon/...
--- /dev/null
+++ b/core/bundle/read.go
@@ -0,0 +1,58 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of an operator's signed read.
+const (
+	HeaderOperator  = "X-Operator"
+	HeaderTimestamp = "X-Timestamp"
+	HeaderSignature = "X-Signature"
+)
+
+// ReadWindow is how far a signed read's time may be from the daemon's clock.
+const ReadWindow = 30 * time.Second
+
+func readBytes(method, uri, stamp string) []byte {
+	return []byte("cardamomwick read 1\n" + method + " " + uri + "\n" + stamp)
+}
+
+// SignRead signs a request that changes nothing.
+func SignRead(r *http.Request, operator string, key ed25519.PrivateKey, now time.Time) {
+	stamp := strconv.FormatInt(now.UnixMilli(), 10)
+	r.Header.Set(HeaderOperator, operator)
+	r.Header.Set(HeaderTimestamp, stamp)
+	sig := ed25519.Sign(key, readBytes(r.Method, r.URL.RequestURI(), stamp))
+	r.Header.Set(HeaderSignature, base64.StdEncoding.EncodeToString(sig))
+}
+
+// VerifyRead checks a request signed by SignRead.
+func VerifyRead(r *http.Request, operators map[string]Operator, now time.Time) error {
+	stamp := r.Header.Get(HeaderTimestamp)
+	ms, err := strconv.ParseInt(stamp, 10, 64)
+	if err != nil {
+		return fmt.Errorf("header %s is missing or not a number", HeaderTimestamp)
+	}
+	if d := now.Sub(time.UnixMilli(ms)).Abs(); d > ReadWindow {
+		return fmt.Errorf("the request's time is %v away from this instance's clock", d.Round(time.Second))
+	}
+	op, ok := operators[r.Header.Get(HeaderOperator)]
+	if !ok {
+		return fmt.Errorf("operator %q is not known", r.Header.Get(HeaderOperator))
+	}
+	key, err := ParsePublicKey(op.PublicKey)
+	if err != nil {
+		return err
+	}
+	sig, err := base64.StdEncoding.DecodeString(r.Header.Get(HeaderSignature))
+	if err != nil || !ed25519.Verify(key, readBytes(r.Method, r.URL.RequestURI(), stamp), sig) {
+		return fmt.Errorf("the signature does not fit the request")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/dispatch/view.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import "time"
+
+// ServerView is a backend server as the dispatcher sees it.
+type ServerView struct {
+	ServerInfo
+	Granted int     `msgpack:"g" json:"granted"`
+	Foreign int     `msgpack:"f" json:"foreign"`
+	Speed   float64 `msgpack:"p" json:"speed"`
+	Usable  bool    `msgpack:"u" json:"usable"`
+	Retired bool    `msgpack:"t" json:"retired"`
+}
+
+// ClassView is the state of one class's queue.
+type ClassView struct {
+	Class   string  `msgpack:"c" json:"class"`
+	Waiting int     `msgpack:"w" json:"waiting"`
+	Granted float64 `msgpack:"g" json:"recent_work"`
+}
+
+// View is a copy of a pool's state for operators and metrics.
+type View struct {
+	Waiting int          `msgpack:"w" json:"waiting"`
+	Running int          `msgpack:"r" json:"running"`
+	Servers []ServerView `msgpack:"s" json:"servers"`
+	Classes []ClassView  `msgpack:"c" json:"classes"`
+}
+
+// View returns the pool's state.
+func (p *Pool) View(now time.Time) View {
+	v := View{Waiting: len(p.waiting), Running: len(p.running)}
+	for _, s := range p.ordered {
+		_, retired := p.policy.Retired[s.ID]
+		v.Servers = append(v.Servers, ServerView{s.ServerInfo, s.own, s.foreign, s.speed, s.usable(now), retired})
+	}
+	for _, c := range p.ranked {
+		v.Classes = append(v.Classes, ClassView{c.name, c.count, c.granted})
+	}
+	return v
+}
+
+// Idle reports whether the pool holds no ticket.
+func (p *Pool) Idle() bool { return len(p.waiting) == 0 && len(p.running) == 0 }
+
+// WaitingOf counts an entry's waiting tickets.
+func (p *Pool) WaitingOf(entry string) int {
+	n := 0
+	for id := range p.waiting {
+		if id.Entry == entry {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/raft/raft_test.go
@@ -0,0 +1,301 @@
+package raft
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// disk is what one fake replica has persisted.
+type disk struct {
+	state   HardState
+	snap    SnapshotMeta
+	entries []Entry
+}
+
+func (d *disk) persist(rd Ready) {
+	if rd.HardState != nil {
+		d.state = *rd.HardState
+	}
+	if rd.Snapshot != nil {
+		d.snap, d.entries = rd.Snapshot.Meta, nil
+	}
+	if len(rd.Entries) > 0 {
+		keep := rd.Entries[0].Index - d.snap.Index - 1
+		d.entries = append(d.entries[:keep:keep], rd.Entries...)
+	}
+}
+
+// maxID bounds the replica IDs; loops over it keep runs repeatable.
+const maxID = 9
+
+// network drives a group of nodes with lost, delayed and cut messages.
+type network struct {
+	rnd     *rand.Rand
+	nodes   map[uint64]*Node
+	disks   map[uint64]*disk
+	cut     map[uint64]bool
+	queue   []Message
+	applied map[uint64]uint64
+	chosen  map[uint64]string
+	leaders map[uint64]uint64
+	reads   map[uint64]ReadState
+	dropPct int
+	err     error
+}
+
+func newNetwork(seed int64, size int) *network {
+	w := &network{rnd: rand.New(rand.NewSource(seed)), nodes: map[uint64]*Node{}, disks: map[uint64]*disk{},
+		cut: map[uint64]bool{}, applied: map[uint64]uint64{}, chosen: map[uint64]string{}, leaders: map[uint64]uint64{}, reads: map[uint64]ReadState{}}
+	var m Membership
+	for id := uint64(1); id <= uint64(size); id++ {
+		m = m.With(Member{ID: id, Voter: true})
+	}
+	for id := uint64(1); id <= uint64(size); id++ {
+		w.disks[id] = &disk{snap: SnapshotMeta{Index: 1, Term: 1, Membership: m}, state: HardState{Term: 1, Commit: 1}}
+		w.start(id)
+	}
+	return w
+}
+
+func (w *network) start(id uint64) {
+	d := w.disks[id]
+	w.nodes[id] = New(Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 1, Rand: w.rnd.Intn, State: d.state, Snapshot: d.snap, Entries: append([]Entry(nil), d.entries...)})
+	w.applied[id] = d.snap.Index
+}
+
+func (w *network) pump(id uint64) {
+	n := w.nodes[id]
+	for n.HasReady() {
+		rd := n.Ready()
+		w.disks[id].persist(rd)
+		if rd.Snapshot != nil {
+			w.applied[id] = rd.Snapshot.Meta.Index
+		}
+		w.queue = append(w.queue, rd.Messages...)
+		for _, e := range rd.Committed {
+			w.apply(id, e)
+		}
+		for _, r := range rd.Reads {
+			w.reads[r.Context] = r
+		}
+		n.Advance(rd)
+	}
+	if lead, term := n.Leading(); lead {
+		if other, ok := w.leaders[term]; ok && other != id {
+			w.err = fmt.Errorf("two leaders %d and %d in term %d", other, id, term)
+		}
+		w.leaders[term] = id
+	}
+}
+
+func (w *network) apply(id uint64, e Entry) {
+	if e.Index != w.applied[id]+1 {
+		w.err = fmt.Errorf("replica %d applies %d after %d", id, e.Index, w.applied[id])
+	}
+	w.applied[id] = e.Index
+	val := fmt.Sprintf("%d/%d/%s", e.Term, e.Type, e.Data)
+	if old, ok := w.chosen[e.Index]; ok && old != val {
+		w.err = fmt.Errorf("index %d: %q and %q both committed", e.Index, old, val)
+	}
+	w.chosen[e.Index] = val
+}
+
+func (w *network) step() {
+	for id := uint64(1); id <= maxID; id++ {
+		if n := w.nodes[id]; n != nil {
+			n.Tick()
+			w.pump(id)
+		}
+	}
+	for rounds := 0; rounds < 4; rounds++ {
+		batch := w.queue
+		w.queue = nil
+		for _, m := range batch {
+			w.deliver(m)
+		}
+	}
+}
+
+func (w *network) deliver(m Message) {
+	if w.cut[m.From] || w.cut[m.To] || w.rnd.Intn(100) < w.dropPct {
+		return
+	}
+	if w.rnd.Intn(100) < w.dropPct {
+		w.queue = append(w.queue, m)
+		return
+	}
+	n := w.nodes[m.To]
+	if n == nil {
+		return
+	}
+	n.Step(m)
+	w.pump(m.To)
+	if m.Type == MsgSnapshot {
+		w.nodes[m.From].ReportSnapshot(m.To)
+	}
+}
+
+func (w *network) leader() *Node {
+	for id := uint64(1); id <= maxID; id++ {
+		n := w.nodes[id]
+		if n == nil {
+			continue
+		}
+		if lead, _ := n.Leading(); lead && !w.cut[n.id] {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *network) until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for i := 0; i < 400; i++ {
+		if ok() {
+			return
+		}
+		w.step()
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// TestSafetyUnderFaults: whatever is lost, cut or restarted, one leader per
+// term, one value per index, in order, and progress once faults end.
+func TestSafetyUnderFaults(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(7)
+	params.MinSuccessfulTests = 60
+	props := gopter.NewProperties(params)
+	props.Property("committed entries agree", prop.ForAll(func(seed int64) (string, error) {
+		w := newNetwork(seed, 3+2*int(seed&1))
+		w.dropPct = 10
+		for i := 0; i < 300 && w.err == nil; i++ {
+			w.disturb(i)
+			w.step()
+		}
+		w.cut = map[uint64]bool{}
+		w.dropPct = 0
+		before := len(w.chosen)
+		for i := 0; i < 200; i++ {
+			if l := w.leader(); l != nil && i%10 == 0 {
+				l.Propose([]byte("end"))
+			}
+			w.step()
+		}
+		if w.err == nil && len(w.chosen) <= before {
+			return "", fmt.Errorf("no progress after the faults ended")
+		}
+		return "", w.err
+	}, gen.Int64Range(1, 1<<40)))
+	props.TestingRun(t)
+}
+
+func (w *network) disturb(i int) {
+	id := uint64(1 + w.rnd.Intn(len(w.nodes)))
+	switch w.rnd.Intn(20) {
+	case 0:
+		w.cut[id] = !w.cut[id]
+	case 1:
+		w.start(id)
+	case 2:
+		w.nodes[id].Compact(w.applied[id])
+		w.disks[id].snap = w.nodes[id].log.snap
+		w.disks[id].entries = append([]Entry(nil), w.nodes[id].log.entries...)
+	case 3:
+		w.nodes[id].TransferLeadership()
+	default:
+		if l := w.leader(); l != nil {
+			l.Propose([]byte(fmt.Sprint(i)))
+			w.pump(l.id)
+		}
+	}
+}
+
+// TestIsolatedLeaderStepsDown: check quorum ends a silent leader, and its
+// return does not disturb the new one (pre-vote).
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	w := newNetwork(3, 3)
+	w.until(t, "leader", func() bool { return w.leader() != nil })
+	old := w.leader()
+	w.cut[old.id] = true
+	old.ReadIndex(77)
+	w.until(t, "old leader steps down", func() bool { return old.role != Leader })
+	if r, ok := w.reads[77]; !ok || r.Ok {
+		t.Fatalf("a read on the isolated leader: %+v, %v; want a refusal", r, ok)
+	}
+	w.until(t, "new leader", func() bool { return w.leader() != nil })
+	term := w.leader().term
+	for i := 0; i < 100; i++ {
+		w.step()
+	}
+	w.cut = map[uint64]bool{}
+	for i := 0; i < 100; i++ {
+		w.step()
+	}
+	if got := w.leader().term; got != term {
+		t.Fatalf("the returning replica moved the term from %d to %d", term, got)
+	}
+}
+
+// TestReplaceLostDisk: a lost member is removed, a learner catches up by
+// snapshot and is promoted, and the group then survives another loss.
+func TestReplaceLostDisk(t *testing.T) {
+	w := newNetwork(5, 3)
+	w.until(t, "leader", func() bool { return w.leader() != nil })
+	l := w.leader()
+	for i := 0; i < 20; i++ {
+		l.Propose([]byte("x"))
+		w.step()
+	}
+	l.Compact(w.applied[l.id])
+	lost := l.id%3 + 1
+	delete(w.nodes, lost)
+	m := l.log.membership().membership
+	if err := l.ProposeMembership(m.With(Member{ID: 9})); err != nil {
+		t.Fatal(err)
+	}
+	w.disks[9] = &disk{}
+	w.start(9)
+	w.until(t, "learner catches up", func() bool { return l.progress[9].Match == l.log.last() })
+	if err := l.ProposeMembership(m.Without(lost).With(Member{ID: 9, Voter: true})); err != ErrMembershipStep {
+		t.Fatalf("two voters at once: %v", err)
+	}
+	l.ProposeMembership(m.Without(lost).With(Member{ID: 9}))
+	w.until(t, "removal", func() bool { return l.log.membership().index <= l.log.commit })
+	l.ProposeMembership(m.Without(lost).With(Member{ID: 9, Voter: true}))
+	w.until(t, "promotion", func() bool { return l.log.membership().index <= l.log.commit })
+	var second uint64
+	for id := range w.nodes {
+		if id != 9 && id != l.id {
+			second = id
+		}
+	}
+	w.cut[second] = true
+	before := l.log.commit
+	l.Propose([]byte("after"))
+	w.until(t, "commit after a second loss", func() bool { return l.log.commit > before })
+}
+
+// TestTransferLeadership: the hand-over needs no election timeout.
+func TestTransferLeadership(t *testing.T) {
+	w := newNetwork(11, 3)
+	w.until(t, "leader", func() bool { return w.leader() != nil })
+	for i := 0; i < 5; i++ {
+		w.step()
+	}
+	old := w.leader()
+	old.TransferLeadership()
+	if _, _, err := old.Propose(nil); err != ErrTransferring {
+		t.Fatalf("propose during transfer: %v", err)
+	}
+	for i := 0; i < 3; i++ {
+		w.step()
+	}
+	if l := w.leader(); l == nil || l.id == old.id {
+		t.Fatal("leadership did not move within three ticks")
+	}
+}
--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,73 @@
+// Package retry decides whether a failed attempt may be repeated and when. A
+// budget per pool keeps retries a small part of the traffic, so that a failing
+// pool is not buried under repeated calls.
+package retry
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of Budget and Backoff.
+const (
+	DefaultRatio   = 0.1
+	DefaultReserve = 10
+	BackoffBase    = 20 * time.Millisecond
+	BackoffMax     = 2 * time.Second
+	MaxAttempts    = 4
+)
+
+// Budget allows one retry per 1/Ratio first attempts, plus a reserve for
+// quiet times. Not safe for concurrent use.
+type Budget struct {
+	// Ratio is the number of retries earned by one first attempt.
+	Ratio float64
+	// Reserve is the most that may be saved up.
+	Reserve float64
+	tokens  float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(ratio, reserve float64) *Budget {
+	return &Budget{Ratio: ratio, Reserve: reserve, tokens: reserve}
+}
+
+// Attempt notes a first attempt.
+func (b *Budget) Attempt() { b.tokens = math.Min(b.Reserve, b.tokens+b.Ratio) }
+
+// Take spends one retry and reports whether there was one left.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff returns the wait before the given attempt (2 is the first retry),
+// with full jitter; random is uniform in [0, 1).
+func Backoff(attempt int, random float64) time.Duration {
+	d := float64(BackoffBase) * math.Pow(2, float64(max(0, attempt-2)))
+	return time.Duration(random * math.Min(d, float64(BackoffMax)))
+}
+
+// Failure is what is known about a failed attempt.
+type Failure uint8
+
+// Kinds of failures.
+const (
+	// FailureNotSent: no byte reached the server, or the server said that it
+	// did not start the call.
+	FailureNotSent Failure = iota + 1
+	// FailureUncertain: the call may have run.
+	FailureUncertain
+)
+
+// Allowed reports whether a call may be attempted again after a failure. A
+// call that is not idempotent may only when it certainly did not run.
+func Allowed(f Failure, idempotent bool, attempt int) bool {
+	if attempt >= MaxAttempts {
+		return false
+	}
+	return f == FailureNotSent || idempotent
+}
--- /dev/null
+++ b/core/state/machine.go
@@ -0,0 +1,76 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Machine is the state of one replica. Not safe for concurrent use.
+type Machine struct {
+	// NowMillis is the highest clock value applied.
+	nowMillis int64
+	config    configState
+	audit     auditState
+	calls     callState
+}
+
+// New returns the empty machine that every group starts from.
+func New() *Machine {
+	return &Machine{config: newConfigState(), calls: newCallState()}
+}
+
+// Apply executes the committed command with the log index. Equal machines
+// stay equal when they apply equal commands.
+func (m *Machine) Apply(data []byte) Result {
+	c, err := DecodeCommand(data)
+	if err != nil {
+		return Result{Code: CodeRefused, Message: "undecodable command: " + err.Error()}
+	}
+	m.nowMillis = max(m.nowMillis, c.NowMillis)
+	switch {
+	case c.Type == CommandGenesis:
+		return m.config.genesis(c.Operators)
+	case c.Type == CommandOrder && c.Order != nil:
+		return m.applyOrder(c.Order)
+	case c.Call != nil:
+		m.calls.prune(m.nowMillis)
+		return m.calls.apply(c.Type, c.Call, m.nowMillis)
+	}
+	return Result{Code: CodeRefused, Message: fmt.Sprintf("unknown command type %d", c.Type)}
+}
+
+// snapshot is the serialized form of a Machine.
+type snapshot struct {
+	NowMillis int64          `msgpack:"n"`
+	Config    configSnapshot `msgpack:"c"`
+	Audit     auditState     `msgpack:"a"`
+	Calls     []*CallRecord  `msgpack:"r"`
+}
+
+// Snapshot returns the machine's bytes.
+func (m *Machine) Snapshot() []byte {
+	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list()}
+	data, err := msgpack.Marshal(&s)
+	if err != nil {
+		panic(err) // plain data; encoding to memory can't fail
+	}
+	return data
+}
+
+// Restore replaces the machine's state by a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := msgpack.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	config, err := s.Config.restore()
+	if err != nil {
+		return err
+	}
+	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState()}
+	for _, r := range s.Calls {
+		m.calls.put(r)
+	}
+	return nil
+}
--- /dev/null
+++ b/ctl/cmd/cardamomctl/main.go
@@ -0,0 +1,20 @@
+// Command cardamomctl is the operators' and developers' tool.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"cardamomwick.example/ctl/commands"
+)
+
+func main() {
+	logx.Disable()
+	if err := commands.New().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(commands.ExitFailed)
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,222 @@
+// Package daemon puts the parts of cardamomwickd together as a supervisor
+// tree and shuts them down in order.
+package daemon
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/membership"
+	"cardamomwick.example/daemon/admin"
+	"cardamomwick.example/daemon/backend"
+	"cardamomwick.example/daemon/dispatcher"
+	"cardamomwick.example/daemon/entry"
+	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/gossip"
+	"cardamomwick.example/daemon/lease"
+	"cardamomwick.example/daemon/replica"
+	"cardamomwick.example/daemon/scheduler"
+	"cardamomwick.example/daemon/settings"
+	"cardamomwick.example/daemon/telemetry"
+)
+
+// leaveMargin is how long news of draining travels, on top of the address
+// list's time to live.
+const leaveMargin = 500 * time.Millisecond
+
+// Daemon is one instance.
+type Daemon struct {
+	settings   *settings.Settings
+	transport  *frame.Transport
+	gossip     *gossip.Service
+	replica    *replica.Replica
+	replicas   *replica.Client
+	holder     *lease.Holder
+	dispatcher *dispatcher.Service
+	scheduler  *scheduler.Scheduler
+	entry      *entry.Entry
+	admin      *admin.Admin
+	metrics    *telemetry.Metrics
+	listener   *listener
+}
+
+// New builds an instance from checked settings.
+func New(s *settings.Settings) (*Daemon, error) {
+	backend.Configure()
+	process := uuid.NewString()[:8]
+	keys, err := frameKeys(s.Peers.Keys)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, metrics: telemetry.New()}
+	d.transport = frame.NewTransport(s.Peers.Address, keys, newCutFilter(s.Faults.CutFile))
+	self := membership.Instance{Name: s.Instance.Name, Process: process, PeerAddress: s.Peers.Address,
+		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
+	d.gossip = gossip.New(d.transport, self, s.Peers.Seeds)
+	if s.Instance.DataFolder != "" {
+		d.replica, err = replica.New(replica.Options{Transport: d.transport, Folder: s.Instance.DataFolder,
+			Addresses: s.Replicas.Addresses, Operators: s.Trust.Operators})
+		if err != nil {
+			return nil, eris.Wrap(err, "start replica")
+		}
+	}
+	d.replicas = replica.NewClient(d.transport, s.Replicas.Addresses)
+	d.holder = lease.New(d.replicas, d.gossip.SetIsolated)
+	d.dispatcher = dispatcher.New(d.transport)
+	d.holder.OnChange(d.dispatcher.SetConfig)
+	d.scheduler = scheduler.New(d.transport, d.gossip, process)
+	d.entry = entry.New(entry.Options{Settings: s, Holder: d.holder, Gossip: d.gossip, Scheduler: d.scheduler,
+		Replicas: d.replicas, Metrics: d.metrics, Owner: self.Owner()})
+	d.admin = &admin.Admin{Settings: s, Holder: d.holder, Gossip: d.gossip, Replicas: d.replicas, Transport: d.transport, Own: d.info}
+	d.admin.Register()
+	d.registerGauges()
+	d.listener, err = d.newListener()
+	return d, err
+}
+
+func frameKeys(list []settings.FrameKey) ([]frame.Key, error) {
+	var out []frame.Key
+	for _, k := range list {
+		secret, err := base64.StdEncoding.DecodeString(k.Secret)
+		if err != nil {
+			return nil, eris.Wrapf(err, "frame key %s", k.ID)
+		}
+		out = append(out, frame.Key{ID: k.ID, Secret: secret})
+	}
+	return out, nil
+}
+
+func supervisor(name string) *suture.Supervisor {
+	return suture.New(name, suture.Spec{EventHook: func(e suture.Event) {
+		log.WithFields(log.Fields{"step": "supervise", "supervisor": name}).Warn(e.String())
+	}, Timeout: stopTimeout + transferWait})
+}
+
+// transferWait covers the hand-over of leadership while stopping.
+const transferWait = 3 * time.Second
+
+// tree builds the supervisor tree below the transport, which outlives it.
+func (d *Daemon) tree() *suture.Supervisor {
+	root := supervisor("instance")
+	if d.replica != nil {
+		root.Add(d.replica)
+	}
+	control := supervisor("control")
+	control.Add(d.gossip)
+	control.Add(d.holder)
+	root.Add(control)
+	work := supervisor("work")
+	work.Add(d.dispatcher)
+	work.Add(d.scheduler)
+	work.Add(d.entry)
+	work.Add(d.listener)
+	root.Add(work)
+	return root
+}
+
+// Run serves until stop ends, then drains and shuts down. It returns nil after
+// a graceful shutdown.
+func (d *Daemon) Run(stop context.Context) error {
+	base, endBase := context.WithCancel(context.Background())
+	defer endBase()
+	below := supervisor("transport")
+	below.Add(d.transport)
+	baseErr := below.ServeBackground(base)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	treeErr := d.tree().ServeBackground(ctx)
+	log.WithFields(log.Fields{"callers": d.settings.Callers.Address, "peers": d.settings.Peers.Address,
+		"zone": d.settings.Instance.AvailabilityZone, "replica": d.replica != nil}).Info("instance started")
+	select {
+	case err := <-treeErr:
+		endBase()
+		<-baseErr
+		return eris.Wrap(err, "instance failed")
+	case <-stop.Done():
+	}
+	err := d.drain()
+	end()
+	<-treeErr
+	endBase()
+	<-baseErr
+	log.Info("instance stopped")
+	return err
+}
+
+// drain leaves the address list, serves on while callers may still hold it,
+// then refuses new calls and finishes those in flight.
+func (d *Daemon) drain() error {
+	d.gossip.SetDraining()
+	log.WithField("in_flight", d.entry.InFlight()).Info("draining")
+	time.Sleep(d.settings.Callers.AddressTTL.D() + leaveMargin)
+	d.entry.Refuse()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Callers.DrainTimeout.D())
+	defer cancel()
+	if err := d.entry.Wait(ctx); err != nil {
+		return fmt.Errorf("%d calls were still in flight at drain_timeout: %w", d.entry.InFlight(), err)
+	}
+	return nil
+}
+
+func (d *Daemon) info() api.Info {
+	cfg := d.holder.Config()
+	waiting, running := d.scheduler.Load()
+	out := api.Info{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Callers.Address,
+		Generation: cfg.Generation, Fresh: d.holder.Fresh(), Draining: d.gossip.Draining(), InFlight: d.entry.InFlight(),
+		Waiting: waiting, Running: running, Replica: d.replica != nil}
+	if cfg.Bundle != nil {
+		out.Version = cfg.Bundle.Version
+	}
+	return out
+}
+
+func (d *Daemon) registerGauges() {
+	d.metrics.Gauge("cardamomwick_generation", func() float64 { return float64(d.holder.Config().Generation) })
+	d.metrics.Gauge("cardamomwick_lease_fresh", func() float64 {
+		if d.holder.Fresh() {
+			return 1
+		}
+		return 0
+	})
+	d.metrics.Gauge("cardamomwick_waiting", func() float64 { w, _ := d.scheduler.Load(); return float64(w) })
+	d.metrics.Gauge("cardamomwick_running", func() float64 { _, r := d.scheduler.Load(); return float64(r) })
+	d.metrics.Gauge("cardamomwick_instances", func() float64 { return float64(len(d.gossip.Instances())) })
+	d.metrics.Gauge("cardamomwick_bad_frames_total", func() float64 { return float64(d.transport.BadFrames.Load()) })
+	d.metrics.Gauge("cardamomwick_frame_bytes_sent_total", func() float64 { return float64(d.transport.BytesSent.Load()) })
+	d.metrics.Gauge("cardamomwick_frames_sent_total", func() float64 { return float64(d.transport.MessagesSent.Load()) })
+}
+
+// health answers 200 while new calls are welcome, else 503 with the reason.
+func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) {
+	status, state := http.StatusOK, "ready"
+	switch {
+	case d.gossip.Draining():
+		status, state = http.StatusServiceUnavailable, "draining"
+	case !d.holder.Fresh():
+		status, state = http.StatusServiceUnavailable, "isolated"
+	case d.holder.Config().Bundle == nil:
+		status, state = http.StatusServiceUnavailable, "no_bundle"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, "{\"state\":%q}\n", state)
+}
+
+func (d *Daemon) metricsPage(w http.ResponseWriter, r *http.Request) {
+	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if d.settings.Metrics.Token == "" || token != d.settings.Metrics.Token {
+		http.Error(w, "metrics need the token of the settings", http.StatusUnauthorized)
+		return
+	}
+	d.metrics.Write(w)
+}
--- /dev/null
+++ b/daemon/entry/announce.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"strings"
+
+	"cardamomwick.example/core/api"
+
+	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/dispatch"
+	"cardamomwick.example/daemon/dispatcher"
+	"cardamomwick.example/daemon/frame"
+)
+
+// Bounds on announcements.
+const (
+	maxAnnounceBytes = 64 << 10
+	maxSlots         = 4096
+	maxCacheEvents   = 512
+	announceMillis   = 500
+	dispatcherCopies = 2
+)
+
+var serverRE = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9_.:-]{0,63}$`)
+
+// Announcer takes backend servers' announcements and passes them on to the
+// dispatchers of their pools.
+type Announcer struct {
+	Entry     *Entry
+	Transport *frame.Transport
+}
+
+// ServeHTTP handles POST /v1/announce.
+func (a *Announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var m api.Announcement
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&m); err != nil {
+		writeError(w, notRun(http.StatusBadRequest, api.ErrorInvalid, "the announcement is not readable: "+err.Error()))
+		return
+	}
+	cfg := a.Entry.holder.Config()
+	if cfg.Bundle == nil {
+		writeError(w, notRun(http.StatusServiceUnavailable, api.ErrorRefused, "no bundle is in force yet"))
+		return
+	}
+	pool, ok := cfg.Bundle.Pools[m.Pool]
+	if !ok || !tokenFits(r, pool) {
+		writeError(w, notRun(http.StatusUnauthorized, api.ErrorAuth, "the token does not belong to the pool"))
+		return
+	}
+	if err := check(&m); err != nil {
+		writeError(w, notRun(http.StatusBadRequest, api.ErrorInvalid, err.Error()))
+		return
+	}
+	_, retired := cfg.Retired[m.ID]
+	a.spread(&m)
+	writeJSON(w, http.StatusOK, api.AnnouncementReply{Retired: retired, IntervalMillis: announceMillis, Addresses: a.Entry.addresses(m.Zone, m.ID)})
+}
+
+func tokenFits(r *http.Request, pool bundle.Pool) bool {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	sum := sha256.Sum256([]byte(token))
+	digest := hex.EncodeToString(sum[:])
+	for _, d := range pool.AnnounceTokens {
+		if ok && d == digest {
+			return true
+		}
+	}
+	return false
+}
+
+func check(m *api.Announcement) error {
+	if !serverRE.MatchString(m.ID) {
+		return fmt.Errorf("id %q: up to 64 letters, digits and _ . : -", m.ID)
+	}
+	if ap, err := netip.ParseAddrPort(m.Address); err != nil || ap.Port() == 0 {
+		return fmt.Errorf("address %q is not an IP number with a port", m.Address)
+	}
+	if m.Slots < 1 || m.Slots > maxSlots || m.Running < 0 || m.Queued < 0 {
+		return fmt.Errorf("slots must be 1 to %d, running and queued not negative", maxSlots)
+	}
+	if len(m.CachedPrefixes)+len(m.EvictedPrefixes) > maxCacheEvents {
+		return fmt.Errorf("at most %d cache events fit one announcement", maxCacheEvents)
+	}
+	return nil
+}
+
+// spread sends the announcement to the pool's dispatcher and to the one that
+// would follow it, so that the next one knows the servers already.
+func (a *Announcer) spread(m *api.Announcement) {
+	msg := dispatcher.Announce{Pool: m.Pool, Server: dispatch.ServerInfo{ID: m.ID, Address: m.Address, Zone: m.Zone, Slots: m.Slots,
+		Running: m.Running, Queued: m.Queued, Cached: m.CachedPrefixes, Evicted: m.EvictedPrefixes}}
+	ranked := a.Entry.gossip.Rank(m.Pool)
+	for _, i := range ranked[:min(len(ranked), dispatcherCopies)] {
+		_ = a.Transport.Send(i.PeerAddress, dispatcher.MethodAnnounce, &msg)
+	}
+}
--- /dev/null
+++ b/daemon/entry/attempt.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cardamomwick.example/core/api"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/dispatch"
+	"cardamomwick.example/core/retry"
+	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/backend"
+	"cardamomwick.example/daemon/scheduler"
+)
+
+// maxResumes bounds how often one attempt's broken stream is taken up again.
+const maxResumes = 3
+
+// attempts runs a call until it is answered or given up. wait ends the waiting
+// for a slot; run ends what was dispatched. before is asked right before the
+// first dispatch; its reply, if any, ends the call.
+func (e *Entry) attempts(wait, run context.Context, c *call, out *sink, before func() *reply) *reply {
+	var exclude []string
+	uncertain := false
+	for n := 1; ; n++ {
+		t := c.ticket()
+		t.Attempt = n
+		t.Exclude = exclude
+		slot, grant, err := e.scheduler.Acquire(wait, c.pool, t, c.arrived, c.deadline)
+		if err != nil {
+			return e.notGranted(c, err, uncertain)
+		}
+		if !e.mayDispatch(c, grant.Server) {
+			slot.Finish(dispatch.Usage{})
+			if e.mayServe(c) && n < retry.MaxAttempts {
+				exclude = append(exclude, grant.Server)
+				continue
+			}
+			return failed(giveUp(http.StatusServiceUnavailable, api.ErrorIsolated, "this entry lost its configuration lease", uncertain).
+				after(time.Second).elsewhere(e.otherAddresses(c.customer)))
+		}
+		if before != nil {
+			if r := before(); r != nil {
+				slot.Finish(dispatch.Usage{})
+				return r
+			}
+			if !e.mayDispatch(c, grant.Server) {
+				slot.Finish(dispatch.Usage{})
+				return failed(notRun(http.StatusServiceUnavailable, api.ErrorIsolated, "this entry lost its configuration lease").after(time.Second))
+			}
+		}
+		out.attempt(n)
+		target := &backend.Target{RequestID: c.id, Attempt: n, Tier: c.policy.Tier, Customer: c.customer, Server: grant.Server, Address: grant.Address}
+		rep, failure := e.try(run, c, target, slot, out)
+		if failure == nil {
+			return rep
+		}
+		uncertain = uncertain || failure.Failure == retry.FailureUncertain
+		log.WithError(failure).WithFields(log.Fields{"request_id": c.id, "class": c.class, "step": failure.Step, "peer": failure.Peer, "attempt": n}).Warn("attempt failed")
+		if !e.mayRetry(run, c, failure, n) {
+			return e.gaveUp(run, c, failure, uncertain)
+		}
+		exclude = append(exclude, grant.Server)
+		sleep(run, retry.Backoff(n+1, rand.Float64()))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (e *Entry) mayRetry(ctx context.Context, c *call, f *backend.CallError, attempt int) bool {
+	if ctx.Err() != nil || !time.Now().Before(c.deadline) || !retry.Allowed(f.Failure, c.policy.Idempotent, attempt) {
+		return false
+	}
+	if f.Status >= 400 && f.Status < 500 {
+		return false
+	}
+	b, unlock := e.budget(c.pool)
+	defer unlock()
+	return b.Take()
+}
+
+func giveUp(status int, t api.ErrorType, message string, uncertain bool) *callError {
+	if uncertain {
+		return unknown(status, t, message)
+	}
+	return notRun(status, t, message)
+}
+
+// gaveUp is the final answer after a failed attempt, sent at once.
+func (e *Entry) gaveUp(ctx context.Context, c *call, f *backend.CallError, uncertain bool) *reply {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(c.deadline):
+		return failed(giveUp(http.StatusGatewayTimeout, api.ErrorExpired, "the deadline passed while the call ran", uncertain))
+	case f.Status >= 400 && f.Status < 500:
+		return failed(giveUp(http.StatusBadGateway, api.ErrorBackend, f.Error(), uncertain))
+	}
+	return failed(giveUp(http.StatusBadGateway, api.ErrorBackend, f.Error(), uncertain).after(time.Second))
+}
+
+// notGranted is the final answer when no slot was given.
+func (e *Entry) notGranted(c *call, err error, uncertain bool) *reply {
+	var refused *scheduler.RefusedError
+	if !errors.As(err, &refused) {
+		return failed(giveUp(http.StatusServiceUnavailable, api.ErrorRefused, "the caller left while the call waited", uncertain))
+	}
+	status, kind := http.StatusServiceUnavailable, api.ErrorRefused
+	if refused.Reason == dispatch.ReasonRate {
+		status, kind = http.StatusTooManyRequests, api.ErrorRate
+	}
+	x := giveUp(status, kind, "not dispatched: "+string(refused.Reason), uncertain).after(refused.RetryAfter)
+	x.Reason = string(refused.Reason)
+	return failed(x)
+}
+
+// try makes one attempt and gives the slot back.
+func (e *Entry) try(ctx context.Context, c *call, t *backend.Target, slot *scheduler.Call, out *sink) (*reply, *backend.CallError) {
+	b, unlock := e.budget(c.pool)
+	if t.Attempt == 1 {
+		b.Attempt()
+	}
+	unlock()
+	if c.kind == bundle.PoolService {
+		return e.tryService(ctx, c, t, slot)
+	}
+	return e.tryModel(ctx, c, t, slot, out)
+}
+
+func (e *Entry) tryService(ctx context.Context, c *call, t *backend.Target, slot *scheduler.Call) (*reply, *backend.CallError) {
+	key := ""
+	if c.key != nil {
+		key = c.key.Key
+	}
+	a, err := backend.Call(ctx, t, c.method, c.path, c.contentType, key, c.body)
+	if err != nil {
+		f := asCallError(err, t)
+		slot.Finish(dispatch.Usage{Fault: ctx.Err() == nil && f.Status == 0})
+		return nil, f
+	}
+	slot.Finish(dispatch.Usage{Completed: true, OutputTokens: 1})
+	return &reply{status: a.Status, contentType: a.ContentType, body: a.Body, outcome: state.OutcomeCompleted}, nil
+}
+
+func asCallError(err error, t *backend.Target) *backend.CallError {
+	var f *backend.CallError
+	if errors.As(err, &f) {
+		return f
+	}
+	return &backend.CallError{Failure: retry.FailureUncertain, Step: "attempt", Peer: t.Server, Err: err}
+}
+
+// tryModel generates, behind what earlier attempts have generated already.
+func (e *Entry) tryModel(ctx context.Context, c *call, t *backend.Target, slot *scheduler.Call, out *sink) (*reply, *backend.CallError) {
+	text, before := out.partial()
+	body, err := c.engineBody(text, before)
+	if err != nil {
+		slot.Finish(dispatch.Usage{})
+		return nil, &backend.CallError{Failure: retry.FailureNotSent, Step: "build engine request", Peer: t.Server, Err: err}
+	}
+	f := e.generate(ctx, t, body, slot, out)
+	_, now := out.partial()
+	if f == nil {
+		slot.Finish(dispatch.Usage{Completed: true, OutputTokens: now - before})
+		return out.whole(), nil
+	}
+	if ctx.Err() != nil {
+		go backend.Cancel(t)
+		e.metrics.Abandoned(c.class, now)
+		slot.Finish(dispatch.Usage{OutputTokens: now - before})
+		return nil, f
+	}
+	slot.Finish(dispatch.Usage{Fault: f.Status == 0 || f.Status >= 500, OutputTokens: now - before})
+	return nil, f
+}
+
+// generate pumps one attempt's stream, resuming it when the connection breaks.
+func (e *Entry) generate(ctx context.Context, t *backend.Target, body []byte, slot *scheduler.Call, out *sink) *backend.CallError {
+	s, err := backend.Open(ctx, t, body)
+	if err != nil {
+		return asCallError(err, t)
+	}
+	events := 0
+	for resumes := 0; ; resumes++ {
+		n, err := pump(s, slot, out)
+		s.Close()
+		events += n
+		if err == nil && out.complete() {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("stream ended without a finish reason")
+		}
+		f := asCallError(err, t)
+		if ctx.Err() != nil || resumes >= maxResumes {
+			return f
+		}
+		if s, err = backend.Resume(ctx, t, events); err != nil {
+			return f
+		}
+	}
+}
+
+// pump copies events until the stream ends; nil means the engine's end marker.
+func pump(s *backend.Stream, slot *scheduler.Call, out *sink) (int, error) {
+	n := 0
+	for {
+		ev, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return n, nil
+		}
+		if err != nil {
+			return n, err
+		}
+		n++
+		slot.Token(time.Now())
+		out.event(ev)
+	}
+}
--- /dev/null
+++ b/daemon/entry/durable.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cardamomwick.example/core/api"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/state"
+)
+
+const (
+	takeOverPeriod = time.Second
+	takeOverBatch  = 32
+	takeOverRole   = "role/takeover"
+)
+
+// executeDurable records the call before anything else. From then on it is run
+// until it ends, by this instance or, after its death, by another one.
+func (e *Entry) executeDurable(ctx context.Context, c *call, out *sink) *reply {
+	cmd := e.command(state.CommandAccept, c)
+	cmd.Call.Request = &state.StoredRequest{Method: c.method, Path: c.path, ContentType: c.contentType, Body: c.body}
+	res, err := e.replicas.Propose(ctx, cmd)
+	if err != nil {
+		return failed(unknown(http.StatusServiceUnavailable, api.ErrorNoReplicas, "the replicas did not answer; ask again with the same key").
+			after(time.Second).elsewhere(e.otherAddresses(c.customer)))
+	}
+	if rep := e.claimResult(c, &res); rep != nil {
+		return rep
+	}
+	return e.detached(ctx, out, func() *reply { return e.runDurable(c, out) }, func() *reply {
+		return failed(unknown(http.StatusAccepted, api.ErrorAccepted, "the call is recorded and will be run; ask again with the same key for its answer").after(time.Second))
+	})
+}
+
+// runDurable tries until the call has ended. While shutting down a call that
+// is not dispatched yet is left to another instance.
+func (e *Entry) runDurable(c *call, out *sink) *reply {
+	for {
+		r := e.durableRound(c, out)
+		switch {
+		case r.outcome == state.OutcomeCompleted && !r.repeat:
+			e.record(c, r)
+			return r
+		case r.repeat || r.outcome == state.OutcomeUnknown && !c.policy.Idempotent:
+			return r
+		case e.refusing.Load():
+			return failed(unknown(http.StatusAccepted, api.ErrorAccepted, "the call is recorded; another instance will run it").after(time.Second))
+		}
+		log.WithFields(log.Fields{"request_id": c.id, "class": c.class, "step": "durable round", "outcome": string(r.outcome)}).Info("durable call will be tried again")
+		time.Sleep(durablePause)
+	}
+}
+
+func (e *Entry) durableRound(c *call, out *sink) *reply {
+	round := *c
+	round.deadline = time.Now().Add(durableRound)
+	ctx, cancel := context.WithDeadline(context.Background(), round.deadline)
+	defer cancel()
+	if c.policy.Idempotent {
+		return e.attempts(ctx, ctx, &round, out, nil)
+	}
+	return e.claimAndRun(ctx, &round, out)
+}
+
+// String names the take-over service in the supervisor's log.
+func (e *Entry) String() string { return "take-over of durable calls" }
+
+// Serve looks for durable calls whose instance is gone and runs them. One
+// instance at a time has this role; two for a while are kept apart by the log.
+func (e *Entry) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(takeOverPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if e.refusing.Load() || !e.holder.Fresh() {
+			continue
+		}
+		if ranked := e.gossip.Rank(takeOverRole); len(ranked) > 0 && ranked[0].Name == e.gossip.Self().Name {
+			e.takeOver(ctx)
+		}
+	}
+}
+
+func (e *Entry) takeOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, takeOverPeriod)
+	defer cancel()
+	var alive []string
+	for _, i := range e.gossip.Instances() {
+		alive = append(alive, i.Owner())
+	}
+	orphans, err := e.replicas.Orphans(ctx, alive, takeOverBatch)
+	if err != nil {
+		return
+	}
+	for _, o := range orphans {
+		e.adopt(ctx, o)
+	}
+}
+
+// adopt takes one call over and runs it.
+func (e *Entry) adopt(ctx context.Context, o state.Orphan) {
+	id := newID()
+	cmd := &state.Command{Type: state.CommandTakeOver, Call: &state.CallCommand{Key: o.Key, CallID: id, Owner: e.owner, PreviousOwner: o.Owner}}
+	res, err := e.replicas.Propose(ctx, cmd)
+	if err != nil || res.Code != state.CodeOK {
+		return
+	}
+	c := e.rebuild(id, res.Record)
+	if c == nil {
+		return
+	}
+	log.WithFields(log.Fields{"request_id": id, "class": c.class, "step": "take over", "previous": o.Owner}).Info("durable call taken over")
+	e.work.Add(1)
+	go func() {
+		defer e.work.Done()
+		e.runDurable(c, newSink(nil, c))
+	}()
+}
+
+// rebuild makes a call from its record.
+func (e *Entry) rebuild(id string, rec *state.CallRecord) *call {
+	cfg := e.holder.Config()
+	if cfg.Bundle == nil || rec.Request == nil {
+		return nil
+	}
+	policy, ok := cfg.Bundle.Classes[rec.Class]
+	if !ok {
+		policy = bundle.Class{Tier: 1, Idempotent: rec.Idempotent, Durable: true}
+	}
+	policy.Idempotent = rec.Idempotent
+	key := rec.Key
+	c := &call{id: id, callID: id, customer: key.Customer, class: rec.Class, policy: policy, pool: key.Pool, kind: cfg.Bundle.Pools[key.Pool].Kind,
+		generation: cfg.Generation, arrived: time.Now(), method: rec.Request.Method, path: rec.Request.Path,
+		contentType: rec.Request.ContentType, body: rec.Request.Body, key: &key, digest: rec.RequestDigest}
+	if c.kind == bundle.PoolModel {
+		if c.parseChat() != nil {
+			return nil
+		}
+		c.chat.stream = false
+	}
+	return c
+}
--- /dev/null
+++ b/daemon/entry/request.go
@@ -0,0 +1,247 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cardamomwick.example/core/api"
+
+	"github.com/google/uuid"
+
+	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/dispatch"
+	"cardamomwick.example/core/prefix"
+	"cardamomwick.example/core/state"
+)
+
+const (
+	// bytesPerToken estimates prompt tokens from prompt bytes.
+	bytesPerToken = 4
+	maxDeadline   = time.Hour
+)
+
+// call is one caller's request on its way.
+type call struct {
+	id         string
+	customer   string
+	class      string
+	policy     bundle.Class
+	pool       string
+	kind       bundle.PoolKind
+	generation uint64
+	arrived    time.Time
+	deadline   time.Time
+
+	method      string
+	path        string
+	contentType string
+	body        []byte
+
+	// key is set for calls that may not run twice or may not be lost.
+	key    *state.CallKey
+	callID string
+	digest string
+
+	chat *chatRequest
+}
+
+// chatRequest is a chat-completions body with all its fields kept.
+type chatRequest struct {
+	fields    map[string]json.RawMessage
+	model     string
+	stream    bool
+	maxTokens int
+	messages  []json.RawMessage
+}
+
+func (c *call) needsKey() bool { return !c.policy.Idempotent || c.policy.Durable }
+
+// ticket describes the call to the dispatcher.
+func (c *call) ticket() dispatch.Ticket {
+	t := dispatch.Ticket{Class: c.class, Customer: c.customer, PromptTokens: len(c.body) / bytesPerToken}
+	if c.chat != nil {
+		t.Prefixes = prefix.Hashes(c.chat.messages)
+	}
+	return t
+}
+
+// parse reads, authenticates and checks a request. Every refusal here is
+// not_run.
+func (e *Entry) parse(r *http.Request, kind bundle.PoolKind) (*call, *callError) {
+	c := &call{id: newID(), kind: kind, arrived: time.Now(), method: r.Method, contentType: r.Header.Get("Content-Type")}
+	cfg := e.holder.Config()
+	if cfg.Bundle == nil {
+		return c, notRun(http.StatusServiceUnavailable, api.ErrorRefused, "no bundle is in force yet").after(time.Second)
+	}
+	c.generation = cfg.Generation
+	customer, ok := e.customerOf(r)
+	if !ok {
+		return c, notRun(http.StatusUnauthorized, api.ErrorAuth, "the bearer key belongs to no customer")
+	}
+	c.customer = customer
+	if err := e.readBody(r, c); err != nil {
+		return c, err
+	}
+	if err := c.findPool(r, cfg.Bundle); err != nil {
+		return c, err
+	}
+	if err := c.findClass(r, cfg.Bundle); err != nil {
+		return c, err
+	}
+	if err := c.findDeadline(r); err != nil {
+		return c, err
+	}
+	if c.needsKey() {
+		return c, c.findKey(r)
+	}
+	return c, nil
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+func (e *Entry) readBody(r *http.Request, c *call) *callError {
+	limit := e.settings.Callers.MaxBodyBytes
+	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return notRun(http.StatusRequestEntityTooLarge, api.ErrorTooLarge, fmt.Sprintf("the body is over the limit of %d bytes", limit))
+	}
+	if err != nil {
+		return notRun(http.StatusBadRequest, api.ErrorInvalid, "the body could not be read: "+err.Error())
+	}
+	c.body = data
+	return nil
+}
+
+func (c *call) findPool(r *http.Request, b *bundle.Bundle) *callError {
+	if c.kind == bundle.PoolModel {
+		if err := c.parseChat(); err != nil {
+			return err
+		}
+		c.pool = c.chat.model
+	} else {
+		name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, api.PathServices), "/")
+		c.pool = name
+		c.path = "/" + rest
+		if r.URL.RawQuery != "" {
+			c.path += "?" + r.URL.RawQuery
+		}
+	}
+	if p, ok := b.Pools[c.pool]; !ok || p.Kind != c.kind {
+		return notRun(http.StatusNotFound, api.ErrorPool, fmt.Sprintf("the bundle in force declares no %s %q", c.kind, c.pool))
+	}
+	return nil
+}
+
+func (c *call) parseChat() *callError {
+	q := &chatRequest{}
+	if err := json.Unmarshal(c.body, &q.fields); err != nil {
+		return notRun(http.StatusBadRequest, api.ErrorInvalid, "the body is not a JSON object: "+err.Error())
+	}
+	for name, into := range map[string]any{"model": &q.model, "stream": &q.stream, "max_tokens": &q.maxTokens, "messages": &q.messages} {
+		raw, ok := q.fields[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, into); err != nil {
+			return notRun(http.StatusBadRequest, api.ErrorInvalid, fmt.Sprintf("field %q: %v", name, err))
+		}
+	}
+	if q.model == "" || len(q.messages) == 0 {
+		return notRun(http.StatusBadRequest, api.ErrorInvalid, "fields \"model\" and \"messages\" are required")
+	}
+	if q.maxTokens < 0 {
+		return notRun(http.StatusBadRequest, api.ErrorInvalid, "field \"max_tokens\" must not be negative")
+	}
+	c.chat = q
+	return nil
+}
+
+func (c *call) findClass(r *http.Request, b *bundle.Bundle) *callError {
+	c.class = r.Header.Get(api.HeaderClass)
+	if c.class == "" {
+		c.class = b.Pools[c.pool].DefaultClass
+	}
+	policy, ok := b.Classes[c.class]
+	if !ok {
+		return notRun(http.StatusBadRequest, api.ErrorClass, fmt.Sprintf("the bundle in force declares no class %q", c.class))
+	}
+	c.policy = policy
+	return nil
+}
+
+func (c *call) findDeadline(r *http.Request) *callError {
+	c.deadline = c.arrived.Add(c.policy.Deadline.D())
+	text := r.Header.Get(api.HeaderDeadline)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms > maxDeadline.Milliseconds() {
+		return notRun(http.StatusBadRequest, api.ErrorInvalid, api.HeaderDeadline+" must be milliseconds from now, at most 3600000")
+	}
+	if ms <= 0 {
+		return notRun(http.StatusRequestTimeout, api.ErrorExpired, "the deadline has passed already")
+	}
+	c.deadline = c.arrived.Add(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+// findKey checks the idempotency key. A durable idempotent call may come
+// without one; it then gets its request ID as key.
+func (c *call) findKey(r *http.Request) *callError {
+	text := r.Header.Get(api.HeaderKey)
+	if text == "" && c.policy.Idempotent {
+		text = c.id
+	}
+	id, err := uuid.Parse(text)
+	if err != nil || id.Version() != 7 {
+		return notRun(http.StatusBadRequest, api.ErrorKey, fmt.Sprintf("class %q needs the header %s with a UUID of version 7", c.class, api.HeaderKey))
+	}
+	sec, nsec := id.Time().UnixTime()
+	c.key = &state.CallKey{Customer: c.customer, Pool: c.pool, Key: id.String(), Millis: time.Unix(sec, nsec).UnixMilli()}
+	c.callID = c.id
+	sum := sha256.Sum256(append([]byte(c.method+" "+c.path+"\n"), c.body...))
+	c.digest = hex.EncodeToString(sum[:16])
+	if c.policy.Durable && len(c.body) > state.MaxStoredRequest {
+		return notRun(http.StatusRequestEntityTooLarge, api.ErrorTooLarge, fmt.Sprintf("the body of a durable call is limited to %d bytes", state.MaxStoredRequest))
+	}
+	return nil
+}
+
+// engineBody is the chat request as an engine gets it: always streaming, the
+// output capped, and continued behind what was generated before.
+func (c *call) engineBody(partial string, generated int) ([]byte, error) {
+	q := c.chat
+	f := make(map[string]json.RawMessage, len(q.fields)+2)
+	for k, v := range q.fields {
+		f[k] = v
+	}
+	f["stream"] = json.RawMessage("true")
+	limit := q.maxTokens
+	if most := c.policy.MaxOutputTokens; most > 0 && (limit == 0 || limit > most) {
+		limit = most
+	}
+	if limit > 0 {
+		f["max_tokens"] = json.RawMessage(strconv.Itoa(max(1, limit-generated)))
+	}
+	if partial != "" {
+		last, err := json.Marshal(map[string]string{"role": "assistant", "content": partial})
+		if err != nil {
+			return nil, err
+		}
+		if f["messages"], err = json.Marshal(append(append([]json.RawMessage(nil), q.messages...), last)); err != nil {
+			return nil, err
+		}
+		f["continue_final_message"] = json.RawMessage("true")
+	}
+	return json.Marshal(f)
+}
--- /dev/null
+++ b/daemon/frame/frame.go
@@ -0,0 +1,297 @@
+// Package frame carries length-prefixed, authenticated msgpack messages over
+// TCP between the system's own processes. A connection starts with a mutual
+// challenge under a shared key; each frame then carries a MAC over its
+// sequence number and bytes, so that frames can't be forged, replayed,
+// reordered or moved between connections.
+package frame
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+	"io"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Bounds of the protocol.
+const (
+	// MaxBytes is the largest frame; snapshots go in chunks below it.
+	MaxBytes         = 8 << 20
+	macBytes         = 16
+	nonceBytes       = 32
+	maxKeyID         = 64
+	handshakeTimeout = 3 * time.Second
+)
+
+// Errors of the protocol. All of them close the connection.
+var (
+	ErrTooLarge = eris.New("frame is larger than allowed")
+	ErrMAC      = eris.New("frame authentication failed")
+	ErrKey      = eris.New("peer uses an unknown key")
+)
+
+// Key is a shared secret with its name.
+type Key struct {
+	ID     string
+	Secret []byte
+}
+
+// Kind tells how a Message is meant.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	// OneWay expects no answer and is handled in order.
+	OneWay Kind = iota + 1
+	Request
+	Response
+)
+
+// Message is one frame's content.
+type Message struct {
+	Kind   Kind               `msgpack:"k"`
+	ID     uint64             `msgpack:"i,omitempty"`
+	Method string             `msgpack:"m,omitempty"`
+	Body   msgpack.RawMessage `msgpack:"b,omitempty"`
+	Error  string             `msgpack:"e,omitempty"`
+}
+
+// Conn is an authenticated connection. One goroutine may read while another
+// writes.
+type Conn struct {
+	raw     net.Conn
+	r       *bufio.Reader
+	w       *bufio.Writer
+	sendMAC hash.Hash
+	recvMAC hash.Hash
+	sendSeq uint64
+	recvSeq uint64
+	// limit bounds incoming frames: small until the peer is authenticated.
+	limit uint32
+	// PeerAddress is the peer address that the other side claimed and proved
+	// knowledge of the key for.
+	PeerAddress string
+}
+
+type hello struct {
+	KeyID   string `msgpack:"k"`
+	Nonce   []byte `msgpack:"n"`
+	Address string `msgpack:"a"`
+}
+
+// Dial opens a connection and proves the first key.
+func Dial(address, self string, keys []Key, timeout time.Duration) (*Conn, error) {
+	raw, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to peer %s", address)
+	}
+	c, err := handshake(raw, self, keys, true)
+	if err != nil {
+		raw.Close()
+		return nil, eris.Wrapf(err, "handshake with peer %s", address)
+	}
+	return c, nil
+}
+
+// Accept answers the handshake on an incoming connection.
+func Accept(raw net.Conn, self string, keys []Key) (*Conn, error) {
+	c, err := handshake(raw, self, keys, false)
+	if err != nil {
+		raw.Close()
+		return nil, eris.Wrapf(err, "handshake with %s", raw.RemoteAddr())
+	}
+	return c, nil
+}
+
+// handshake exchanges nonces, derives a key per direction and proves both
+// sides' knowledge with the first frame each way.
+func handshake(raw net.Conn, self string, keys []Key, client bool) (*Conn, error) {
+	if err := raw.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, 16<<10), w: bufio.NewWriterSize(raw, 16<<10), limit: maxHello}
+	mine := hello{Nonce: make([]byte, nonceBytes), Address: self}
+	if _, err := rand.Read(mine.Nonce); err != nil {
+		return nil, err
+	}
+	var theirs hello
+	var err error
+	if client {
+		mine.KeyID = keys[0].ID
+		if err = c.writeHello(&mine); err == nil {
+			theirs, err = c.readHello()
+		}
+	} else {
+		if theirs, err = c.readHello(); err == nil {
+			mine.KeyID = theirs.KeyID
+			err = c.writeHello(&mine)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	secret, ok := find(keys, theirs.KeyID)
+	if !ok || theirs.KeyID != mine.KeyID {
+		return nil, ErrKey
+	}
+	c.PeerAddress = theirs.Address
+	c.deriveKeys(secret, &mine, &theirs, client)
+	if err := c.prove(); err != nil {
+		return nil, err
+	}
+	c.limit = MaxBytes
+	return c, raw.SetDeadline(time.Time{})
+}
+
+func find(keys []Key, id string) ([]byte, bool) {
+	for _, k := range keys {
+		if k.ID == id {
+			return k.Secret, true
+		}
+	}
+	return nil, false
+}
+
+func (c *Conn) deriveKeys(secret []byte, mine, theirs *hello, client bool) {
+	first, second := mine, theirs
+	if !client {
+		first, second = theirs, mine
+	}
+	derive := func(label string) hash.Hash {
+		m := hmac.New(sha256.New, secret)
+		m.Write([]byte(label))
+		m.Write(first.Nonce)
+		m.Write(second.Nonce)
+		m.Write([]byte(first.Address + "\x00" + second.Address))
+		return hmac.New(sha256.New, m.Sum(nil))
+	}
+	toServer, toClient := derive("client to server"), derive("server to client")
+	c.sendMAC, c.recvMAC = toServer, toClient
+	if !client {
+		c.sendMAC, c.recvMAC = toClient, toServer
+	}
+}
+
+func (c *Conn) prove() error {
+	if err := c.Write(&Message{Kind: OneWay, Method: "hello"}); err != nil {
+		return err
+	}
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	_, err := c.Read()
+	return err
+}
+
+func (c *Conn) writeHello(h *hello) error {
+	data, err := msgpack.Marshal(h)
+	if err != nil {
+		return err
+	}
+	var size [4]byte
+	binary.BigEndian.PutUint32(size[:], uint32(len(data)))
+	if _, err := c.w.Write(size[:]); err != nil {
+		return err
+	}
+	if _, err := c.w.Write(data); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+const maxHello = 512
+
+func (c *Conn) readHello() (hello, error) {
+	var h hello
+	var size [4]byte
+	if _, err := io.ReadFull(c.r, size[:]); err != nil {
+		return h, err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxHello {
+		return h, ErrTooLarge
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(c.r, data); err != nil {
+		return h, err
+	}
+	if err := msgpack.Unmarshal(data, &h); err != nil {
+		return h, err
+	}
+	if len(h.Nonce) != nonceBytes || len(h.KeyID) > maxKeyID || len(h.Address) > maxKeyID {
+		return h, eris.New("malformed hello")
+	}
+	return h, nil
+}
+
+func mac(h hash.Hash, seq uint64, data []byte) []byte {
+	var s [8]byte
+	binary.BigEndian.PutUint64(s[:], seq)
+	h.Reset()
+	h.Write(s[:])
+	h.Write(data)
+	return h.Sum(nil)[:macBytes]
+}
+
+// Write buffers one message; Flush sends it.
+func (c *Conn) Write(m *Message) error {
+	data, err := msgpack.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "encode frame")
+	}
+	if len(data) > MaxBytes {
+		return ErrTooLarge
+	}
+	var size [4]byte
+	binary.BigEndian.PutUint32(size[:], uint32(len(data)))
+	c.sendSeq++
+	if _, err := c.w.Write(size[:]); err != nil {
+		return err
+	}
+	if _, err := c.w.Write(mac(c.sendMAC, c.sendSeq, data)); err != nil {
+		return err
+	}
+	_, err = c.w.Write(data)
+	return err
+}
+
+// Flush sends what was written.
+func (c *Conn) Flush() error { return c.w.Flush() }
+
+// Read returns the next message.
+func (c *Conn) Read() (*Message, error) {
+	var head [4 + macBytes]byte
+	if _, err := io.ReadFull(c.r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:4])
+	if n > c.limit {
+		return nil, ErrTooLarge
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(c.r, data); err != nil {
+		return nil, err
+	}
+	c.recvSeq++
+	if !hmac.Equal(head[4:], mac(c.recvMAC, c.recvSeq, data)) {
+		return nil, ErrMAC
+	}
+	var m Message
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		return nil, eris.Wrap(err, "decode frame")
+	}
+	return &m, nil
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error { return c.raw.Close() }
+
+// SetWriteDeadline bounds the writes that follow.
+func (c *Conn) SetWriteDeadline(t time.Time) error { return c.raw.SetWriteDeadline(t) }
--- /dev/null
+++ b/daemon/frame/transport.go
@@ -0,0 +1,431 @@
+package frame
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Parameters of a Transport.
+const (
+	dialTimeout  = 500 * time.Millisecond
+	writeTimeout = 5 * time.Second
+	// redialPause keeps an unreachable address from being dialled all the time.
+	redialPause = 100 * time.Millisecond
+	// queueLength bounds the messages waiting for one address.
+	queueLength = 4096
+	// maxConcurrent bounds the requests served at once per connection.
+	maxConcurrent = 512
+)
+
+// Errors of a Transport.
+var (
+	// ErrUnreachable: the message certainly did not reach the peer.
+	ErrUnreachable = eris.New("peer is unreachable")
+	// ErrLost: the connection broke; the peer may have handled the request.
+	ErrLost = eris.New("connection to peer was lost")
+	// ErrQueueFull: too many messages wait for the peer.
+	ErrQueueFull = eris.New("queue to peer is full")
+)
+
+// RemoteError is an error that the peer's handler returned.
+type RemoteError struct{ Text string }
+
+// Error returns the peer's text.
+func (e *RemoteError) Error() string { return e.Text }
+
+// RequestHandler answers a request; its result is encoded as the response.
+type RequestHandler func(ctx context.Context, from string, body []byte) (any, error)
+
+// OneWayHandler takes a one-way message. Messages of one connection come in
+// the order in which they were sent.
+type OneWayHandler func(from string, body []byte)
+
+// Filter says whether frames from or to a peer address are dropped; it is the
+// hook for failure tests.
+type Filter func(peer string, incoming bool) bool
+
+// Transport connects an instance with the others. Handlers are registered
+// before Serve.
+type Transport struct {
+	self     string
+	keys     []Key
+	filter   Filter
+	requests map[string]RequestHandler
+	oneWays  map[string]OneWayHandler
+	// onDown is told when an outgoing connection could not be made or broke.
+	onDown []func(address string)
+
+	mu     sync.Mutex
+	links  map[string]*link
+	closed bool
+	// BadFrames counts connections closed for a protocol violation.
+	BadFrames atomic.Int64
+	// BytesSent and MessagesSent count outgoing traffic.
+	BytesSent, MessagesSent atomic.Int64
+}
+
+// NewTransport returns a transport for an instance's own peer address.
+func NewTransport(self string, keys []Key, filter Filter) *Transport {
+	if filter == nil {
+		filter = func(string, bool) bool { return false }
+	}
+	others := func(peer string, incoming bool) bool { return peer != self && filter(peer, incoming) }
+	return &Transport{self: self, keys: keys, filter: others, links: map[string]*link{},
+		requests: map[string]RequestHandler{}, oneWays: map[string]OneWayHandler{}}
+}
+
+// HandleRequest registers the handler of a request method.
+func (t *Transport) HandleRequest(method string, h RequestHandler) { t.requests[method] = h }
+
+// HandleOneWay registers the handler of a one-way method.
+func (t *Transport) HandleOneWay(method string, h OneWayHandler) { t.oneWays[method] = h }
+
+// OnDown registers a function that is told of broken outgoing connections.
+func (t *Transport) OnDown(f func(address string)) { t.onDown = append(t.onDown, f) }
+
+// Self returns the instance's own peer address.
+func (t *Transport) Self() string { return t.self }
+
+// Serve accepts connections until the context ends.
+func (t *Transport) Serve(ctx context.Context) error {
+	l, err := net.Listen("tcp", t.self)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", t.self)
+	}
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	var conns sync.WaitGroup
+	defer conns.Wait()
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				t.closeLinks()
+				return ctx.Err()
+			}
+			return eris.Wrap(err, "accept peer")
+		}
+		conns.Go(func() { t.serveConn(ctx, raw) })
+	}
+}
+
+func (t *Transport) closeLinks() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for _, l := range t.links {
+		l.close()
+	}
+}
+
+func (t *Transport) serveConn(ctx context.Context, raw net.Conn) {
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	defer stop()
+	c, err := Accept(raw, t.self, t.keys)
+	if err != nil {
+		t.BadFrames.Add(1)
+		log.WithError(err).WithField("step", "accept peer").WithField("peer", raw.RemoteAddr().String()).Warn("connection refused")
+		return
+	}
+	defer c.Close()
+	out := make(chan *Message, queueLength)
+	done := make(chan struct{})
+	go t.writeLoop(c, out, done)
+	defer close(done)
+	busy := make(chan struct{}, maxConcurrent)
+	for {
+		m, err := c.Read()
+		if err != nil {
+			t.countReadError(err, c.PeerAddress)
+			return
+		}
+		if t.filter(c.PeerAddress, true) {
+			continue
+		}
+		switch m.Kind {
+		case OneWay:
+			if h := t.oneWays[m.Method]; h != nil {
+				h(c.PeerAddress, m.Body)
+			}
+		case Request:
+			busy <- struct{}{}
+			go func() {
+				defer func() { <-busy }()
+				t.answer(ctx, c.PeerAddress, m, out, done)
+			}()
+		}
+	}
+}
+
+func (t *Transport) countReadError(err error, peer string) {
+	if errors.Is(err, ErrMAC) || errors.Is(err, ErrTooLarge) {
+		t.BadFrames.Add(1)
+		log.WithError(err).WithField("step", "read frame").WithField("peer", peer).Warn("connection closed")
+	}
+}
+
+func (t *Transport) answer(ctx context.Context, from string, m *Message, out chan<- *Message, done <-chan struct{}) {
+	resp := &Message{Kind: Response, ID: m.ID}
+	h := t.requests[m.Method]
+	if h == nil {
+		resp.Error = "unknown method " + m.Method
+	} else if v, err := h(ctx, from, m.Body); err != nil {
+		resp.Error = err.Error()
+	} else if resp.Body, err = msgpack.Marshal(v); err != nil {
+		resp.Error = err.Error()
+	}
+	if t.filter(from, false) {
+		return
+	}
+	select {
+	case out <- resp:
+	case <-done:
+	}
+}
+
+// writeLoop writes queued messages and flushes when the queue is empty.
+func (t *Transport) writeLoop(c *Conn, out <-chan *Message, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case m := <-out:
+			if err := t.writeBatch(c, m, out); err != nil {
+				c.Close()
+				return
+			}
+		}
+	}
+}
+
+func (t *Transport) writeBatch(c *Conn, m *Message, out <-chan *Message) error {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	for {
+		if err := c.Write(m); err != nil {
+			return err
+		}
+		t.MessagesSent.Add(1)
+		t.BytesSent.Add(int64(len(m.Body) + 32))
+		select {
+		case m = <-out:
+		default:
+			return c.Flush()
+		}
+	}
+}
+
+// Send queues a one-way message. It never waits; a full queue or a broken
+// connection loses it.
+func (t *Transport) Send(address, method string, v any) error {
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		return eris.Wrap(err, "encode message")
+	}
+	if t.filter(address, false) {
+		return nil
+	}
+	return t.link(address).enqueue(&Message{Kind: OneWay, Method: method, Body: body}, nil)
+}
+
+// Call sends a request and decodes the response into out. ErrUnreachable means
+// that the peer has certainly not seen it.
+func (t *Transport) Call(ctx context.Context, address, method string, in, out any) error {
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	if t.filter(address, false) {
+		<-ctx.Done()
+		return eris.Wrapf(ctx.Err(), "%s at peer %s", method, address)
+	}
+	l := t.link(address)
+	p := &pendingCall{done: make(chan struct{})}
+	m := &Message{Kind: Request, ID: l.nextID.Add(1), Method: method, Body: body}
+	if err := l.enqueue(m, p); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		l.forget(m.ID)
+		return eris.Wrapf(ctx.Err(), "%s at peer %s", method, address)
+	}
+	if p.err != nil {
+		return eris.Wrapf(p.err, "%s at peer %s", method, address)
+	}
+	return eris.Wrap(msgpack.Unmarshal(p.body, out), "decode response")
+}
+
+func (t *Transport) link(address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.links[address]
+	if l == nil {
+		l = &link{t: t, address: address, out: make(chan *Message, queueLength), pending: map[uint64]*pendingCall{}, closing: make(chan struct{})}
+		t.links[address] = l
+		if t.closed {
+			l.close()
+		}
+		go l.run()
+	}
+	return l
+}
+
+// pendingCall waits for a response; done is closed once body or err is set.
+type pendingCall struct {
+	done chan struct{}
+	body []byte
+	err  error
+}
+
+// link is the outgoing side towards one address: it dials when there is
+// something to send and keeps the connection.
+type link struct {
+	t       *Transport
+	address string
+	out     chan *Message
+	nextID  atomic.Uint64
+
+	mu      sync.Mutex
+	pending map[uint64]*pendingCall
+	closing chan struct{}
+	once    sync.Once
+	// failedAt is when dialling failed last; sends fail fast for redialPause.
+	failedAt time.Time
+}
+
+func (l *link) close() { l.once.Do(func() { close(l.closing) }) }
+
+func (l *link) enqueue(m *Message, p *pendingCall) error {
+	l.mu.Lock()
+	if time.Since(l.failedAt) < redialPause {
+		l.mu.Unlock()
+		return eris.Wrapf(ErrUnreachable, "peer %s", l.address)
+	}
+	if p != nil {
+		l.pending[m.ID] = p
+	}
+	l.mu.Unlock()
+	select {
+	case l.out <- m:
+		return nil
+	default:
+		l.forget(m.ID)
+		return eris.Wrapf(ErrQueueFull, "peer %s", l.address)
+	}
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	delete(l.pending, id)
+	l.mu.Unlock()
+}
+
+// run dials for the first queued message and writes until the connection
+// breaks, over and over.
+func (l *link) run() {
+	for {
+		select {
+		case <-l.closing:
+			l.failPending(ErrUnreachable)
+			return
+		case m := <-l.out:
+			l.connectAndWrite(m)
+		}
+	}
+}
+
+func (l *link) connectAndWrite(first *Message) {
+	c, err := Dial(l.address, l.t.self, l.t.keys, dialTimeout)
+	if err != nil {
+		l.mu.Lock()
+		l.failedAt = time.Now()
+		l.mu.Unlock()
+		l.drain()
+		l.down(ErrUnreachable)
+		return
+	}
+	broken := make(chan struct{})
+	go l.readLoop(c, broken)
+	m := first
+	for {
+		if err := l.t.writeBatch(c, m, l.out); err != nil {
+			break
+		}
+		select {
+		case m = <-l.out:
+			continue
+		case <-broken:
+		case <-l.closing:
+		}
+		break
+	}
+	c.Close()
+	l.drain()
+	l.down(ErrLost)
+}
+
+// drain drops queued messages that belong to the broken connection.
+func (l *link) drain() {
+	for {
+		select {
+		case <-l.out:
+		default:
+			return
+		}
+	}
+}
+
+func (l *link) down(err error) {
+	l.failPending(err)
+	for _, f := range l.t.onDown {
+		f(l.address)
+	}
+}
+
+func (l *link) failPending(err error) {
+	l.mu.Lock()
+	failed := l.pending
+	l.pending = map[uint64]*pendingCall{}
+	l.mu.Unlock()
+	for _, p := range failed {
+		p.err = err
+		close(p.done)
+	}
+}
+
+func (l *link) readLoop(c *Conn, broken chan<- struct{}) {
+	defer close(broken)
+	for {
+		m, err := c.Read()
+		if err != nil {
+			l.t.countReadError(err, l.address)
+			return
+		}
+		if m.Kind != Response || l.t.filter(l.address, true) {
+			continue
+		}
+		l.mu.Lock()
+		p := l.pending[m.ID]
+		delete(l.pending, m.ID)
+		l.mu.Unlock()
+		if p == nil {
+			continue
+		}
+		p.body = m.Body
+		if m.Error != "" {
+			p.err = &RemoteError{m.Error}
+		}
+		close(p.done)
+	}
+}
--- /dev/null
+++ b/daemon/gossip/gossip.go
@@ -0,0 +1,135 @@
+// Package gossip runs the membership protocol of an instance over frames and
+// answers who is alive and who should do what.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/membership"
+	"cardamomwick.example/daemon/frame"
+)
+
+const (
+	method     = "gossip"
+	tickPeriod = 50 * time.Millisecond
+)
+
+// Service keeps an instance's view of the others. It is a suture service.
+type Service struct {
+	transport *frame.Transport
+	mu        sync.Mutex
+	table     *membership.Table
+	self      membership.Instance
+	version   uint64
+	draining  bool
+	isolated  bool
+	view      atomic.Pointer[[]membership.Instance]
+}
+
+// New registers the frame handler.
+func New(t *frame.Transport, self membership.Instance, seeds []string) *Service {
+	s := &Service{transport: t, self: self, isolated: true}
+	self.Isolated = true
+	s.table = membership.New(self, seeds, time.Now(), rand.IntN)
+	s.publish()
+	t.HandleOneWay(method, s.handle)
+	return s
+}
+
+// String names the service in the supervisor's log.
+func (s *Service) String() string { return "membership" }
+
+// Serve probes until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.mu.Lock()
+			out := s.table.Tick(time.Now())
+			s.publish()
+			s.mu.Unlock()
+			s.send(out)
+		}
+	}
+}
+
+func (s *Service) handle(_ string, body []byte) {
+	var m membership.Message
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		log.WithError(err).WithField("step", "decode gossip").Warn("message dropped")
+		return
+	}
+	s.mu.Lock()
+	out := s.table.Handle(time.Now(), m)
+	s.publish()
+	s.mu.Unlock()
+	s.send(out)
+}
+
+// send loses messages to unreachable peers; the protocol expects that.
+func (s *Service) send(list []membership.Outgoing) {
+	for _, o := range list {
+		_ = s.transport.Send(o.To, method, &o.Message)
+	}
+}
+
+// publish refreshes the copy that readers use.
+func (s *Service) publish() {
+	if v := s.table.Version(); v != s.version || s.view.Load() == nil {
+		s.version = v
+		list := s.table.Instances()
+		s.view.Store(&list)
+	}
+}
+
+// Instances lists the instances believed alive, sorted by name. Read only.
+func (s *Service) Instances() []membership.Instance { return *s.view.Load() }
+
+// Self returns this instance.
+func (s *Service) Self() membership.Instance { return s.self }
+
+// SetDraining spreads that this instance takes no new work.
+func (s *Service) SetDraining() { s.setFlags(func() { s.draining = true }) }
+
+// SetIsolated spreads whether this instance lacks a configuration lease.
+func (s *Service) SetIsolated(v bool) { s.setFlags(func() { s.isolated = v }) }
+
+func (s *Service) setFlags(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	s.table.SetSelf(time.Now(), s.draining, s.isolated)
+	s.publish()
+}
+
+// Draining reports whether this instance is shutting down.
+func (s *Service) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Rank orders the instances that may take a role for a key. Draining and
+// isolated ones come only when there is no other.
+func (s *Service) Rank(key string) []membership.Instance {
+	var good, rest []membership.Instance
+	for _, i := range s.Instances() {
+		if i.Draining || i.Isolated {
+			rest = append(rest, i)
+			continue
+		}
+		good = append(good, i)
+	}
+	return append(membership.Rank(key, good), membership.Rank(key, rest)...)
+}
--- /dev/null
+++ b/daemon/replica/audit.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"cardamomwick.example/core/state"
+)
+
+const auditName = "audit.jsonl"
+
+// auditFile holds every audit entry that this replica has applied, one JSON
+// object per line. The consensus log covers what is not synced yet.
+type auditFile struct {
+	path string
+	file *os.File
+	// last is the highest sequence in the file.
+	last uint64
+}
+
+func openAudit(path string) (*auditFile, error) {
+	a := &auditFile{path: path}
+	size, err := a.scan(func(e state.AuditEntry) { a.last = e.Sequence })
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, eris.Wrap(err, "open audit file")
+	}
+	if err := f.Truncate(size); err != nil {
+		return nil, eris.Wrap(err, "cut torn audit line")
+	}
+	if _, err := f.Seek(size, 0); err != nil {
+		return nil, eris.Wrap(err, "open audit file")
+	}
+	a.file = f
+	return a, nil
+}
+
+// scan reads whole lines and returns the length up to the last good one.
+func (a *auditFile) scan(f func(state.AuditEntry)) (int64, error) {
+	file, err := os.Open(a.path)
+	if err != nil {
+		return 0, err
+	}
+	defer file.Close()
+	size := int64(0)
+	in := bufio.NewReader(file)
+	for {
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			return size, nil
+		}
+		var e state.AuditEntry
+		if json.Unmarshal(line, &e) != nil {
+			return size, nil
+		}
+		f(e)
+		size += int64(len(line))
+	}
+}
+
+func (a *auditFile) append(entries []state.AuditEntry) {
+	for _, e := range entries {
+		line, err := json.Marshal(&e)
+		if err != nil {
+			panic(err) // plain data; encoding to memory can't fail
+		}
+		if _, err := a.file.Write(append(line, '\n')); err != nil {
+			log.WithError(err).WithField("step", "write audit file").Error("audit file lacks an entry")
+			return
+		}
+		a.last = e.Sequence
+	}
+}
+
+func (a *auditFile) sync() error { return eris.Wrap(a.file.Sync(), "sync audit file") }
+
+func (a *auditFile) close() {
+	if err := errors.Join(a.sync(), a.file.Close()); err != nil {
+		log.WithError(err).WithField("step", "close audit file").Error("audit file may lack entries")
+	}
+}
+
+const auditPage = 1000
+
+// since returns a page of entries above a sequence, from the file where the
+// state machine no longer holds them.
+func (a *auditFile) since(after uint64, m *state.Machine) []state.AuditEntry {
+	tail := m.Audit(after)
+	if len(tail) == 0 || tail[0].Sequence == after+1 {
+		return tail[:min(len(tail), auditPage)]
+	}
+	var out []state.AuditEntry
+	_, err := a.scan(func(e state.AuditEntry) {
+		if e.Sequence > after && len(out) < auditPage {
+			out = append(out, e)
+		}
+	})
+	if err != nil || len(out) == 0 {
+		return tail[:min(len(tail), auditPage)]
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/replica/client.go
@@ -0,0 +1,140 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/frame"
+)
+
+const (
+	// attemptTimeout bounds one try at one replica: a replica that is cut off
+	// silently does not answer at all.
+	attemptTimeout = 700 * time.Millisecond
+	retryPause     = 15 * time.Millisecond
+)
+
+// Client reaches the leader of the replica group from any instance. Safe for
+// concurrent use.
+type Client struct {
+	transport *frame.Transport
+	addresses []string
+	mu        sync.Mutex
+	leader    string
+}
+
+// NewClient returns a client that knows the replicas' peer addresses.
+func NewClient(t *frame.Transport, addresses []string) *Client {
+	return &Client{transport: t, addresses: addresses}
+}
+
+func (c *Client) target() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == "" {
+		c.leader = c.addresses[rand.IntN(len(c.addresses))]
+	}
+	return c.leader
+}
+
+// moveOn forgets a target that did not serve; hint is the leader it named.
+func (c *Client) moveOn(from, hint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != from {
+		return
+	}
+	c.leader = hint
+	for c.leader == "" || (c.leader == from && len(c.addresses) > 1) {
+		c.leader = c.addresses[rand.IntN(len(c.addresses))]
+	}
+}
+
+// call tries replicas until the leader has answered or the context ends. All
+// requests are safe to send again. Each attempt decodes into a fresh reply.
+func call[T redirected](ctx context.Context, c *Client, method string, in any) (T, error) {
+	var none T
+	var last error
+	for ctx.Err() == nil {
+		target := c.target()
+		out, err := attempt[T](ctx, c.transport, target, method, in)
+		if err != nil {
+			last = err
+			c.moveOn(target, "")
+			pause(ctx)
+			continue
+		}
+		d := out.where()
+		if !d.NotLeader && !d.Retry {
+			return out, nil
+		}
+		last = eris.Errorf("%s: peer %s is not the leader", method, target)
+		if d.NotLeader {
+			c.moveOn(target, d.Leader)
+		}
+		pause(ctx)
+	}
+	if last == nil {
+		last = ctx.Err()
+	}
+	return none, eris.Wrapf(last, "%s: no answer from the replicas", method)
+}
+
+func attempt[T any](ctx context.Context, t *frame.Transport, target, method string, in any) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var out T
+	err := t.Call(ctx, target, method, in, &out)
+	return out, err
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause):
+	}
+}
+
+// Propose commits a command and returns its result. An error leaves open
+// whether it was committed.
+func (c *Client) Propose(ctx context.Context, cmd *state.Command) (state.Result, error) {
+	reply, err := call[proposeReply](ctx, c, methodPropose, cmd)
+	return reply.Result, err
+}
+
+// Lease asks for what a holder of a generation lacks, as of a moment after the
+// call began.
+func (c *Client) Lease(ctx context.Context, generation uint64) (Lease, error) {
+	reply, err := call[leaseReply](ctx, c, methodLease, &leaseRequest{generation})
+	return reply.Lease, err
+}
+
+// Status returns the group's state.
+func (c *Client) Status(ctx context.Context) (api.GroupStatus, error) {
+	reply, err := call[statusReply](ctx, c, methodStatus, struct{}{})
+	return reply.Status, err
+}
+
+// Audit returns a page of audit entries above a sequence.
+func (c *Client) Audit(ctx context.Context, after uint64) ([]state.AuditEntry, error) {
+	reply, err := call[auditReply](ctx, c, methodAudit, &auditRequest{after})
+	return reply.Entries, err
+}
+
+// Orphans lists open durable calls whose owner is not among the living.
+func (c *Client) Orphans(ctx context.Context, alive []string, limit int) ([]state.Orphan, error) {
+	reply, err := call[orphansReply](ctx, c, methodOrphans, &orphansRequest{alive, limit})
+	return reply.Orphans, err
+}
+
+// Lookup returns what is recorded about a call.
+func (c *Client) Lookup(ctx context.Context, key state.CallKey) (state.CallRecord, bool, error) {
+	reply, err := call[callReply](ctx, c, methodCall, &key)
+	return reply.Record, reply.Found, err
+}
--- /dev/null
+++ b/daemon/replica/serve.go
@@ -0,0 +1,176 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/raft"
+	"cardamomwick.example/core/state"
+)
+
+// run executes f in the loop and waits for the value that it hands to reply.
+func run[T any](ctx context.Context, r *Replica, f func(reply func(T))) (any, error) {
+	ch := make(chan T, 1)
+	if !r.do(func() { f(func(v T) { ch <- v }) }) {
+		return nil, errRetry
+	}
+	select {
+	case v := <-ch:
+		return &v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-r.stopped:
+		return nil, errRetry
+	}
+}
+
+// readThen answers a linearizable read with what value returns.
+func readThen[T any](ctx context.Context, r *Replica, refused func(redirect) T, value func() T) (any, error) {
+	return run(ctx, r, func(reply func(T)) {
+		r.read(func(err error) {
+			if err != nil {
+				reply(refused(r.leaderHint(err)))
+				return
+			}
+			reply(value())
+		})
+	})
+}
+
+func decode(body []byte, v any) error {
+	return eris.Wrap(msgpack.Unmarshal(body, v), "decode request")
+}
+
+func (r *Replica) handleHello(ctx context.Context, _ string, _ []byte) (any, error) {
+	return run(ctx, r, func(reply func(helloReply)) {
+		reply(helloReply{r.store.Identity().ID, r.store.Identity().Group})
+	})
+}
+
+func (r *Replica) handlePropose(ctx context.Context, _ string, body []byte) (any, error) {
+	c, err := state.DecodeCommand(body)
+	if err != nil {
+		return nil, eris.Wrap(err, "decode command")
+	}
+	return run(ctx, r, func(reply func(proposeReply)) {
+		r.propose(c, func(res state.Result, err error) {
+			if err != nil {
+				reply(proposeReply{redirect: r.leaderHint(err)})
+				return
+			}
+			reply(proposeReply{Result: res})
+		})
+	})
+}
+
+func (r *Replica) handleLease(ctx context.Context, _ string, body []byte) (any, error) {
+	var req leaseRequest
+	if err := decode(body, &req); err != nil {
+		return nil, err
+	}
+	return readThen(ctx, r,
+		func(d redirect) leaseReply { return leaseReply{redirect: d} },
+		func() leaseReply {
+			return leaseReply{Lease: Lease{Group: r.store.Identity().Group, Update: r.machine.UpdateSince(req.Generation)}}
+		})
+}
+
+func (r *Replica) handleStatus(ctx context.Context, _ string, _ []byte) (any, error) {
+	return readThen(ctx, r,
+		func(d redirect) statusReply { return statusReply{redirect: d} },
+		func() statusReply { return statusReply{Status: r.status()} })
+}
+
+func (r *Replica) status() api.GroupStatus {
+	st := r.node.Status()
+	cfg := r.machine.Config()
+	out := api.GroupStatus{Group: r.store.Identity().Group, Term: st.Term, Commit: st.Commit, First: st.First,
+		Calls: r.machine.Calls(), Generation: cfg.Generation, Versions: r.machine.Versions(), Retired: cfg.Retired}
+	if cfg.Bundle != nil {
+		out.Version = cfg.Bundle.Version
+		out.Digest = cfg.Bundle.Digest()
+	}
+	for _, m := range st.Membership.Members {
+		p := st.Progress[m.ID]
+		self := m.ID == st.ID
+		out.Members = append(out.Members, api.MemberStatus{ID: m.ID, Address: m.Address, Voter: m.Voter, Leader: self, Match: p.Match, Active: p.Active || self})
+	}
+	return out
+}
+
+func (r *Replica) handleAudit(ctx context.Context, _ string, body []byte) (any, error) {
+	var req auditRequest
+	if err := decode(body, &req); err != nil {
+		return nil, err
+	}
+	return readThen(ctx, r,
+		func(d redirect) auditReply { return auditReply{redirect: d} },
+		func() auditReply { return auditReply{Entries: r.audit.since(req.After, r.machine)} })
+}
+
+func (r *Replica) handleOrphans(ctx context.Context, _ string, body []byte) (any, error) {
+	var req orphansRequest
+	if err := decode(body, &req); err != nil {
+		return nil, err
+	}
+	alive := make(map[string]bool, len(req.Alive))
+	for _, o := range req.Alive {
+		alive[o] = true
+	}
+	return readThen(ctx, r,
+		func(d redirect) orphansReply { return orphansReply{redirect: d} },
+		func() orphansReply {
+			list := r.machine.Orphans(func(o string) bool { return alive[o] })
+			return orphansReply{Orphans: list[:min(len(list), max(0, req.Limit))]}
+		})
+}
+
+func (r *Replica) handleCall(ctx context.Context, _ string, body []byte) (any, error) {
+	var key state.CallKey
+	if err := decode(body, &key); err != nil {
+		return nil, err
+	}
+	return readThen(ctx, r,
+		func(d redirect) callReply { return callReply{redirect: d} },
+		func() callReply {
+			rec, ok := r.machine.Call(key)
+			return callReply{Found: ok, Record: rec}
+		})
+}
+
+// handleJoin admits a replica with a new identity as a learner. Only addresses
+// in the settings are admitted.
+func (r *Replica) handleJoin(ctx context.Context, from string, body []byte) (any, error) {
+	var req joinRequest
+	if err := decode(body, &req); err != nil {
+		return nil, err
+	}
+	if req.Address != from || !r.listed(req.Address) {
+		return nil, eris.Errorf("address %s is not among the replicas of the settings", req.Address)
+	}
+	return run(ctx, r, func(reply func(joinReply)) {
+		st := r.node.Status()
+		if st.Role != raft.Leader {
+			reply(joinReply{redirect: r.leaderHint(nil)})
+			return
+		}
+		if _, ok := st.Membership.Find(req.ID); !ok {
+			err := r.node.ProposeMembership(st.Membership.With(raft.Member{ID: req.ID, Address: req.Address}))
+			reply(joinReply{redirect: redirect{Retry: err != nil}})
+			return
+		}
+		reply(joinReply{})
+	})
+}
+
+func (r *Replica) listed(address string) bool {
+	for _, a := range r.opt.Addresses {
+		if a == address {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/daemon/replica/snapshots.go
@@ -0,0 +1,143 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"cardamomwick.example/core/raft"
+	"cardamomwick.example/daemon/storage"
+)
+
+const (
+	chunkBytes       = 1 << 20
+	chunkTimeout     = 5 * time.Second
+	maxSnapshotBytes = 1 << 30
+)
+
+func randomInt(n int) int { return rand.IntN(n) }
+
+// snapshotIfDue saves a snapshot and shortens the log.
+func (r *Replica) snapshotIfDue() error {
+	if r.applied == r.snapshotAt || (r.applied-r.snapshotAt < snapshotEvery && r.store.Size() < storage.SegmentBytes) {
+		return nil
+	}
+	if err := r.audit.sync(); err != nil {
+		return err
+	}
+	snap := raft.Snapshot{Meta: r.node.SnapshotMetaAt(r.applied), Data: r.machine.Snapshot()}
+	hs, after := r.node.Persisted(r.applied)
+	if err := r.store.SaveSnapshot(snap, hs, after); err != nil {
+		return err
+	}
+	r.snapshotAt = r.applied
+	if r.applied > keepEntries {
+		r.node.Compact(r.applied - keepEntries)
+	}
+	return nil
+}
+
+// installSnapshot replaces the state by one from the leader.
+func (r *Replica) installSnapshot(rd raft.Ready) error {
+	if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
+		return eris.Wrap(err, "restore the leader's snapshot")
+	}
+	hs, _ := r.node.Persisted(rd.Snapshot.Meta.Index)
+	if err := r.store.SaveSnapshot(*rd.Snapshot, hs, nil); err != nil {
+		return err
+	}
+	r.applied = rd.Snapshot.Meta.Index
+	r.snapshotAt = r.applied
+	r.audit.append(r.machine.Audit(r.audit.last))
+	log.WithField("index", r.applied).Info("installed a snapshot")
+	return nil
+}
+
+// sendSnapshot streams the stored snapshot to a replica in chunks, outside the
+// loop, and reports when it is done.
+func (r *Replica) sendSnapshot(m raft.Message, members raft.Membership) {
+	member, ok := members.Find(m.To)
+	if !ok || r.sending[m.To] {
+		return
+	}
+	snap, err := r.snapshotToSend()
+	if err != nil {
+		log.WithError(err).WithField("step", "read snapshot").Error("snapshot not sent")
+		r.node.ReportSnapshot(m.To)
+		return
+	}
+	data := snap.Data
+	m.Snapshot = &raft.Snapshot{Meta: snap.Meta}
+	r.sending[m.To] = true
+	group := r.store.Identity().Group
+	go func() {
+		err := r.streamSnapshot(member.Address, group, m, data)
+		if err != nil {
+			log.WithError(err).WithField("step", "send snapshot").WithField("peer", member.Address).Warn("will be sent again")
+		}
+		r.do(func() {
+			delete(r.sending, m.To)
+			r.node.ReportSnapshot(m.To)
+		})
+	}()
+}
+
+// snapshotToSend returns the current state: newer than the stored snapshot,
+// and never behind the log's first entry.
+func (r *Replica) snapshotToSend() (raft.Snapshot, error) {
+	return raft.Snapshot{Meta: r.node.SnapshotMetaAt(r.applied), Data: r.machine.Snapshot()}, nil
+}
+
+func (r *Replica) streamSnapshot(address string, group uint64, m raft.Message, data []byte) error {
+	for off := 0; ; off += chunkBytes {
+		end := min(off+chunkBytes, len(data))
+		chunk := snapshotChunk{Group: group, Message: m, Offset: off, Data: data[off:end], Last: end == len(data)}
+		ctx, cancel := context.WithTimeout(context.Background(), chunkTimeout)
+		var ok bool
+		err := r.opt.Transport.Call(ctx, address, methodSnapshot, &chunk, &ok)
+		cancel()
+		if err != nil || chunk.Last {
+			return err
+		}
+	}
+}
+
+func (r *Replica) handleSnapshot(ctx context.Context, _ string, body []byte) (any, error) {
+	var c snapshotChunk
+	if err := decode(body, &c); err != nil {
+		return nil, err
+	}
+	if c.Message.Snapshot == nil {
+		return nil, eris.New("snapshot chunk names no snapshot")
+	}
+	return run(ctx, r, func(reply func(bool)) {
+		reply(r.takeChunk(&c))
+	})
+}
+
+// takeChunk gathers chunks per sender and steps the message when complete.
+func (r *Replica) takeChunk(c *snapshotChunk) bool {
+	if c.Group != r.store.Identity().Group {
+		return false
+	}
+	got := r.incoming[c.Message.From]
+	if c.Offset == 0 {
+		got = nil
+	}
+	if c.Offset != len(got) || len(got)+len(c.Data) > maxSnapshotBytes {
+		delete(r.incoming, c.Message.From)
+		return false
+	}
+	got = append(got, c.Data...)
+	if !c.Last {
+		r.incoming[c.Message.From] = got
+		return true
+	}
+	delete(r.incoming, c.Message.From)
+	c.Message.Snapshot.Data = got
+	r.node.Step(c.Message)
+	return true
+}
--- /dev/null
+++ b/daemon/replica/wire.go
@@ -0,0 +1,116 @@
+// Package replica runs one member of the replica group on an instance with a
+// data folder: it drives the pure consensus state machine, persists what it
+// must, applies what is committed, and serves proposals and linearizable reads
+// to all instances. Client is the other side, used by every instance.
+package replica
+
+import (
+	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/raft"
+	"cardamomwick.example/core/state"
+)
+
+// Frame methods of the replica group.
+const (
+	methodRaft     = "raft"
+	methodSnapshot = "replica.snapshot"
+	methodHello    = "replica.hello"
+	methodJoin     = "replica.join"
+	methodPropose  = "replica.propose"
+	methodLease    = "replica.lease"
+	methodStatus   = "replica.status"
+	methodAudit    = "replica.audit"
+	methodOrphans  = "replica.orphans"
+	methodCall     = "replica.call"
+)
+
+// raftEnvelope carries messages of one group.
+type raftEnvelope struct {
+	Group    uint64         `msgpack:"g"`
+	Messages []raft.Message `msgpack:"m"`
+}
+
+// snapshotChunk is a part of a snapshot; Last completes it.
+type snapshotChunk struct {
+	Group   uint64       `msgpack:"g"`
+	Message raft.Message `msgpack:"m"`
+	Offset  int          `msgpack:"o"`
+	Data    []byte       `msgpack:"d"`
+	Last    bool         `msgpack:"l"`
+}
+
+type helloReply struct {
+	ID    uint64 `msgpack:"i"`
+	Group uint64 `msgpack:"g"`
+}
+
+type joinRequest struct {
+	ID      uint64 `msgpack:"i"`
+	Address string `msgpack:"a"`
+}
+
+// redirect is part of every reply that only the leader can give.
+type redirect struct {
+	NotLeader bool   `msgpack:"n,omitempty"`
+	Leader    string `msgpack:"l,omitempty"`
+	// Retry: leadership changed while the request was open.
+	Retry bool `msgpack:"r,omitempty"`
+}
+
+func (r redirect) where() redirect { return r }
+
+type redirected interface{ where() redirect }
+
+type joinReply struct {
+	redirect `msgpack:",inline"`
+}
+
+type proposeReply struct {
+	redirect `msgpack:",inline"`
+	Result   state.Result `msgpack:"v"`
+}
+
+type leaseRequest struct {
+	Generation uint64 `msgpack:"g"`
+}
+
+// Lease is a configuration update that a quorum stood behind.
+type Lease struct {
+	Group  uint64       `msgpack:"g"`
+	Update state.Update `msgpack:"u"`
+}
+
+type leaseReply struct {
+	redirect `msgpack:",inline"`
+	Lease    Lease `msgpack:"v"`
+}
+
+type statusReply struct {
+	redirect `msgpack:",inline"`
+	Status   api.GroupStatus `msgpack:"v"`
+}
+
+type auditRequest struct {
+	After uint64 `msgpack:"a"`
+}
+
+type auditReply struct {
+	redirect `msgpack:",inline"`
+	Entries  []state.AuditEntry `msgpack:"v"`
+}
+
+type orphansRequest struct {
+	Alive []string `msgpack:"a"`
+	Limit int      `msgpack:"l"`
+}
+
+type orphansReply struct {
+	redirect `msgpack:",inline"`
+	Orphans  []state.Orphan `msgpack:"v"`
+}
+
+type callReply struct {
+	redirect `msgpack:",inline"`
+	Found    bool             `msgpack:"f"`
+	Record   state.CallRecord `msgpack:"v"`
+}
--- /dev/null
+++ b/daemon/settings/settings.go
@@ -0,0 +1,249 @@
+// Package settings reads a daemon's settings file (TOML). Every key is
+// documented at its field; unknown keys and bad values are errors that name
+// the file, the key and, where known, the line.
+package settings
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+
+	"cardamomwick.example/core/bundle"
+)
+
+// Settings is one daemon's settings file.
+type Settings struct {
+	Instance Instance `toml:"instance"`
+	Callers  Callers  `toml:"callers"`
+	Peers    Peers    `toml:"peers"`
+	Replicas Replicas `toml:"replicas"`
+	Trust    Trust    `toml:"trust"`
+	Log      Log      `toml:"log"`
+	Metrics  Metrics  `toml:"metrics"`
+	Faults   Faults   `toml:"faults"`
+}
+
+// Instance says who this daemon is.
+type Instance struct {
+	// Name is unique among the instances. Required.
+	Name string `toml:"name"`
+	// AvailabilityZone is the zone that it stands in. Required.
+	AvailabilityZone string `toml:"availability_zone"`
+	// DataFolder makes the instance a replica; empty for instances without a
+	// disk.
+	DataFolder string `toml:"data_folder"`
+}
+
+// Callers sets the HTTP listener for callers, backend servers and operators.
+type Callers struct {
+	// Address is IP:port. Required.
+	Address string `toml:"address"`
+	// MaxBodyBytes bounds a call's body. Default 1 MiB.
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// AddressTTL is how long callers may keep a list of addresses. Default 2 s.
+	AddressTTL bundle.Duration `toml:"address_ttl"`
+	// DrainTimeout bounds a graceful shutdown. Default 10 min.
+	DrainTimeout bundle.Duration `toml:"drain_timeout"`
+}
+
+// Peers sets the frame listener for the other instances.
+type Peers struct {
+	// Address is IP:port. Required.
+	Address string `toml:"address"`
+	// Seeds are peer addresses through which the others are found. Required.
+	Seeds []string `toml:"seeds"`
+	// Keys authenticate frames. The first is used for connecting, all are
+	// accepted, so that keys rotate without a stop. Required.
+	Keys []FrameKey `toml:"keys"`
+}
+
+// FrameKey is a shared secret of the instances.
+type FrameKey struct {
+	ID string `toml:"id"`
+	// Secret is at least 32 bytes in base64.
+	Secret string `toml:"secret"`
+}
+
+// Replicas names the peer addresses of the instances with a data folder.
+type Replicas struct {
+	// Addresses holds an odd number of peer addresses. Required.
+	Addresses []string `toml:"addresses"`
+}
+
+// Trust names the operators trusted until the first bundle names its own.
+type Trust struct {
+	// Operators maps names to ed25519 public keys in base64. Required.
+	Operators map[string]string `toml:"operators"`
+}
+
+// Log sets the log.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `toml:"level"`
+}
+
+// Metrics sets the metrics page.
+type Metrics struct {
+	// Token is the bearer token for GET /metrics; empty closes the page.
+	Token string `toml:"token"`
+}
+
+// Faults is for failure tests only.
+type Faults struct {
+	// CutFile names a file with lines "in ADDRESS" or "out ADDRESS"; frames
+	// from or to these peer addresses ("*" for all) are dropped silently while
+	// the file says so. Empty in production.
+	CutFile string `toml:"cut_file"`
+}
+
+// Defaults.
+const (
+	DefaultMaxBody      = 1 << 20
+	DefaultAddressTTL   = 2 * time.Second
+	DefaultDrainTimeout = 10 * time.Minute
+	minSecretBytes      = 32
+)
+
+// Problem is one thing wrong with a settings file.
+type Problem struct{ Key, Reason string }
+
+// Problems lists everything wrong with a settings file.
+type Problems struct {
+	File string
+	List []Problem
+}
+
+// Error gives one line per problem.
+func (p *Problems) Error() string {
+	lines := make([]string, len(p.List))
+	for i, x := range p.List {
+		lines[i] = fmt.Sprintf("%s: %s: %s", p.File, x.Key, x.Reason)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse checks settings; file is used in messages.
+func Parse(file string, data []byte) (*Settings, error) {
+	var s Settings
+	dec := toml.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return nil, &Problems{file, decodeProblems(err)}
+	}
+	s.fillDefaults()
+	if list := s.check(); len(list) > 0 {
+		return nil, &Problems{file, list}
+	}
+	return &s, nil
+}
+
+func decodeProblems(err error) []Problem {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var out []Problem
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			out = append(out, Problem{strings.Join(e.Key(), "."), fmt.Sprintf("unknown key (line %d)", row)})
+		}
+		return out
+	}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, col := de.Position()
+		return []Problem{{fmt.Sprintf("line %d, column %d", row, col), de.Error()}}
+	}
+	return []Problem{{"toml", err.Error()}}
+}
+
+func (s *Settings) fillDefaults() {
+	if s.Callers.MaxBodyBytes == 0 {
+		s.Callers.MaxBodyBytes = DefaultMaxBody
+	}
+	if s.Callers.AddressTTL == 0 {
+		s.Callers.AddressTTL = bundle.Duration(DefaultAddressTTL)
+	}
+	if s.Callers.DrainTimeout == 0 {
+		s.Callers.DrainTimeout = bundle.Duration(DefaultDrainTimeout)
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+}
+
+var nameRE = regexp.MustCompile(`^[a-z0-9][a-z0-9_.-]{0,63}$`)
+
+type checker struct{ list []Problem }
+
+func (c *checker) require(ok bool, key, reason string) {
+	if !ok {
+		c.list = append(c.list, Problem{key, reason})
+	}
+}
+
+func (c *checker) address(key, a string) {
+	ap, err := netip.ParseAddrPort(a)
+	c.require(err == nil && ap.Port() != 0, key, fmt.Sprintf("%q is not an IP number with a port, for example \"127.0.0.1:7101\"", a))
+}
+
+func (s *Settings) check() []Problem {
+	c := &checker{}
+	c.require(nameRE.MatchString(s.Instance.Name), "instance.name", "is required: lower-case letters, digits, '-', '_', '.'")
+	c.require(nameRE.MatchString(s.Instance.AvailabilityZone), "instance.availability_zone", "is required: the zone this instance stands in")
+	c.address("callers.address", s.Callers.Address)
+	c.require(s.Callers.MaxBodyBytes > 0 && s.Callers.MaxBodyBytes <= 64<<20, "callers.max_body_bytes", "must be 1 to 67108864")
+	c.require(s.Callers.AddressTTL.D() >= 100*time.Millisecond, "callers.address_ttl", "must be at least 100ms")
+	c.require(s.Callers.DrainTimeout > 0, "callers.drain_timeout", "must be above 0")
+	s.checkPeers(c)
+	c.require(len(s.Trust.Operators) > 0, "trust.operators", "needs at least one operator's public key; make one with: cardamomctl keys generate")
+	for name, key := range s.Trust.Operators {
+		_, err := bundle.ParsePublicKey(key)
+		c.require(err == nil, "trust.operators."+name, "must be an ed25519 public key in base64")
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.require(false, "log.level", "must be debug, info, warn or error")
+	}
+	return c.list
+}
+
+func (s *Settings) checkPeers(c *checker) {
+	c.address("peers.address", s.Peers.Address)
+	c.require(len(s.Peers.Seeds) > 0, "peers.seeds", "needs at least one peer address")
+	for _, a := range s.Peers.Seeds {
+		c.address("peers.seeds", a)
+	}
+	c.require(len(s.Peers.Keys) > 0, "peers.keys", "needs at least one key; make one with: cardamomctl keys frame")
+	for _, k := range s.Peers.Keys {
+		raw, err := base64.StdEncoding.DecodeString(k.Secret)
+		c.require(k.ID != "", "peers.keys.id", "is required")
+		c.require(err == nil && len(raw) >= minSecretBytes, "peers.keys.secret", fmt.Sprintf("key %q: at least %d bytes in base64", k.ID, minSecretBytes))
+	}
+	n := len(s.Replicas.Addresses)
+	c.require(n%2 == 1, "replicas.addresses", fmt.Sprintf("has %d addresses; an odd number is required", n))
+	listed := false
+	for _, a := range s.Replicas.Addresses {
+		c.address("replicas.addresses", a)
+		listed = listed || a == s.Peers.Address
+	}
+	c.require(s.Instance.DataFolder == "" || listed, "replicas.addresses", "does not list this instance's peers.address although instance.data_folder is set")
+	c.require(s.Instance.DataFolder != "" || !listed, "instance.data_folder", "is required: this instance's peers.address is listed in replicas.addresses")
+}
--- /dev/null
+++ b/daemon/storage/storage.go
@@ -0,0 +1,421 @@
+// Package storage keeps a replica's state under its data folder: an identity
+// made once with the folder, a write-ahead log of the consensus state in
+// segments, and the latest snapshot. Nothing counts before it is synced; a
+// failed write or sync makes the store unusable, since what the disk holds is
+// then unknown.
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/raft"
+)
+
+// Errors of the store.
+var (
+	// ErrCorrupt: a record before the end of the log is damaged. The replica
+	// must not start: it may have voted or acknowledged what is lost. Move the
+	// data folder away; the replica then joins as a new member.
+	ErrCorrupt = eris.New("write-ahead log is damaged before its end")
+	// ErrFailed: an earlier write or sync failed.
+	ErrFailed = eris.New("storage has failed before; restart the replica")
+)
+
+// Names and bounds on disk.
+const (
+	identityFile = "identity"
+	snapshotFile = "snapshot"
+	segmentGlob  = "wal-*.log"
+	headerBytes  = 8
+	maxRecord    = 64 << 20
+	// SegmentBytes is the size after which a new segment is begun at the next
+	// snapshot.
+	SegmentBytes = 4 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Identity names a replica and the group that it belongs to.
+type Identity struct {
+	// ID is drawn when the folder is made, so that an empty disk is never
+	// taken for the replica that stood there before.
+	ID uint64 `msgpack:"i"`
+	// Group is 0 until the replica belongs to one.
+	Group uint64 `msgpack:"g"`
+}
+
+// record is one entry of the write-ahead log.
+type record struct {
+	State   *raft.HardState `msgpack:"s,omitempty"`
+	Entries []raft.Entry    `msgpack:"e,omitempty"`
+}
+
+// File is what the store needs of an open file; tests make it fail.
+type File interface {
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+// Store is an open data folder. Not safe for concurrent use.
+type Store struct {
+	dir      string
+	identity Identity
+	segment  File
+	number   uint64
+	size     int64
+	failed   bool
+	// CreateFile opens a new file for writing.
+	createFile func(path string) (File, error)
+}
+
+// Loaded is what a folder held.
+type Loaded struct {
+	State    raft.HardState
+	Snapshot raft.Snapshot
+	Entries  []raft.Entry
+	// TornBytes were cut off the end of the log: a write that was not synced.
+	TornBytes int64
+}
+
+func createOSFile(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_EXCL, 0o600)
+}
+
+// Open opens or makes a data folder.
+func Open(dir string) (*Store, *Loaded, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, eris.Wrap(err, "make data folder")
+	}
+	s := &Store{dir: dir, createFile: createOSFile}
+	if err := s.loadIdentity(); err != nil {
+		return nil, nil, err
+	}
+	l, err := s.load()
+	if err != nil {
+		return nil, nil, err
+	}
+	return s, l, s.startSegment()
+}
+
+// Identity returns the replica's identity.
+func (s *Store) Identity() Identity { return s.identity }
+
+func (s *Store) loadIdentity() error {
+	data, err := os.ReadFile(filepath.Join(s.dir, identityFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return s.makeIdentity()
+	}
+	if err != nil {
+		return eris.Wrap(err, "read identity")
+	}
+	body, n, err := parseRecord(data)
+	if err != nil || n != len(data) {
+		return eris.Wrap(ErrCorrupt, "identity file")
+	}
+	return eris.Wrap(msgpack.Unmarshal(body, &s.identity), "decode identity")
+}
+
+// makeIdentity refuses a folder that has a log but lost its identity.
+func (s *Store) makeIdentity() error {
+	if segments, _ := s.segments(); len(segments) > 0 {
+		return eris.Wrap(ErrCorrupt, "identity file is missing")
+	}
+	var raw [8]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return eris.Wrap(err, "draw identity")
+	}
+	return s.writeIdentity(Identity{ID: binary.BigEndian.Uint64(raw[:]) | 1})
+}
+
+func (s *Store) writeIdentity(id Identity) error {
+	data, err := msgpack.Marshal(&id)
+	if err != nil {
+		return err
+	}
+	if err := s.writeFile(identityFile, frameRecord(data)); err != nil {
+		return eris.Wrap(err, "write identity")
+	}
+	s.identity = id
+	return nil
+}
+
+// Join makes the folder part of a group with a first snapshot.
+func (s *Store) Join(group uint64, first raft.Snapshot) error {
+	if err := s.SaveSnapshot(first, raft.HardState{Term: first.Meta.Term, Commit: first.Meta.Index}, nil); err != nil {
+		return err
+	}
+	return s.writeIdentity(Identity{ID: s.identity.ID, Group: group})
+}
+
+// writeFile replaces a file so that either the old or the new content stands
+// after a crash.
+func (s *Store) writeFile(name string, data []byte) error {
+	tmp := filepath.Join(s.dir, name+".tmp")
+	os.Remove(tmp)
+	f, err := s.createFile(tmp)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(data); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := os.Rename(tmp, filepath.Join(s.dir, name)); err != nil {
+		return err
+	}
+	return s.syncDir()
+}
+
+func (s *Store) syncDir() error {
+	d, err := os.Open(s.dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+func frameRecord(body []byte) []byte {
+	out := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(out[:4], uint32(len(body)))
+	binary.BigEndian.PutUint32(out[4:8], crc32.Checksum(body, castagnoli))
+	return append(out, body...)
+}
+
+// errTorn: the bytes end within a record.
+var errTorn = errors.New("torn record")
+
+// parseRecord returns the first record of data and its whole length.
+func parseRecord(data []byte) (body []byte, n int, err error) {
+	if len(data) < headerBytes {
+		return nil, 0, errTorn
+	}
+	size := binary.BigEndian.Uint32(data[:4])
+	if size > maxRecord {
+		return nil, 0, ErrCorrupt
+	}
+	n = headerBytes + int(size)
+	if len(data) < n {
+		return nil, 0, errTorn
+	}
+	body = data[headerBytes:n]
+	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(data[4:8]) {
+		return nil, n, ErrCorrupt
+	}
+	return body, n, nil
+}
+
+func (s *Store) segments() ([]string, error) {
+	names, err := filepath.Glob(filepath.Join(s.dir, segmentGlob))
+	sort.Strings(names)
+	return names, err
+}
+
+func segmentNumber(path string) uint64 {
+	name := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(path), "wal-"), ".log")
+	n, _ := strconv.ParseUint(name, 10, 64)
+	return n
+}
+
+func (s *Store) load() (*Loaded, error) {
+	l := &Loaded{}
+	if err := s.loadSnapshot(l); err != nil {
+		return nil, err
+	}
+	names, err := s.segments()
+	if err != nil {
+		return nil, eris.Wrap(err, "list log segments")
+	}
+	for i, name := range names {
+		s.number = segmentNumber(name)
+		if err := s.loadSegment(name, i == len(names)-1, l); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+func (s *Store) loadSnapshot(l *Loaded) error {
+	data, err := os.ReadFile(filepath.Join(s.dir, snapshotFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "read snapshot")
+	}
+	body, n, err := parseRecord(data)
+	if err != nil || n != len(data) {
+		return eris.Wrap(ErrCorrupt, "snapshot file")
+	}
+	if err := msgpack.Unmarshal(body, &l.Snapshot); err != nil {
+		return eris.Wrap(err, "decode snapshot")
+	}
+	l.State = raft.HardState{Term: l.Snapshot.Meta.Term, Commit: l.Snapshot.Meta.Index}
+	return nil
+}
+
+// loadSegment replays one segment. Only the very last record of the last
+// segment may be torn: it was never synced, hence never acknowledged.
+func (s *Store) loadSegment(name string, last bool, l *Loaded) error {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return eris.Wrap(err, "read log segment")
+	}
+	for off := 0; off < len(data); {
+		body, n, err := parseRecord(data[off:])
+		if err == nil {
+			err = l.replay(body)
+		}
+		if err == nil {
+			off += n
+			continue
+		}
+		atEnd := errors.Is(err, errTorn) || off+n == len(data)
+		if !last || !atEnd {
+			return eris.Wrapf(ErrCorrupt, "%s at byte %d", filepath.Base(name), off)
+		}
+		l.TornBytes = int64(len(data) - off)
+		return s.cut(name, int64(off))
+	}
+	return nil
+}
+
+func (s *Store) cut(name string, size int64) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, 0)
+	if err != nil {
+		return eris.Wrap(err, "cut torn record")
+	}
+	defer f.Close()
+	if err := f.Truncate(size); err != nil {
+		return eris.Wrap(err, "cut torn record")
+	}
+	return eris.Wrap(f.Sync(), "cut torn record")
+}
+
+func (l *Loaded) replay(body []byte) error {
+	var r record
+	if err := msgpack.Unmarshal(body, &r); err != nil {
+		return eris.Wrap(ErrCorrupt, err.Error())
+	}
+	if r.State != nil {
+		l.State = *r.State
+	}
+	for _, e := range r.Entries {
+		if e.Index <= l.Snapshot.Meta.Index {
+			continue
+		}
+		keep := e.Index - l.Snapshot.Meta.Index - 1
+		if keep > uint64(len(l.Entries)) {
+			return eris.Wrapf(ErrCorrupt, "entry %d follows %d entries", e.Index, len(l.Entries))
+		}
+		l.Entries = append(l.Entries[:keep], e)
+	}
+	return nil
+}
+
+func (s *Store) startSegment() error {
+	s.number++
+	path := filepath.Join(s.dir, "wal-"+leftPad(s.number)+".log")
+	f, err := s.createFile(path)
+	if err != nil {
+		return eris.Wrap(err, "begin log segment")
+	}
+	if s.segment != nil {
+		s.segment.Close()
+	}
+	s.segment = f
+	s.size = 0
+	return eris.Wrap(s.syncDir(), "begin log segment")
+}
+
+func leftPad(n uint64) string {
+	d := strconv.FormatUint(n, 10)
+	return strings.Repeat("0", 20-len(d)) + d
+}
+
+// Append persists consensus state and entries: when it returns without an
+// error, they are synced.
+func (s *Store) Append(state *raft.HardState, entries []raft.Entry) error {
+	if s.failed {
+		return ErrFailed
+	}
+	data, err := msgpack.Marshal(&record{State: state, Entries: entries})
+	if err != nil {
+		return eris.Wrap(err, "encode log record")
+	}
+	framed := frameRecord(data)
+	if _, err := s.segment.Write(framed); err != nil {
+		s.failed = true
+		return eris.Wrap(err, "write log record")
+	}
+	if err := s.segment.Sync(); err != nil {
+		s.failed = true
+		return eris.Wrap(err, "sync log record")
+	}
+	s.size += int64(len(framed))
+	return nil
+}
+
+// SaveSnapshot replaces the snapshot, then begins a new segment that holds the
+// state and the entries after the snapshot, and removes the older ones.
+func (s *Store) SaveSnapshot(snap raft.Snapshot, state raft.HardState, after []raft.Entry) error {
+	if s.failed {
+		return ErrFailed
+	}
+	data, err := msgpack.Marshal(&snap)
+	if err != nil {
+		return eris.Wrap(err, "encode snapshot")
+	}
+	old, err := s.segments()
+	if err != nil {
+		return eris.Wrap(err, "list log segments")
+	}
+	if err := s.writeFile(snapshotFile, frameRecord(data)); err != nil {
+		s.failed = true
+		return eris.Wrap(err, "write snapshot")
+	}
+	if err := s.startSegment(); err != nil {
+		s.failed = true
+		return err
+	}
+	if err := s.Append(&state, after); err != nil {
+		return err
+	}
+	for _, name := range old {
+		os.Remove(name)
+	}
+	return eris.Wrap(s.syncDir(), "remove old segments")
+}
+
+// Snapshot reads the latest snapshot back, for sending it to another replica.
+func (s *Store) Snapshot() (raft.Snapshot, error) {
+	var l Loaded
+	err := s.loadSnapshot(&l)
+	return l.Snapshot, err
+}
+
+// Size returns the bytes in the current segment.
+func (s *Store) Size() int64 { return s.size }
+
+// Close closes the current segment.
+func (s *Store) Close() error { return s.segment.Close() }
--- /dev/null
+++ b/daemon/telemetry/metrics.go
@@ -0,0 +1,76 @@
+// Package telemetry counts what an instance does, per class, for the metrics
+// page. Names follow the text format that VictoriaMetrics/metrics writes.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/state"
+)
+
+// Metrics holds an instance's own metric set.
+type Metrics struct{ set *metrics.Set }
+
+// New returns an empty set.
+func New() *Metrics { return &Metrics{metrics.NewSet()} }
+
+// Gauge registers a value that is read when the page is asked for.
+func (m *Metrics) Gauge(name string, f func() float64) { m.set.NewGauge(name, f) }
+
+// Call is one finished call.
+type Call struct {
+	Class      string
+	Policy     bundle.Class
+	Outcome    state.Outcome
+	Refused    bool
+	FirstToken time.Duration
+	Total      time.Duration
+	Tokens     int
+}
+
+func name(metric, class string) string { return fmt.Sprintf("%s{class=%q}", metric, class) }
+
+// Call counts a finished call, and whether it met its targets.
+func (m *Metrics) Call(c Call) {
+	if c.Class == "" {
+		c.Class = "none"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomwick_calls_total{class=%q,outcome=%q}", c.Class, c.Outcome)).Inc()
+	if c.Refused {
+		return
+	}
+	m.set.GetOrCreateHistogram(name("cardamomwick_first_token_seconds", c.Class)).Update(c.FirstToken.Seconds())
+	m.set.GetOrCreateHistogram(name("cardamomwick_total_seconds", c.Class)).Update(c.Total.Seconds())
+	m.set.GetOrCreateCounter(name("cardamomwick_output_tokens_total", c.Class)).Add(c.Tokens)
+	if Attained(c.Policy, c.FirstToken, c.Total, c.Tokens) {
+		m.set.GetOrCreateCounter(name("cardamomwick_attained_total", c.Class)).Inc()
+		m.set.GetOrCreateCounter(name("cardamomwick_goodput_tokens_total", c.Class)).Add(c.Tokens)
+	}
+}
+
+// Attained reports whether a completed call met all targets of its class.
+func Attained(p bundle.Class, first, total time.Duration, tokens int) bool {
+	if first > p.FirstTokenTarget.D() || (p.TotalTarget > 0 && total > p.TotalTarget.D()) {
+		return false
+	}
+	if p.PerTokenTarget == 0 || tokens < 2 {
+		return true
+	}
+	return (total-first)/time.Duration(tokens-1) <= p.PerTokenTarget.D()
+}
+
+// Abandoned counts tokens whose caller was gone before the end.
+func (m *Metrics) Abandoned(class string, tokens int) {
+	m.set.GetOrCreateCounter(name("cardamomwick_abandoned_tokens_total", class)).Add(tokens)
+}
+
+// Write writes the page.
+func (m *Metrics) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
