--- /dev/null
+++ b/daemon/backend/backend_test.go
@@ -0,0 +1,118 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"cardamomwick.example/core/retry"
+)
+
+// breaker accepts requests, reads them and cuts the connection; the first
+// request of a connection is answered when keep is set.
+func breaker(t *testing.T, keep bool) (address string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					requests.Add(1)
+					if !keep || n > 0 {
+						return
+					}
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+// TestNothingIsSentTwice: the HTTP client must not repeat a request by itself,
+// not even one with an idempotency key on a reused connection or without body.
+func TestNothingIsSentTwice(t *testing.T) {
+	Configure()
+	for _, body := range []string{"", "x"} {
+		for _, keep := range []bool{false, true} {
+			address, requests := breaker(t, keep)
+			target := &Target{RequestID: "r", Attempt: 1, Server: "s", Address: address}
+			want := int64(1)
+			if keep {
+				if _, err := Call(context.Background(), target, "POST", "/", "", "key", []byte(body)); err != nil {
+					t.Fatal(err)
+				}
+				want = 2
+			}
+			_, err := Call(context.Background(), target, "POST", "/", "", "key", []byte(body))
+			var ce *CallError
+			if !errors.As(err, &ce) || ce.Failure != retry.FailureUncertain || ce.Peer != "s" || ce.Step == "" {
+				t.Fatalf("a broken call: %v", err)
+			}
+			if got := requests.Load(); got != want {
+				t.Fatalf("body %q, reused connection %t: the server got %d requests, want %d", body, keep, got, want)
+			}
+		}
+	}
+}
+
+func TestRefusedConnectionsAreCertain(t *testing.T) {
+	Configure()
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	address := l.Addr().String()
+	l.Close()
+	for range 300 {
+		_, err := Call(context.Background(), &Target{Server: "s", Address: address}, "POST", "/", "", "", nil)
+		var ce *CallError
+		if !errors.As(err, &ce) || ce.Failure != retry.FailureNotSent {
+			t.Fatalf("%v, want not sent, and no breaker in between", err)
+		}
+	}
+}
+
+func TestCutStreamIsNoEnd(t *testing.T) {
+	Configure()
+	for text, wantEnd := range map[string]bool{
+		"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n": true,
+		"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n":                 false,
+		"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DO":        false,
+		"data: {\"choi": false,
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) }))
+		st, err := Open(context.Background(), &Target{Address: strings.TrimPrefix(s.URL, "http://")}, []byte("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for err == nil {
+			_, err = st.Next()
+		}
+		if got := errors.Is(err, io.EOF); got != wantEnd {
+			t.Errorf("%q: end %t (%v), want %t", text, got, err, wantEnd)
+		}
+		s.Close()
+	}
+}
--- /dev/null
+++ b/daemon/storage/storage_test.go
@@ -0,0 +1,155 @@
+package storage
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"cardamomwick.example/core/raft"
+)
+
+func entry(i uint64) raft.Entry {
+	return raft.Entry{Index: i, Term: 1, Data: []byte{byte(i), 1, 2, 3, 4, 5, 6, 7}}
+}
+
+// filled opens a folder and appends entries 1 to n, one record each.
+func filled(t *testing.T, n uint64) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := uint64(1); i <= n; i++ {
+		if err := s.Append(&raft.HardState{Term: 1, Commit: i}, []raft.Entry{entry(i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	return dir
+}
+
+func onlySegment(t *testing.T, dir string) string {
+	t.Helper()
+	names, _ := filepath.Glob(filepath.Join(dir, segmentGlob))
+	if len(names) != 1 {
+		t.Fatalf("%d segments", len(names))
+	}
+	return names[0]
+}
+
+func TestReopen(t *testing.T) {
+	dir := filled(t, 5)
+	s, l, err := Open(dir)
+	if err != nil || len(l.Entries) != 5 || l.State.Commit != 5 {
+		t.Fatalf("%v, %d entries, state %+v", err, len(l.Entries), l.State)
+	}
+	id := s.Identity().ID
+	snap := raft.Snapshot{Meta: raft.SnapshotMeta{Index: 3, Term: 1}, Data: []byte("state")}
+	if err := s.SaveSnapshot(snap, l.State, l.Entries[3:]); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	s, l, err = Open(dir)
+	if err != nil || string(l.Snapshot.Data) != "state" || len(l.Entries) != 2 || l.Entries[0].Index != 4 || s.Identity().ID != id {
+		t.Fatalf("after a snapshot: %v %+v", err, l)
+	}
+}
+
+// TestEveryTornTail cuts the log at every length: what was whole is kept, the
+// torn record goes.
+func TestEveryTornTail(t *testing.T) {
+	dir := filled(t, 3)
+	name := onlySegment(t, dir)
+	whole, _ := os.ReadFile(name)
+	record := len(whole) / 3
+	for size := range whole {
+		copied := t.TempDir()
+		id, _ := os.ReadFile(filepath.Join(dir, identityFile))
+		os.WriteFile(filepath.Join(copied, identityFile), id, 0o600)
+		os.WriteFile(filepath.Join(copied, filepath.Base(name)), whole[:size], 0o600)
+		s, l, err := Open(copied)
+		if err != nil || len(l.Entries) != size/record {
+			t.Fatalf("cut at %d: %v, %d entries, want %d", size, err, len(l.Entries), size/record)
+		}
+		if err := s.Append(nil, []raft.Entry{entry(uint64(len(l.Entries) + 1))}); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		if _, l, err = Open(copied); err != nil || len(l.Entries) != size/record+1 {
+			t.Fatalf("append behind a cut at %d: %v", size, err)
+		}
+	}
+}
+
+func TestDamageStopsTheReplica(t *testing.T) {
+	dir := filled(t, 3)
+	name := onlySegment(t, dir)
+	data, _ := os.ReadFile(name)
+	data[len(data)/2] ^= 0x40
+	os.WriteFile(name, data, 0o600)
+	if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+		t.Fatalf("damage in the middle: %v", err)
+	}
+	dir = filled(t, 3)
+	os.Remove(filepath.Join(dir, identityFile))
+	if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+		t.Fatalf("a log without its identity: %v", err)
+	}
+}
+
+// badDisk fails the n-th sync.
+type badDisk struct {
+	File
+	left *int
+}
+
+func (b badDisk) Sync() error {
+	if *b.left--; *b.left <= 0 {
+		return errors.New("input/output error")
+	}
+	return b.File.Sync()
+}
+
+func TestFailedSyncIsFinal(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := 3
+	s.segment = badDisk{s.segment, &left}
+	for i := uint64(1); i <= 2; i++ {
+		if err := s.Append(nil, []raft.Entry{entry(i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Append(nil, []raft.Entry{entry(3)}); err == nil {
+		t.Fatal("a failed sync was acknowledged")
+	}
+	left = 100
+	if err := s.Append(nil, []raft.Entry{entry(3)}); !errors.Is(err, ErrFailed) {
+		t.Fatalf("the store went on after a failed sync: %v", err)
+	}
+}
+
+func FuzzReplay(f *testing.F) {
+	dir := f.TempDir()
+	s, _, _ := Open(dir)
+	s.Append(&raft.HardState{Term: 1}, []raft.Entry{entry(1)})
+	names, _ := filepath.Glob(filepath.Join(dir, segmentGlob))
+	data, _ := os.ReadFile(names[0])
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for len(data) > 0 {
+			body, n, err := parseRecord(data)
+			if err != nil {
+				return
+			}
+			var l Loaded
+			_ = l.replay(body)
+			data = data[n:]
+		}
+	})
+}
