--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,15 @@
 .PHONY: prove
 prove: build
 	cd ctl && go test -tags prove -count=1 -timeout 20m -v -run '$(P)' ./prove
+
+# Experiments: each profile against the baselines, then with faults. Reports,
+# JSON lines and plots come into out/. About 25 minutes.
+.PHONY: bench benchtool
+benchtool: build
+	go build -o $(BIN)/bench ./ctl/internal/bench
+
+FAULTS := straggler engine-killed late-reports dispatcher-killed entry-killed
+bench: benchtool
+	$(BIN)/bench -profile samples/nurlight-load.toml
+	$(BIN)/bench -profile samples/kaitiaki-load.toml
+	for f in $(FAULTS); do $(BIN)/bench -profile samples/nurlight-load.toml -phases quiet,dusk -policies round_robin,dispatcher -fault $$f || exit 1; done
--- a/ctl/caller/caller.go
+++ b/ctl/caller/caller.go
@@ -55,7 +55,7 @@
 	Prompt []string
 	Output int
 	Stream bool
-	// MaxTokens is the caller's own cap, 0 for none.
+	// MaxTokens is the cap that the caller sends and expects, 0 for none.
 	MaxTokens int
 	// Service, Path and Body make a plain call.
 	Service string
@@ -172,7 +172,7 @@
 	if r.MaxTokens > 0 {
 		want = min(want, r.MaxTokens)
 	}
-	res.Correct = res.Complete && text == fake.Text(fake.PromptHash(r.messages()), max(want, res.Tokens)) && (res.Tokens == want || res.Tokens < r.Output)
+	res.Correct = res.Complete && text == fake.Text(fake.PromptHash(r.messages()), want)
 	return res
 }
 
--- a/ctl/harness/harness.go
+++ b/ctl/harness/harness.go
@@ -46,6 +46,8 @@
 	// Customers are the customers' names.
 	Customers []string
 	LogLevel  string
+	// Baseline replaces the dispatcher, as settings.Experiment describes.
+	Baseline string
 	// AddressTTL is how long callers may keep addresses.
 	AddressTTL time.Duration
 }
@@ -156,11 +158,12 @@
 		"callers":  map[string]any{"address": i.Caller, "address_ttl": c.AddressTTL.String()},
 		"peers": map[string]any{"address": i.Peer, "seeds": peers[:min(3, len(peers))],
 			"keys": []map[string]any{{"id": "k1", "secret": c.frameKey}}},
-		"replicas": map[string]any{"addresses": peers[:c.Replicas]},
-		"trust":    map[string]any{"operators": map[string]any{Operator: c.Client.Key.Public}},
-		"log":      map[string]any{"level": level},
-		"metrics":  map[string]any{"token": c.token},
-		"faults":   map[string]any{"cut_file": c.cutFile(i)},
+		"replicas":   map[string]any{"addresses": peers[:c.Replicas]},
+		"trust":      map[string]any{"operators": map[string]any{Operator: c.Client.Key.Public}},
+		"log":        map[string]any{"level": level},
+		"metrics":    map[string]any{"token": c.token},
+		"faults":     map[string]any{"cut_file": c.cutFile(i)},
+		"experiment": map[string]any{"baseline": c.Baseline},
 	})
 	if err != nil {
 		return err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/daemon/admin"
 	"cardamomwick.example/daemon/backend"
+	"cardamomwick.example/daemon/baseline"
 	"cardamomwick.example/daemon/dispatcher"
 	"cardamomwick.example/daemon/entry"
 	"cardamomwick.example/daemon/frame"
@@ -44,6 +45,7 @@
 	holder     *lease.Holder
 	dispatcher *dispatcher.Service
 	scheduler  *scheduler.Scheduler
+	slots      entry.Slots
 	entry      *entry.Entry
 	admin      *admin.Admin
 	metrics    *telemetry.Metrics
@@ -75,8 +77,13 @@
 	d.dispatcher = dispatcher.New(d.transport)
 	d.holder.OnChange(d.dispatcher.SetConfig)
 	d.scheduler = scheduler.New(d.transport, d.gossip, process)
-	d.entry = entry.New(entry.Options{Settings: s, Holder: d.holder, Gossip: d.gossip, Scheduler: d.scheduler,
-		Replicas: d.replicas, Metrics: d.metrics, Owner: self.Owner()})
+	experiment := s.Experiment.Baseline != ""
+	d.slots = d.scheduler
+	if experiment {
+		d.slots = baseline.New(s.Experiment.Baseline, d.transport)
+	}
+	d.entry = entry.New(entry.Options{Settings: s, Holder: d.holder, Gossip: d.gossip, Scheduler: d.slots,
+		Replicas: d.replicas, Metrics: d.metrics, Owner: self.Owner(), SpreadAnnouncements: experiment, IgnoreTiers: experiment})
 	d.admin = &admin.Admin{Settings: s, Holder: d.holder, Gossip: d.gossip, Replicas: d.replicas, Transport: d.transport, Own: d.info}
 	d.admin.Register()
 	d.registerGauges()
@@ -170,7 +177,7 @@
 
 func (d *Daemon) info() api.Info {
 	cfg := d.holder.Config()
-	waiting, running := d.scheduler.Load()
+	waiting, running := d.slots.Load()
 	out := api.Info{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Callers.Address,
 		Generation: cfg.Generation, Fresh: d.holder.Fresh(), Draining: d.gossip.Draining(), InFlight: d.entry.InFlight(),
 		Waiting: waiting, Running: running, Replica: d.replica != nil}
@@ -188,8 +195,8 @@
 		}
 		return 0
 	})
-	d.metrics.Gauge("cardamomwick_waiting", func() float64 { w, _ := d.scheduler.Load(); return float64(w) })
-	d.metrics.Gauge("cardamomwick_running", func() float64 { _, r := d.scheduler.Load(); return float64(r) })
+	d.metrics.Gauge("cardamomwick_waiting", func() float64 { w, _ := d.slots.Load(); return float64(w) })
+	d.metrics.Gauge("cardamomwick_running", func() float64 { _, r := d.slots.Load(); return float64(r) })
 	d.metrics.Gauge("cardamomwick_instances", func() float64 { return float64(len(d.gossip.Instances())) })
 	d.metrics.Gauge("cardamomwick_bad_frames_total", func() float64 { return float64(d.transport.BadFrames.Load()) })
 	d.metrics.Gauge("cardamomwick_frame_bytes_sent_total", func() float64 { return float64(d.transport.BytesSent.Load()) })
--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -96,7 +96,11 @@
 	msg := dispatcher.Announce{Pool: m.Pool, Server: dispatch.ServerInfo{ID: m.ID, Address: m.Address, Zone: m.Zone, Slots: m.Slots,
 		Running: m.Running, Queued: m.Queued, Cached: m.CachedPrefixes, Evicted: m.EvictedPrefixes}}
 	ranked := a.Entry.gossip.Rank(m.Pool)
-	for _, i := range ranked[:min(len(ranked), dispatcherCopies)] {
+	copies := dispatcherCopies
+	if a.Entry.spreadAll {
+		copies = len(ranked)
+	}
+	for _, i := range ranked[:min(len(ranked), copies)] {
 		_ = a.Transport.Send(i.PeerAddress, dispatcher.MethodAnnounce, &msg)
 	}
 }
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -58,6 +58,9 @@
 		}
 		out.attempt(n)
 		target := &backend.Target{RequestID: c.id, Attempt: n, Tier: c.policy.Tier, Customer: c.customer, Server: grant.Server, Address: grant.Address}
+		if e.flatTiers {
+			target.Tier = 0
+		}
 		rep, failure := e.try(run, c, target, slot, out)
 		if failure == nil {
 			return rep
@@ -127,7 +130,7 @@
 }
 
 // try makes one attempt and gives the slot back.
-func (e *Entry) try(ctx context.Context, c *call, t *backend.Target, slot *scheduler.Call, out *sink) (*reply, *backend.CallError) {
+func (e *Entry) try(ctx context.Context, c *call, t *backend.Target, slot scheduler.Slot, out *sink) (*reply, *backend.CallError) {
 	b, unlock := e.budget(c.pool)
 	if t.Attempt == 1 {
 		b.Attempt()
@@ -139,7 +142,7 @@
 	return e.tryModel(ctx, c, t, slot, out)
 }
 
-func (e *Entry) tryService(ctx context.Context, c *call, t *backend.Target, slot *scheduler.Call) (*reply, *backend.CallError) {
+func (e *Entry) tryService(ctx context.Context, c *call, t *backend.Target, slot scheduler.Slot) (*reply, *backend.CallError) {
 	key := ""
 	if c.key != nil {
 		key = c.key.Key
@@ -163,7 +166,7 @@
 }
 
 // tryModel generates, behind what earlier attempts have generated already.
-func (e *Entry) tryModel(ctx context.Context, c *call, t *backend.Target, slot *scheduler.Call, out *sink) (*reply, *backend.CallError) {
+func (e *Entry) tryModel(ctx context.Context, c *call, t *backend.Target, slot scheduler.Slot, out *sink) (*reply, *backend.CallError) {
 	text, before := out.partial()
 	body, err := c.engineBody(text, before)
 	if err != nil {
@@ -187,7 +190,7 @@
 }
 
 // generate pumps one attempt's stream, resuming it when the connection breaks.
-func (e *Entry) generate(ctx context.Context, t *backend.Target, body []byte, slot *scheduler.Call, out *sink) *backend.CallError {
+func (e *Entry) generate(ctx context.Context, t *backend.Target, body []byte, slot scheduler.Slot, out *sink) *backend.CallError {
 	s, err := backend.Open(ctx, t, body)
 	if err != nil {
 		return asCallError(err, t)
@@ -214,7 +217,7 @@
 }
 
 // pump copies events until the stream ends; nil means the engine's end marker.
-func pump(s *backend.Stream, slot *scheduler.Call, out *sink) (int, error) {
+func pump(s *backend.Stream, slot scheduler.Slot, out *sink) (int, error) {
 	n := 0
 	for {
 		ev, err := s.Next()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/dispatch"
 
 	"github.com/apex/log"
 
@@ -28,14 +29,27 @@
 	"cardamomwick.example/daemon/telemetry"
 )
 
+// Slots gives places on backend servers; scheduler.Scheduler does.
+type Slots interface {
+	// Acquire waits for a place. arrived is when the caller's request came.
+	Acquire(ctx context.Context, pool string, t dispatch.Ticket, arrived, deadline time.Time) (scheduler.Slot, dispatch.Grant, error)
+	// Load returns the waiting and running calls of this entry.
+	Load() (waiting, running int)
+}
+
 // Options are the parts that an Entry works with.
 type Options struct {
 	Settings  *settings.Settings
 	Holder    *lease.Holder
 	Gossip    *gossip.Service
-	Scheduler *scheduler.Scheduler
+	Scheduler Slots
 	Replicas  *replica.Client
 	Metrics   *telemetry.Metrics
+	// SpreadAnnouncements passes announcements to every instance, as the
+	// baselines need it.
+	SpreadAnnouncements bool
+	// IgnoreTiers gives all calls the same priority at the engines.
+	IgnoreTiers bool
 	// Owner names this instance process in call records.
 	Owner string
 }
@@ -45,10 +59,12 @@
 	settings  *settings.Settings
 	holder    *lease.Holder
 	gossip    *gossip.Service
-	scheduler *scheduler.Scheduler
+	scheduler Slots
 	replicas  *replica.Client
 	metrics   *telemetry.Metrics
 	owner     string
+	spreadAll bool
+	flatTiers bool
 
 	// keys maps digests of bearer keys to customers; replaced with each
 	// configuration.
@@ -65,7 +81,7 @@
 // New returns an entry that follows the holder's configuration.
 func New(o Options) *Entry {
 	e := &Entry{settings: o.Settings, holder: o.Holder, gossip: o.Gossip, scheduler: o.Scheduler, replicas: o.Replicas,
-		metrics: o.Metrics, owner: o.Owner, budgets: map[string]*retry.Budget{}}
+		metrics: o.Metrics, owner: o.Owner, spreadAll: o.SpreadAnnouncements, flatTiers: o.IgnoreTiers, budgets: map[string]*retry.Budget{}}
 	e.keys.Store(&map[string]string{})
 	o.Holder.OnChange(e.indexKeys)
 	return e
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -40,6 +40,14 @@
 // Error names the reason.
 func (e *RefusedError) Error() string { return "refused by the dispatcher: " + string(e.Reason) }
 
+// Slot is a granted place on a backend server.
+type Slot interface {
+	// Token notes a generated token.
+	Token(now time.Time)
+	// Finish gives the slot back.
+	Finish(u dispatch.Usage)
+}
+
 // Ranker orders the instances for a key; gossip.Service is one.
 type Ranker interface {
 	Rank(key string) []membership.Instance
@@ -326,7 +334,7 @@
 
 // Acquire queues a ticket and waits for a grant. arrived is when the caller's
 // request came, so that later attempts keep their place.
-func (s *Scheduler) Acquire(ctx context.Context, pool string, t dispatch.Ticket, arrived, deadline time.Time) (*Call, dispatch.Grant, error) {
+func (s *Scheduler) Acquire(ctx context.Context, pool string, t dispatch.Ticket, arrived, deadline time.Time) (Slot, dispatch.Grant, error) {
 	now := time.Now()
 	t.ID = dispatch.TicketID{Entry: s.entry, Sequence: s.sequence.Add(1)}
 	c := &Call{s: s, ticket: t, arrived: arrived, deadline: deadline, queued: now, answer: make(chan answer, 1)}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -30,6 +30,8 @@
 	Log      Log      `toml:"log"`
 	Metrics  Metrics  `toml:"metrics"`
 	Faults   Faults   `toml:"faults"`
+	// Experiment switches a baseline policy on; see the type.
+	Experiment Experiment `toml:"experiment"`
 }
 
 // Instance says who this daemon is.
@@ -105,6 +107,13 @@
 	CutFile string `toml:"cut_file"`
 }
 
+// Experiment is for measurements only.
+type Experiment struct {
+	// Baseline replaces the dispatcher by "round_robin" or "two_choices".
+	// Empty in production.
+	Baseline string `toml:"baseline"`
+}
+
 // Defaults.
 const (
 	DefaultMaxBody      = 1 << 20
@@ -212,6 +221,8 @@
 	c.require(s.Callers.AddressTTL.D() >= 100*time.Millisecond, "callers.address_ttl", "must be at least 100ms")
 	c.require(s.Callers.DrainTimeout > 0, "callers.drain_timeout", "must be above 0")
 	s.checkPeers(c)
+	b := s.Experiment.Baseline
+	c.require(b == "" || b == "round_robin" || b == "two_choices", "experiment.baseline", "must be empty, \"round_robin\" or \"two_choices\"")
 	c.require(len(s.Trust.Operators) > 0, "trust.operators", "needs at least one operator's public key; make one with: cardamomctl keys generate")
 	for name, key := range s.Trust.Operators {
 		_, err := bundle.ParsePublicKey(key)
