--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,20 @@
 	$(BIN)/bench -profile samples/nurlight-load.toml
 	$(BIN)/bench -profile samples/kaitiaki-load.toml
 	for f in $(FAULTS); do $(BIN)/bench -profile samples/nurlight-load.toml -phases quiet,dusk -policies round_robin,dispatcher -fault $$f || exit 1; done
+
+# What the path adds to a call, against calling the stand-in directly.
+.PHONY: overhead
+overhead: build
+	go build -o $(BIN)/overhead ./ctl/internal/overhead
+	$(BIN)/overhead $(BIN)
+
+# Breaks one mechanism after another on a scratch copy; each proof must notice.
+.PHONY: prove-red
+prove-red: build
+	ctl/prove/red.sh $(P)
+
+# The slopes of docs/CAPACITY.md. Starts up to 120 instances; about 8 minutes.
+.PHONY: capacity
+capacity: build
+	go build -o $(BIN)/capacity ./ctl/internal/capacity
+	$(BIN)/capacity -bin $(BIN)
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -18,7 +18,7 @@
 	if err := o.Verify(m.config.operators()); err != nil {
 		return m.config.refuse(CodeRefused, err.Error())
 	}
-	before := m.config.current.Generation
+	before := m.config.history.current.Generation
 	if o.Expected != before {
 		return m.config.refuse(CodeStale, fmt.Sprintf("the order expects generation %d; %d is in force", o.Expected, before))
 	}
@@ -26,14 +26,14 @@
 	if r.Code != CodeOK {
 		return r
 	}
-	r.Order = OrderResult{Generation: m.config.current.Generation, Version: m.config.versionInForce()}
+	r.Order = OrderResult{Generation: m.config.history.current.Generation, Version: m.config.versionInForce()}
 	m.config.remember(o.ID(), r)
-	m.audit.add(m.nowMillis, o, before, m.config.current)
+	m.audit.add(m.nowMillis, o, before, m.config.history.current)
 	return r
 }
 
 func (s *configState) refuse(code Code, message string) Result {
-	return Result{Code: code, Message: message, Order: OrderResult{Generation: s.current.Generation, Version: s.versionInForce()}}
+	return Result{Code: code, Message: message, Order: OrderResult{Generation: s.history.current.Generation, Version: s.versionInForce()}}
 }
 
 // publishedBefore answers a publish whose version is taken: with the first
@@ -86,7 +86,7 @@
 	if b.Version != o.Version || b.Digest() != o.Digest {
 		return s.refuse(CodeRefused, "the content is another bundle than the order names")
 	}
-	v := storedVersion{Version: o.Version, Digest: o.Digest, Operator: o.Operator, Content: o.Content, Generation: s.current.Generation + 1}
+	v := storedVersion{Version: o.Version, Digest: o.Digest, Operator: o.Operator, Content: o.Content, Generation: s.history.current.Generation + 1}
 	if err := s.activate(v); err != nil {
 		return s.refuse(CodeRefused, err.Error())
 	}
@@ -142,10 +142,10 @@
 	if o.Server == "" {
 		return s.refuse(CodeRefused, "the order names no backend server")
 	}
-	if g, ok := s.current.Retired[o.Server]; ok {
+	if g, ok := s.history.current.Retired[o.Server]; ok {
 		return s.refuse(CodeExists, fmt.Sprintf("backend server %s was retired in generation %d", o.Server, g))
 	}
-	s.advance(Change{Retire: o.Server})
+	s.history.advance(Change{Retire: o.Server})
 	return Result{Code: CodeOK}
 }
 
--- a/ctl/harness/harness.go
+++ b/ctl/harness/harness.go
@@ -4,6 +4,7 @@
 package harness
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,10 +14,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"cardamomwick.example/core/api"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 
@@ -354,6 +359,27 @@
 	return nil
 }
 
+// Metrics reads an instance's metrics page: names, labels included, to values.
+func (c *Cluster) Metrics(i *Instance) (map[string]float64, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+i.Caller+api.PathMetrics, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := httpc.DoRequest(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	for in := bufio.NewScanner(resp.Body); in.Scan(); {
+		if name, value, ok := strings.Cut(in.Text(), " "); ok {
+			out[name], _ = strconv.ParseFloat(value, 64)
+		}
+	}
+	return out, nil
+}
+
 // Process is a child process of the harness.
 type Process struct {
 	cmd  *exec.Cmd
--- /dev/null
+++ b/ctl/internal/capacity/main.go
@@ -0,0 +1,359 @@
+// Command capacity measures how each role's processor time, memory and
+// messages grow with instances, backend servers, customers and changes, by
+// steps on one machine, and prints the slopes that docs/CAPACITY.md uses.
+package main
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/state"
+	"cardamomwick.example/ctl/caller"
+	"cardamomwick.example/ctl/fake"
+	"cardamomwick.example/ctl/harness"
+)
+
+const (
+	stepLimit  = 90 * time.Second
+	settle     = 4 * time.Second
+	clockTicks = 100 // USER_HZ
+)
+
+// step is one point of a series.
+type step struct {
+	instances, servers, customers int
+	changesPerSecond              int
+}
+
+// reading is what one role used while idle or while changes came.
+type reading struct {
+	// core is the part of one core in percent.
+	core float64
+	// resident is memory in MiB.
+	resident float64
+	// bytes and frames are sent per second.
+	bytes, frames float64
+}
+
+// result is a step with its readings by role.
+type result struct {
+	step
+	roles map[string]reading
+	// inForce is the median time of a publish until in force everywhere.
+	inForce time.Duration
+}
+
+func main() {
+	logx.Disable()
+	caller.Configure()
+	bin := flag.String("bin", "bin", "folder with the binaries")
+	span := flag.Duration("span", 10*time.Second, "how long each step is measured")
+	series := flag.String("series", "instances,servers,customers,changes", "what to grow")
+	flag.Parse()
+	for _, name := range strings.Split(*series, ",") {
+		if err := grow(*bin, name, *span); err != nil {
+			fmt.Fprintln(os.Stderr, "capacity: failed:", err)
+			os.Exit(1)
+		}
+	}
+}
+
+var seriesSteps = map[string][]step{
+	"instances": {{9, 12, 10, 0}, {18, 12, 10, 0}, {36, 12, 10, 0}, {72, 12, 10, 0}, {120, 12, 10, 0}},
+	"servers":   {{9, 12, 10, 0}, {9, 60, 10, 0}, {9, 120, 10, 0}, {9, 240, 10, 0}},
+	"customers": {{9, 12, 10, 0}, {9, 12, 425, 0}, {9, 12, 850, 0}, {9, 12, 1700, 0}},
+	"changes":   {{9, 12, 10, 0}, {9, 12, 10, 2}, {9, 12, 10, 5}, {9, 12, 10, 10}},
+}
+
+// abscissa is the quantity that a series grows.
+func abscissa(name string, s step) float64 {
+	switch name {
+	case "instances":
+		return float64(s.instances)
+	case "servers":
+		return float64(s.servers)
+	case "customers":
+		return float64(s.customers)
+	}
+	return float64(s.changesPerSecond)
+}
+
+func grow(bin, name string, span time.Duration) error {
+	steps, ok := seriesSteps[name]
+	if !ok {
+		return eris.Errorf("unknown series %q", name)
+	}
+	var results []result
+	for _, s := range steps {
+		r, err := measure(bin, s, span)
+		if err != nil {
+			return eris.Wrapf(err, "%s %+v", name, s)
+		}
+		results = append(results, *r)
+	}
+	print(name, results)
+	return nil
+}
+
+func print(name string, results []result) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "%s\trole\tcore %%\tresident MiB\tsent KB/s\tframes/s\tin force ms\t\n", name)
+	for _, r := range results {
+		for _, role := range roleNames(r.roles) {
+			x := r.roles[role]
+			fmt.Fprintf(w, "%.0f\t%s\t%.2f\t%.1f\t%.2f\t%.1f\t%d\t\n", abscissa(name, r.step), role, x.core, x.resident, x.bytes/1000, x.frames, r.inForce.Milliseconds())
+		}
+	}
+	w.Flush()
+	for _, role := range roleNames(results[0].roles) {
+		var xs, core, mem, sent []float64
+		for _, r := range results {
+			xs = append(xs, abscissa(name, r.step))
+			core = append(core, r.roles[role].core)
+			mem = append(mem, r.roles[role].resident)
+			sent = append(sent, r.roles[role].bytes/1000)
+		}
+		fmt.Printf("  %-10s per one more of %s: %+.4f %% of a core, %+.4f MiB, %+.4f KB/s\n", role, name, slope(xs, core), slope(xs, mem), slope(xs, sent))
+	}
+	fmt.Println()
+}
+
+func roleNames(m map[string]reading) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// slope fits a line by least squares.
+func slope(xs, ys []float64) float64 {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy float64
+	for i := range xs {
+		sx += xs[i]
+		sy += ys[i]
+		sxx += xs[i] * xs[i]
+		sxy += xs[i] * ys[i]
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+func measure(bin string, s step, span time.Duration) (*result, error) {
+	dir, err := os.MkdirTemp("", "cardamomwick-capacity-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(context.Background(), stepLimit+span)
+	defer cancel()
+	var names []string
+	for n := range s.customers {
+		names = append(names, fmt.Sprintf("customer-%04d", n))
+	}
+	c, err := harness.New(harness.Options{Bin: bin, Dir: dir, Instances: s.instances, Replicas: 3, Zones: []string{"a", "b", "c"}, Customers: names, LogLevel: "warn"})
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := setUp(ctx, c, s); err != nil {
+		return nil, err
+	}
+	r := &result{step: s}
+	if r.inForce, err = publishTimes(ctx, c); err != nil {
+		return nil, err
+	}
+	time.Sleep(settle)
+	before, err := snapshot(c)
+	if err != nil {
+		return nil, err
+	}
+	if err := change(ctx, c, s.changesPerSecond, span); err != nil {
+		return nil, err
+	}
+	after, err := snapshot(c)
+	if err != nil {
+		return nil, err
+	}
+	r.roles, err = byRole(ctx, c, before, after)
+	return r, err
+}
+
+func declarations(version uint64) *bundle.Bundle {
+	second := bundle.Duration(time.Second)
+	class := bundle.Class{Tier: 1, Idempotent: true, FirstTokenTarget: second, Deadline: 10 * second, Order: bundle.OrderFIFO,
+		GiveUp: bundle.GiveUpDeadline, WhenIsolated: bundle.IsolatedRefuse}
+	return &bundle.Bundle{Version: version, Classes: map[string]bundle.Class{"plain": class},
+		Pools: map[string]bundle.Pool{"fixtures": {Kind: bundle.PoolService, DefaultClass: "plain"}}}
+}
+
+func setUp(ctx context.Context, c *harness.Cluster, s step) error {
+	if err := c.StartAll(); err != nil {
+		return err
+	}
+	c.Client.Addresses = c.Client.Addresses[:3]
+	if err := c.Ready(ctx, 0); err != nil {
+		return err
+	}
+	res, err := c.Client.Publish(ctx, c.Bundle(declarations(1)))
+	if err != nil || res.Code != state.CodeOK {
+		return eris.Errorf("publish: %v %s", err, res.Message)
+	}
+	if err := c.Client.WaitInForce(ctx, res.Order.Generation, nil); err != nil {
+		return err
+	}
+	var cfg fake.Config
+	for n := range s.servers {
+		cfg.Services = append(cfg.Services, fake.ServiceConfig{ID: fmt.Sprintf("s%d", n), Address: fmt.Sprintf("%s:%d", hostOf(c.Address(140)), 9000+n), Zone: "a", Pool: "fixtures", Slots: 16})
+	}
+	if err := c.StartFake(cfg); err != nil {
+		return err
+	}
+	return c.ServersReady(ctx, s.servers)
+}
+
+func hostOf(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+// publishTimes publishes a few small changes and returns the median time until
+// all instances act on them.
+func publishTimes(ctx context.Context, c *harness.Cluster) (time.Duration, error) {
+	var times []time.Duration
+	for v := uint64(2); v <= 6; v++ {
+		start := time.Now()
+		res, err := c.Client.Publish(ctx, c.Bundle(declarations(v)))
+		if err != nil || res.Code != state.CodeOK {
+			return 0, eris.Errorf("publish: %v %s", err, res.Message)
+		}
+		if err := c.Client.WaitInForce(ctx, res.Order.Generation, nil); err != nil {
+			return 0, err
+		}
+		times = append(times, time.Since(start))
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	return times[len(times)/2], nil
+}
+
+// change makes a number of small changes a second for the span.
+func change(ctx context.Context, c *harness.Cluster, perSecond int, span time.Duration) error {
+	if perSecond == 0 {
+		time.Sleep(span)
+		return nil
+	}
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for end, n := time.Now().Add(span), 0; time.Now().Before(end); n++ {
+		<-ticker.C
+		if _, err := c.Client.Retire(ctx, fmt.Sprintf("gone-%d", n)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// usage is one process at one moment.
+type usage struct {
+	at            time.Time
+	cpu           time.Duration
+	resident      float64
+	bytes, frames float64
+}
+
+func snapshot(c *harness.Cluster) (map[string]usage, error) {
+	out := map[string]usage{}
+	for _, i := range c.Instances {
+		u, err := processUsage(i.Process().PID())
+		if err != nil {
+			return nil, err
+		}
+		page, err := c.Metrics(i)
+		if err != nil {
+			return nil, err
+		}
+		u.bytes, u.frames = page["cardamomwick_frame_bytes_sent_total"], page["cardamomwick_frames_sent_total"]
+		out[i.Name] = u
+	}
+	return out, nil
+}
+
+// processUsage reads a process's own accounting from the proc file system.
+func processUsage(pid int) (usage, error) {
+	u := usage{at: time.Now()}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	u.cpu = time.Duration((user + system) / clockTicks * float64(time.Second))
+	status, err := os.Open(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return u, err
+	}
+	defer status.Close()
+	for in := bufio.NewScanner(status); in.Scan(); {
+		if f := strings.Fields(in.Text()); len(f) > 1 && f[0] == "VmRSS:" {
+			kib, _ := strconv.ParseFloat(f[1], 64)
+			u.resident = kib / 1024
+		}
+	}
+	return u, nil
+}
+
+// byRole averages over the instances of each role.
+func byRole(ctx context.Context, c *harness.Cluster, before, after map[string]usage) (map[string]reading, error) {
+	leader, err := c.Leader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	servers, err := c.Client.Servers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	dispatcher := ""
+	if len(servers) > 0 {
+		dispatcher = servers[0].Dispatcher
+	}
+	sums, counts := map[string]reading{}, map[string]float64{}
+	for _, i := range c.Instances {
+		role := "entry"
+		switch {
+		case i == leader:
+			role = "leader"
+		case i.Folder != "":
+			role = "follower"
+		case i.Name == dispatcher:
+			role = "dispatcher"
+		}
+		a, b := before[i.Name], after[i.Name]
+		seconds := b.at.Sub(a.at).Seconds()
+		s := sums[role]
+		s.core += 100 * (b.cpu - a.cpu).Seconds() / seconds
+		s.resident += b.resident
+		s.bytes += (b.bytes - a.bytes) / seconds
+		s.frames += (b.frames - a.frames) / seconds
+		sums[role] = s
+		counts[role]++
+	}
+	for role, n := range counts {
+		s := sums[role]
+		sums[role] = reading{s.core / n, s.resident / n, s.bytes / n, s.frames / n}
+	}
+	return sums, nil
+}
--- /dev/null
+++ b/ctl/prove/red.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Shows that the proofs can fail: each line below breaks one mechanism on a
+# scratch copy of the tree and runs the proof that must notice. A proof that
+# stays green over its broken mechanism is reported, and the script fails.
+#
+# Usage: ctl/prove/red.sh [NAME]
+set -u
+cd "$(dirname "$0")/../.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+cp -r core daemon ctl go.work go.work.sum Makefile "$scratch"/ 2>/dev/null
+bad=0
+
+# broken NAME FILE SED-EXPRESSION MODULE PROOF
+broken() {
+  [ -z "${only:-}" ] || [ "$only" = "$1" ] || return 0
+  local file="$scratch/$2" kept="$scratch/kept" verdict out start
+  cp "$file" "$kept"
+  sed -i -E "$3" "$file"
+  if cmp -s "$file" "$kept"; then
+    echo "$1: the expression changes nothing in $2"; bad=1; return
+  fi
+  start=$(date +%s)
+  if [ "$4" = prove ]; then
+    out=$(cd "$scratch" && make build 2>&1 && cd ctl && timeout 170 go test -tags prove -count=1 -run "^$5\$" ./prove 2>&1)
+  else
+    out=$(cd "$scratch/$4" && timeout 170 go test -count=1 -run "^$5\$" ./... 2>&1)
+  fi
+  if [ $? -ne 0 ] && echo "$out" | grep -qE -- "--- FAIL: $5|panic:|test timed out|Falsified"; then verdict=red; else verdict="NOT RED"; bad=1; echo "$out" | tail -5; fi
+  cp "$kept" "$file"
+  printf '%-24s %-32s %-8s %3d s  %s\n' "$1" "$5" "$verdict" $(($(date +%s) - start)) "$(echo "$out" | grep -E '_test.go:[0-9]+:' | tail -1 | cut -c1-110)"
+}
+
+only=${1:-}
+broken no-claim             daemon/entry/execute.go        's/rep := e\.claim\(c\)$/var rep *reply/'                         prove  TestOnceServerSilent
+broken no-take-over         daemon/entry/durable.go        's/ranked\[0\]\.Name == e\.gossip\.Self\(\)\.Name/false/'         prove  TestDurableTakenOver
+broken no-lease             daemon/lease/lease.go          's/return until != nil \&\& time\.Now\(\)\.Before\(\*until\)/return until != nil/' prove TestRetireWhileEntryCutOff
+broken no-drain             daemon/daemon.go               's/if err := d\.entry\.Wait\(ctx\); err != nil/if err := ctx.Err(); err != nil/' prove TestGracefulShutdown
+broken resume-from-start    daemon/entry/attempt.go        's/backend\.Resume\(ctx, t, events\)/backend.Resume(ctx, t, 0)/;s/text, before := out\.partial\(\)/text, before := "", 0/' prove TestAnswersWhole
+broken last-writer-wins     core/state/orders.go           's/if v == nil \{/if v == nil || v.Digest != o.Digest {/;s/if o\.Version <= s\.highest/if o.Version < s.highest/' prove TestOperatorsRace
+broken nothing-persisted    daemon/replica/replica.go      's/if err := r\.store\.Append\(rd\.HardState, rd\.Entries\); err != nil/if err := error(nil); err != nil/' prove TestRestartAfterManyChanges
+broken trusts-dispatcher    daemon/scheduler/scheduler.go  's/silenceLimit = 700 \* time\.Millisecond/silenceLimit = time.Hour/' prove TestFrozenDispatcher
+broken no-pre-vote          core/raft/node.go              's/n\.campaign\(PreCandidate, false\)/n.campaign(Candidate, false)/' core TestIsolatedLeaderStepsDown
+broken no-quorum-check      core/raft/node.go              's/if !n\.quorumActive\(\) \{/if false {/'                      core   TestIsolatedLeaderStepsDown
+broken no-log-check         core/raft/replication.go       's/!ok \|\| t != m\.LogTerm/!ok/'                                core   TestSafetyUnderFaults
+broken vote-twice           core/raft/election.go          's/\(n\.vote == None \|\| n\.vote == m\.From\) \&\& //'           core   TestSafetyUnderFaults
+broken two-voters-at-once   core/raft/node.go              's/votersChanged\(cur\.membership, m\) > 1/false/'               core   TestReplaceLostDisk
+broken any-owner            core/state/calls.go            's/if r\.CallID == c\.CallID \&\& r\.Phase != PhaseDone \{/if r.Phase != PhaseDone {/' core TestOneOwnerPerKey
+broken forgets-early        core/state/calls.go            's/return k\.Millis < now-Retention\.Milliseconds\(\) \|\| /return /' core TestKeysAreForgottenOnlyWhenRefused
+broken sheds-upward         core/dispatch/pool.go          's/lower\.policy\.Tier <= c\.policy\.Tier/false/'               core   TestNeverShedsSameOrHigherTier
+broken no-shares            core/dispatch/pool.go          's/if c\.granted < c\.policy\.Share\*total/if false/'            core   TestEveryClassRuns
+broken refuses-unwaited     core/dispatch/pool.go          's/maxFirstTokenEst = 0\.5/maxFirstTokenEst = 5/'              core   TestGivesUpOnlyForWaiting
+broken sent-twice           daemon/backend/backend.go      's/onceReader\{bytes\.NewReader\(body\)\}/bytes.NewReader(body)/' daemon TestNothingIsSentTwice
+broken acks-unsynced        daemon/storage/storage.go      's/if err := s\.segment\.Sync\(\); err != nil \{/if err := error(nil); err != nil {/' daemon TestFailedSyncIsFinal
+broken no-mac               daemon/frame/frame.go          's/if !hmac\.Equal\(.*\) \{/if false {/'                         daemon TestTamperedReplayedAndHugeFrames
+broken lease-from-answer    daemon/lease/lease.go          's/until := sent\.Add\(/until := time.Now().Add(/'              daemon TestLeaseCountsFromSending
+exit $bad
--- a/daemon/cmd/cardamomwickd/main.go
+++ b/daemon/cmd/cardamomwickd/main.go
@@ -26,7 +26,7 @@
 		Name:  "cardamomwickd",
 		Usage: "route language-model traffic by service levels and priorities",
 		Description: "Runs one instance. Which role it has follows from its settings: with a data folder it is\n" +
-			"also a replica of the durable state. SIGTERM drains and stops it without cutting a call off.\n\n" +
+			"also a replica of the durable state. SIGHUP reads frame keys and log level again. SIGTERM drains and stops it without cutting a call off.\n\n" +
 			"Exit codes: 0 stopped gracefully, 1 failed, 2 bad settings.\n\n" +
 			"Example: cardamomwickd --settings /etc/cardamomwick/instance.toml",
 		Flags: []cli.Flag{
@@ -58,9 +58,25 @@
 		log.WithError(err).WithField("step", "start").Error("instance can't start")
 		return cli.Exit(err.Error(), exitFailed)
 	}
+	go reloadOnSignal(d, cmd.String("settings"))
 	if err := d.Run(stop); err != nil {
 		log.WithError(err).WithField("step", "run").Error("instance ended with an error")
 		return cli.Exit(err.Error(), exitFailed)
 	}
 	return nil
 }
+
+// reloadOnSignal reads the settings again at each SIGHUP.
+func reloadOnSignal(d *daemon.Daemon, file string) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	for range hangUps {
+		s, err := settings.Load(file)
+		if err == nil {
+			err = d.Reload(s)
+		}
+		if err != nil {
+			log.WithError(err).WithField("step", "reload settings").Error("the old settings stay")
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,6 +74,7 @@
 	}
 	d.replicas = replica.NewClient(d.transport, s.Replicas.Addresses)
 	d.holder = lease.New(d.replicas, d.gossip.SetIsolated)
+	d.holder.SetSource(lease.NewRelay(d.transport, d.gossip, d.replicas, d.holder))
 	d.dispatcher = dispatcher.New(d.transport)
 	d.holder.OnChange(d.dispatcher.SetConfig)
 	d.scheduler = scheduler.New(d.transport, d.gossip, process)
@@ -103,6 +104,19 @@
 	return out, nil
 }
 
+// Reload takes over what may change without a stop: the frame keys and the log
+// level.
+func (d *Daemon) Reload(s *settings.Settings) error {
+	keys, err := frameKeys(s.Peers.Keys)
+	if err != nil {
+		return err
+	}
+	d.transport.SetKeys(keys)
+	log.SetLevelFromString(s.Log.Level)
+	log.WithField("keys", len(keys)).Info("settings reloaded")
+	return nil
+}
+
 func supervisor(name string) *suture.Supervisor {
 	return suture.New(name, suture.Spec{EventHook: func(e suture.Event) {
 		log.WithFields(log.Fields{"step": "supervise", "supervisor": name}).Warn(e.String())
@@ -226,4 +240,14 @@
 		return
 	}
 	d.metrics.Write(w)
+	for pool, v := range d.dispatcher.View() {
+		for _, c := range v.Classes {
+			fmt.Fprintf(w, "cardamomwick_dispatcher_waiting{pool=%q,class=%q} %d\n", pool, c.Class, c.Waiting)
+			fmt.Fprintf(w, "cardamomwick_dispatcher_recent_work{pool=%q,class=%q} %g\n", pool, c.Class, c.Granted)
+		}
+		for _, s := range v.Servers {
+			fmt.Fprintf(w, "cardamomwick_dispatcher_granted{pool=%q,server=%q} %d\n", pool, s.ID, s.Granted)
+			fmt.Fprintf(w, "cardamomwick_dispatcher_speed{pool=%q,server=%q} %g\n", pool, s.ID, s.Speed)
+		}
+	}
 }
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -56,7 +56,7 @@
 // before Serve.
 type Transport struct {
 	self     string
-	keys     []Key
+	keys     atomic.Pointer[[]Key]
 	filter   Filter
 	requests map[string]RequestHandler
 	oneWays  map[string]OneWayHandler
@@ -78,10 +78,15 @@
 		filter = func(string, bool) bool { return false }
 	}
 	others := func(peer string, incoming bool) bool { return peer != self && filter(peer, incoming) }
-	return &Transport{self: self, keys: keys, filter: others, links: map[string]*link{},
+	t := &Transport{self: self, filter: others, links: map[string]*link{},
 		requests: map[string]RequestHandler{}, oneWays: map[string]OneWayHandler{}}
+	t.SetKeys(keys)
+	return t
 }
 
+// SetKeys replaces the keys for connections made from now on.
+func (t *Transport) SetKeys(keys []Key) { t.keys.Store(&keys) }
+
 // HandleRequest registers the handler of a request method.
 func (t *Transport) HandleRequest(method string, h RequestHandler) { t.requests[method] = h }
 
@@ -129,7 +134,7 @@
 func (t *Transport) serveConn(ctx context.Context, raw net.Conn) {
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
-	c, err := Accept(raw, t.self, t.keys)
+	c, err := Accept(raw, t.self, *t.keys.Load())
 	if err != nil {
 		t.BadFrames.Add(1)
 		log.WithError(err).WithField("step", "accept peer").WithField("peer", raw.RemoteAddr().String()).Warn("connection refused")
@@ -346,7 +351,7 @@
 }
 
 func (l *link) connectAndWrite(first *Message) {
-	c, err := Dial(l.address, l.t.self, l.t.keys, dialTimeout)
+	c, err := Dial(l.address, l.t.self, *l.t.keys.Load(), dialTimeout)
 	if err != nil {
 		l.mu.Lock()
 		l.failedAt = time.Now()
--- a/daemon/lease/lease.go
+++ b/daemon/lease/lease.go
@@ -2,7 +2,7 @@
 // trip that a quorum of replicas stood behind, counted from the moment at which
 // the request was sent, on this instance's monotonic clock. A round trip begun
 // after a change was committed carries the change; one begun before has run
-// out one lease length later. So nothing older than Length is ever acted on.
+// out one lease length later. So nothing older than that is ever acted on.
 package lease
 
 import (
@@ -21,8 +21,6 @@
 
 // Timing of leases.
 const (
-	// Length is how long a round trip's answer may be acted on.
-	Length = 2 * time.Second
 	// renewPeriod is the pause between two round trips.
 	renewPeriod = 200 * time.Millisecond
 	// tryTimeout bounds one round trip, so that its late answer is still worth
@@ -44,9 +42,11 @@
 	onChange []func(state.Config)
 	isolated func(bool)
 
-	mu         sync.Mutex
-	group      uint64
-	lapsed     bool
+	mu     sync.Mutex
+	group  uint64
+	lapsed bool
+	// history is what this instance passes on to others.
+	history    state.History
 	config     atomic.Pointer[state.Config]
 	validUntil atomic.Pointer[time.Time]
 }
@@ -54,11 +54,21 @@
 // New returns a holder without a lease. isolated is told when the lease lapses
 // and when it is back.
 func New(source Source, isolated func(bool)) *Holder {
-	h := &Holder{source: source, isolated: isolated, lapsed: true}
-	h.config.Store(&state.Config{Retired: map[string]uint64{}})
+	h := &Holder{source: source, isolated: isolated, lapsed: true, history: state.NewHistory()}
+	h.publish()
 	return h
 }
 
+// publish refreshes the copy that readers use.
+func (h *Holder) publish() state.Config {
+	c := h.history.Current()
+	h.config.Store(&c)
+	return c
+}
+
+// SetSource replaces where leases come from. Call before Serve.
+func (h *Holder) SetSource(s Source) { h.source = s }
+
 // OnChange registers a function that is called with each new configuration.
 // Register before Serve.
 func (h *Holder) OnChange(f func(state.Config)) { h.onChange = append(h.onChange, f) }
@@ -114,21 +124,17 @@
 	if l.Update.Generation < old.Generation {
 		return eris.Errorf("replicas offer generation %d after %d", l.Update.Generation, old.Generation)
 	}
-	next := old
 	if l.Update.Generation != old.Generation {
-		var err error
-		if next, err = l.Update.Apply(old); err != nil {
+		if err := h.history.Take(&l.Update); err != nil {
 			return err
 		}
-	}
-	h.group = l.Group
-	if next.Generation != old.Generation {
-		h.config.Store(&next)
+		next := h.publish()
 		for _, f := range h.onChange {
 			f(next)
 		}
 	}
-	until := sent.Add(Length)
+	h.group = l.Group
+	until := sent.Add(min(l.Valid, replica.LeaseLength))
 	h.validUntil.Store(&until)
 	return nil
 }
@@ -165,3 +171,21 @@
 	}
 	return max(0, time.Since(*until))
 }
+
+// PassOn returns this instance's lease for another one that holds an older
+// generation: what is left of it now. The asking instance counts it from the
+// sending of its own request, which was earlier, so that its lease never
+// outlasts this one. ok is false without a fresh lease.
+func (h *Holder) PassOn(generation uint64) (l replica.Lease, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	until := h.validUntil.Load()
+	if until == nil {
+		return l, false
+	}
+	left := time.Until(*until)
+	if left <= 0 {
+		return l, false
+	}
+	return replica.Lease{Group: h.group, Update: h.history.Since(generation), Valid: left}, true
+}
--- a/daemon/lease/lease_test.go
+++ b/daemon/lease/lease_test.go
@@ -25,7 +25,7 @@
 }
 
 func full(group, generation uint64) replica.Lease {
-	return replica.Lease{Group: group, Update: state.Update{Generation: generation, Full: true, Retired: map[string]uint64{}}}
+	return replica.Lease{Group: group, Valid: replica.LeaseLength, Update: state.Update{Generation: generation, Full: true, Retired: map[string]uint64{}}}
 }
 
 func TestLeaseCountsFromSending(t *testing.T) {
@@ -34,7 +34,7 @@
 	before := time.Now()
 	h.renew(context.Background())
 	until := *h.validUntil.Load()
-	if until.After(before.Add(Length + 50*time.Millisecond)) {
+	if until.After(before.Add(replica.LeaseLength + 50*time.Millisecond)) {
 		t.Fatalf("valid until %v after the request was sent", until.Sub(before))
 	}
 	if !h.Fresh() || h.Config().Generation != 4 {
@@ -65,3 +65,40 @@
 		t.Fatalf("after a refused update asked from %d, want all", last)
 	}
 }
+
+// TestPassedOnLeaseNeverOutlastsItsSource: over a chain of instances with slow
+// questions each lease ends no later than the one it came from.
+func TestPassedOnLeaseNeverOutlastsItsSource(t *testing.T) {
+	top := New(&source{lease: full(1, 3)}, func(bool) {})
+	top.renew(context.Background())
+	last := top
+	for range 3 {
+		child := New(&passing{last}, func(bool) {})
+		child.renew(context.Background())
+		if !child.Fresh() || child.Config().Generation != 3 {
+			t.Fatal("no lease passed on")
+		}
+		if child.validUntil.Load().After(*last.validUntil.Load()) {
+			t.Fatalf("the child's lease ends %v after its parent's", child.validUntil.Load().Sub(*last.validUntil.Load()))
+		}
+		last = child
+	}
+	past := time.Now().Add(-time.Millisecond)
+	top.validUntil.Store(&past)
+	if _, ok := top.PassOn(0); ok {
+		t.Fatal("a lapsed lease was passed on")
+	}
+}
+
+// passing asks another holder, slowly both ways.
+type passing struct{ from *Holder }
+
+func (p *passing) Lease(_ context.Context, generation uint64) (replica.Lease, error) {
+	time.Sleep(30 * time.Millisecond)
+	l, ok := p.from.PassOn(generation)
+	time.Sleep(30 * time.Millisecond)
+	if !ok {
+		return l, errors.New("no lease")
+	}
+	return l, nil
+}
--- a/daemon/replica/serve.go
+++ b/daemon/replica/serve.go
@@ -74,7 +74,7 @@
 	return readThen(ctx, r,
 		func(d redirect) leaseReply { return leaseReply{redirect: d} },
 		func() leaseReply {
-			return leaseReply{Lease: Lease{Group: r.store.Identity().Group, Update: r.machine.UpdateSince(req.Generation)}}
+			return leaseReply{Lease: Lease{Group: r.store.Identity().Group, Update: r.machine.UpdateSince(req.Generation), Valid: LeaseLength}}
 		})
 }
 
--- a/daemon/replica/wire.go
+++ b/daemon/replica/wire.go
@@ -5,6 +5,8 @@
 package replica
 
 import (
+	"time"
+
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/raft"
 	"cardamomwick.example/core/state"
@@ -74,10 +76,16 @@
 	Generation uint64 `msgpack:"g"`
 }
 
+// LeaseLength is how long the leader's answer to a lease request may be acted
+// on, counted from the sending of the request.
+const LeaseLength = 2 * time.Second
+
 // Lease is a configuration update that a quorum stood behind.
 type Lease struct {
 	Group  uint64       `msgpack:"g"`
 	Update state.Update `msgpack:"u"`
+	// Valid counts from the sending of the request.
+	Valid time.Duration `msgpack:"v"`
 }
 
 type leaseReply struct {
