Demo waits for the address list

Cause: the demo failed once with 2 addresses: an instance's news that it holds a lease travels by gossip for up to a few hundred milliseconds. Change: the step waits for all three.

--- a/ctl/internal/demo/main.go
+++ b/ctl/internal/demo/main.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/logx"
 
+	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/ctl/caller"
@@ -167,13 +168,15 @@
 }
 
 func addresses(ctx context.Context, d *demo) (string, error) {
-	list, err := caller.Addresses(ctx, d.c.Instances[1].Caller, "zone-a")
+	var list *api.AddressList
+	err := harness.WaitFor(ctx, "three addresses in the list", func() bool {
+		var err error
+		list, err = caller.Addresses(ctx, d.c.Instances[1].Caller, "zone-a")
+		return err == nil && len(list.Addresses) == 3
+	})
 	if err != nil {
 		return "", err
 	}
-	if len(list.Addresses) != 3 {
-		return "", eris.Errorf("%d addresses", len(list.Addresses))
-	}
 	first := d.zoneOf(list.Addresses[0])
 	if first != "zone-a" {
 		return "", eris.Errorf("the first address is in %s", first)
