--- a/core/bundle/bundle.go
+++ b/core/bundle/bundle.go
@@ -40,6 +40,10 @@
 	// OrderNewest serves the newest call first; under overload more calls
 	// meet their targets and some wait until they are refused.
 	OrderNewest Order = "newest"
+	// OrderAttainable serves the oldest call that can still meet its first-token
+	// target; calls that have lost it run when there is none, and in a fixed
+	// part of the grants, so that each of them runs. Nothing is refused by it.
+	OrderAttainable Order = "attainable"
 )
 
 // GiveUp is when a waiting call is refused.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -178,13 +178,11 @@
 func (p *Pool) setExpiry(now time.Time, w *waiting, c *classQueue) {
 	w.expires = now.Add(w.Remaining)
 	w.reason = ReasonDeadline
-	if c.policy.GiveUp != bundle.GiveUpFirstToken {
-		return
-	}
 	target := c.policy.FirstTokenTarget.D()
 	reserve := min(p.firstToken, time.Duration(float64(target)*maxFirstTokenEst))
-	if at := w.arrival.Add(target - reserve); at.Before(w.expires) {
-		w.expires = at
+	w.lostAt = w.arrival.Add(target - reserve)
+	if c.policy.GiveUp == bundle.GiveUpFirstToken && w.lostAt.Before(w.expires) {
+		w.expires = w.lostAt
 		w.reason = ReasonFirstToken
 	}
 }
@@ -459,32 +457,33 @@
 	return append(needy, rest...)
 }
 
-// grantFrom grants the class's next ticket that has a server.
+// grantFrom grants the class's next ticket that has a server. Customers whose
+// next ticket can't run now are set aside for the rest of the search.
 func (p *Pool) grantFrom(now time.Time, c *classQueue) bool {
-	var skipped []*customerQueue
-	granted := false
-	for !granted && len(c.active) > 0 {
-		q := c.active[0]
-		w := q.next(c.policy.Order)
-		if w == nil {
-			c.drop(q)
-			continue
+	var aside []*customerQueue
+	defer func() {
+		for _, q := range aside {
+			heap.Push(&c.active, q)
 		}
-		if s := p.choose(now, w, c); s != nil && !p.atLimit(w.Customer) {
-			p.grant(now, w, c, q, s)
-			granted = true
-			continue
+	}()
+	for {
+		q, w := c.next(now)
+		if w == nil {
+			return false
 		}
-		heap.Pop(&c.active)
-		skipped = append(skipped, q)
-		if len(w.Exclude) == 0 && !p.atLimit(w.Customer) {
-			break // no server at all: the others wait as well
+		limited := p.atLimit(w.Customer)
+		if !limited {
+			if s := p.choose(now, w, c); s != nil {
+				p.grant(now, w, c, q, s)
+				return true
+			}
+			if len(w.Exclude) == 0 {
+				return false // no server at all: the others wait as well
+			}
 		}
+		heap.Remove(&c.active, q.slot)
+		aside = append(aside, q)
 	}
-	for _, q := range skipped {
-		heap.Push(&c.active, q)
-	}
-	return granted
 }
 
 func (p *Pool) atLimit(customer string) bool {
@@ -494,6 +493,7 @@
 
 func (p *Pool) grant(now time.Time, w *waiting, c *classQueue, q *customerQueue, s *server) {
 	c.remove(w)
+	c.grants++
 	delete(p.waiting, w.ID)
 	q.trim()
 	c.charge(q, w.work, p.weight(w.Customer))
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -26,8 +26,10 @@
 	newest.Order = bundle.OrderNewest
 	early := class(2, 0.05)
 	early.GiveUp = bundle.GiveUpFirstToken
+	late := class(3, 0)
+	late.Order = bundle.OrderAttainable
 	p.SetPolicy(Policy{
-		Classes:   map[string]bundle.Class{"top": class(1, 0), "check": early, "scene": class(3, 0.05), "summary": newest},
+		Classes:   map[string]bundle.Class{"top": class(1, 0), "check": early, "scene": class(3, 0.05), "summary": newest, "late": late},
 		Customers: map[string]bundle.Customer{"big": {Weight: 1}, "small": {Weight: 1}, "rated": {Weight: 1, RequestsPerSecond: 1, Burst: 2}, "capped": {Weight: 1, MaxRunning: 1}},
 	})
 	for n := range servers {
@@ -130,6 +132,34 @@
 	}
 }
 
+// TestAttainableFirst: calls that can still meet their target come before lost
+// ones, and of every eight grants one goes to the oldest, so that all run.
+func TestAttainableFirst(t *testing.T) {
+	p := testPool(1, 1)
+	now := t0
+	lost := map[TicketID]bool{}
+	for range 5 {
+		tk := ticket("late", "big")
+		tk.Age = time.Minute / 2
+		lost[tk.ID] = true
+		p.Enqueue(now, tk)
+	}
+	lostRun := 0
+	for n := range 40 {
+		now = now.Add(10 * time.Millisecond)
+		p.Enqueue(now, ticket("late", "small"))
+		a := p.Advance(now)
+		if len(a.Grants) != 1 {
+			t.Fatalf("step %d: %d grants", n, len(a.Grants))
+		}
+		lostRun += map[bool]int{true: 1}[lost[a.Grants[0].ID]]
+		p.Finish(now, a.Grants[0].ID, Usage{OutputTokens: 10, Completed: true})
+	}
+	if lostRun != 5 {
+		t.Fatalf("%d of 5 lost calls ran in 40 grants, want one in eight", lostRun)
+	}
+}
+
 func TestFairCustomers(t *testing.T) {
 	p := testPool(1, 10)
 	for range 100 {
@@ -265,7 +295,7 @@
 			for _, s := range p.ordered {
 				p.Announce(now, ServerInfo{ID: s.ID, Address: "x", Slots: 4, Running: rnd.Intn(5)})
 			}
-			tk := ticket([]string{"top", "check", "scene", "summary"}[rnd.Intn(4)], []string{"big", "small", "rated", "capped"}[rnd.Intn(4)])
+			tk := ticket([]string{"top", "check", "scene", "summary", "late"}[rnd.Intn(5)], []string{"big", "small", "rated", "capped"}[rnd.Intn(4)])
 			p.Enqueue(now, tk)
 			open[tk.ID] = "waiting"
 			for id, st := range open {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -14,6 +14,8 @@
 	arrival time.Time
 	expires time.Time
 	reason  Reason
+	// lostAt is when waiting has lost the first-token target.
+	lostAt time.Time
 	// gone: granted, cancelled or refused; heaps drop it lazily.
 	gone bool
 	// work is what its grant will charge, in token units.
@@ -59,6 +61,19 @@
 	return q.tickets[0]
 }
 
+// attainable returns the oldest ticket that can still meet its target. Tickets
+// are sorted by arrival, so the lost ones come first.
+func (q *customerQueue) attainable(now time.Time) *waiting {
+	q.trim()
+	i := sort.Search(len(q.tickets), func(i int) bool { return q.tickets[i].lostAt.After(now) })
+	for ; i < len(q.tickets); i++ {
+		if !q.tickets[i].gone {
+			return q.tickets[i]
+		}
+	}
+	return nil
+}
+
 // customerHeap orders the customers of a class by granted work.
 type customerHeap []*customerQueue
 
@@ -93,6 +108,8 @@
 	// granted is the class's recent work, decayed over shareWindow.
 	granted float64
 	count   int
+	// grants counts towards the next grant by age alone.
+	grants int
 }
 
 func newClassQueue(name string, policy bundle.Class) *classQueue {
@@ -121,6 +138,44 @@
 	}
 }
 
+// lateEvery is how many grants of an attainable-first class come before one goes
+// to its oldest call, lost or not.
+const lateEvery = 8
+
+// next returns the customer and the ticket that the class would run next, nil
+// when none waits.
+func (c *classQueue) next(now time.Time) (*customerQueue, *waiting) {
+	if c.policy.Order == bundle.OrderAttainable && c.grants%lateEvery != lateEvery-1 {
+		if q, w := c.firstAttainable(now); w != nil {
+			return q, w
+		}
+	}
+	for len(c.active) > 0 {
+		q := c.active[0]
+		if w := q.next(c.policy.Order); w != nil {
+			return q, w
+		}
+		c.drop(q)
+	}
+	return nil, nil
+}
+
+// firstAttainable returns the attainable ticket of the customer that is owed
+// the most.
+func (c *classQueue) firstAttainable(now time.Time) (*customerQueue, *waiting) {
+	var best *customerQueue
+	var ticket *waiting
+	for _, q := range c.active {
+		if best != nil && best.virtual <= q.virtual {
+			continue
+		}
+		if w := q.attainable(now); w != nil {
+			best, ticket = q, w
+		}
+	}
+	return best, ticket
+}
+
 // drop takes empty customers out of the heap.
 func (c *classQueue) drop(q *customerQueue) {
 	if q.slot >= 0 {
