Engine orders: order lease, fencing numbers, weight store's rate, one engine at a time

Change: bundles name a pool's engine_version; the order lease stands in the log and is taken over only by who has seen it unchanged for 6 s on its own clock (compare and set, no wall clock); orders are recorded under a token bucket for the weight store, carry the fence, and go to one engine of a pool at a time; for engines that ignore fences a new holder first waits 4 s.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -21,6 +21,8 @@
 	PathBundle    = "/admin/v1/bundle"
 	PathInstances = "/admin/v1/instances"
 	PathServers   = "/admin/v1/servers"
+	// PathEngineOrders is where engines take orders.
+	PathEngineOrders = "/v1/engine/orders"
 )
 
 // Headers between callers and entries.
@@ -106,6 +108,10 @@
 	Slots   int `json:"slots"`
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
+	// Version and Adapters are what an engine has loaded; while it loads it
+	// announces 0 slots.
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
 	// CachedPrefixes and EvictedPrefixes are cache events since the last one.
 	CachedPrefixes  []uint64 `json:"cached_prefixes,omitempty"`
 	EvictedPrefixes []uint64 `json:"evicted_prefixes,omitempty"`
--- a/core/bundle/bundle.go
+++ b/core/bundle/bundle.go
@@ -123,6 +123,20 @@
 	// AnnounceTokens are SHA-256 digests (hex) of the tokens with which its
 	// servers announce themselves; several allow rotation.
 	AnnounceTokens []string `toml:"announce_token_sha256" msgpack:"a"`
+	// EngineVersion is the model version that its engines are ordered to load,
+	// one engine at a time; empty leaves them alone.
+	EngineVersion string `toml:"engine_version" msgpack:"v,omitempty"`
+	// Adapters are loaded with it.
+	Adapters []string `toml:"adapters" msgpack:"d,omitempty"`
+	// ChecksFencing: the engines refuse orders with an old fencing number. For
+	// others a new orderer first waits until no older order can be on its way.
+	ChecksFencing bool `toml:"checks_fencing" msgpack:"f,omitempty"`
+}
+
+// WeightStore is the store that engines load models from.
+type WeightStore struct {
+	// LoadsPerMinute limits engine orders over all pools. 0 is no limit.
+	LoadsPerMinute float64 `toml:"loads_per_minute" msgpack:"l"`
 }
 
 // Customer is an application with keys and limits.
@@ -156,6 +170,7 @@
 	Pools       map[string]Pool     `toml:"pools" msgpack:"p"`
 	Customers   map[string]Customer `toml:"customers" msgpack:"u"`
 	Operators   map[string]Operator `toml:"operators" msgpack:"o"`
+	WeightStore WeightStore         `toml:"weight_store" msgpack:"w"`
 }
 
 // Canonical returns bytes that depend on the content only: map keys are
@@ -164,7 +179,7 @@
 	enc := canonicalBundle{
 		Version: b.Version, Description: b.Description,
 		Classes: sorted(b.Classes), Pools: sorted(b.Pools),
-		Customers: sorted(b.Customers), Operators: sorted(b.Operators),
+		Customers: sorted(b.Customers), Operators: sorted(b.Operators), WeightStore: b.WeightStore,
 	}
 	data, err := msgpack.Marshal(&enc)
 	if err != nil {
@@ -191,6 +206,7 @@
 	Pools       []named[Pool]     `msgpack:"p"`
 	Customers   []named[Customer] `msgpack:"u"`
 	Operators   []named[Operator] `msgpack:"o"`
+	WeightStore WeightStore       `msgpack:"w"`
 }
 
 func sorted[T any](m map[string]T) []named[T] {
@@ -210,7 +226,7 @@
 	}
 	b := &Bundle{Version: enc.Version, Description: enc.Description,
 		Classes: unsorted(enc.Classes), Pools: unsorted(enc.Pools),
-		Customers: unsorted(enc.Customers), Operators: unsorted(enc.Operators)}
+		Customers: unsorted(enc.Customers), Operators: unsorted(enc.Operators), WeightStore: enc.WeightStore}
 	return b, nil
 }
 
--- a/core/bundle/check.go
+++ b/core/bundle/check.go
@@ -121,6 +121,7 @@
 		_, err := ParsePublicKey(x.PublicKey)
 		c.require(err == nil, "operators."+name+".public_key", "must be an ed25519 public key in base64")
 	}
+	c.require(b.WeightStore.LoadsPerMinute >= 0, "weight_store.loads_per_minute", "must not be negative")
 	sort.Slice(c.problems, func(i, j int) bool { return c.problems[i].Key < c.problems[j].Key })
 	return c.problems
 }
@@ -167,6 +168,8 @@
 	_, ok := b.Classes[x.DefaultClass]
 	c.require(ok, key+".default_class", fmt.Sprintf("names the class %q, which is not declared", x.DefaultClass))
 	c.require(len(x.AnnounceTokens) > 0, key+".announce_token_sha256", "needs at least one digest")
+	c.require(x.EngineVersion == "" || x.Kind == PoolModel, key+".engine_version", "is only for pools of kind \"model\"")
+	c.require(len(x.Adapters) == 0 || x.EngineVersion != "", key+".adapters", "need engine_version")
 	for _, d := range x.AnnounceTokens {
 		c.digest(key+".announce_token_sha256", d)
 	}
--- a/core/bundle/delta.go
+++ b/core/bundle/delta.go
@@ -17,6 +17,7 @@
 	Pools       edit[Pool]     `msgpack:"p"`
 	Customers   edit[Customer] `msgpack:"u"`
 	Operators   edit[Operator] `msgpack:"o"`
+	WeightStore WeightStore    `msgpack:"w"`
 }
 
 type edit[T any] struct {
@@ -31,7 +32,7 @@
 func Diff(from, to *Bundle) *Delta {
 	return &Delta{From: from.Digest(), To: to.Digest(), Version: to.Version, Description: to.Description,
 		Classes: diffMap(from.Classes, to.Classes), Pools: diffMap(from.Pools, to.Pools),
-		Customers: diffMap(from.Customers, to.Customers), Operators: diffMap(from.Operators, to.Operators)}
+		Customers: diffMap(from.Customers, to.Customers), Operators: diffMap(from.Operators, to.Operators), WeightStore: to.WeightStore}
 }
 
 func diffMap[T any](from, to map[string]T) edit[T] {
@@ -60,7 +61,7 @@
 	}
 	out := &Bundle{Version: d.Version, Description: d.Description,
 		Classes: d.Classes.apply(b.Classes), Pools: d.Pools.apply(b.Pools),
-		Customers: d.Customers.apply(b.Customers), Operators: d.Operators.apply(b.Operators)}
+		Customers: d.Customers.apply(b.Customers), Operators: d.Operators.apply(b.Operators), WeightStore: d.WeightStore}
 	if out.Digest() != d.To {
 		return nil, ErrDeltaMismatch
 	}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -100,7 +100,7 @@
 	if s.speed >= slowSpeed {
 		return s.Slots
 	}
-	return max(1, int(float64(s.Slots)*s.speed*s.speed*s.speed))
+	return max(min(1, s.Slots), int(float64(s.Slots)*s.speed*s.speed*s.speed))
 }
 
 func (s *server) used() int { return s.own + s.foreign }
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -96,6 +96,9 @@
 	// Running and Queued are its own report, which may lag.
 	Running int `msgpack:"r" json:"running"`
 	Queued  int `msgpack:"q" json:"queued"`
+	// Version and Adapters are what the engine has loaded.
+	Version  string   `msgpack:"v,omitempty" json:"version,omitempty"`
+	Adapters []string `msgpack:"d,omitempty" json:"adapters,omitempty"`
 	// Cached are prefix hashes that its cache events announced, with gaps.
 	Cached []uint64 `msgpack:"c,omitempty" json:"cached,omitempty"`
 	// Evicted are prefix hashes that it has dropped.
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -31,6 +31,10 @@
 	CommandFinish
 	// CommandTakeOver moves an open durable call to another instance.
 	CommandTakeOver
+	// CommandOrderLease renews, takes over or reads the lease for engine orders.
+	CommandOrderLease
+	// CommandEngineOrder records an engine order before it is sent.
+	CommandEngineOrder
 )
 
 // Command is one entry of the replicated log.
@@ -42,6 +46,8 @@
 	Operators map[string]string   `msgpack:"o,omitempty"` // genesis: name to public key
 	Order     *bundle.SignedOrder `msgpack:"r,omitempty"`
 	Call      *CallCommand        `msgpack:"c,omitempty"`
+	Lease     *LeaseCommand       `msgpack:"l,omitempty"`
+	Engine    *EngineOrder        `msgpack:"e,omitempty"`
 }
 
 // CallCommand is the subject of the commands about one call.
@@ -140,6 +146,7 @@
 	Message string      `msgpack:"m,omitempty" json:"message,omitempty"`
 	Order   OrderResult `msgpack:"o,omitempty" json:"order"`
 	Record  *CallRecord `msgpack:"r,omitempty" json:"-"`
+	Lease   *OrderLease `msgpack:"l,omitempty" json:"-"`
 }
 
 // OrderResult describes the effect of an operator's order.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -13,6 +13,7 @@
 	config    configState
 	audit     auditState
 	calls     callState
+	placement placementState
 }
 
 // New returns the empty machine that every group starts from.
@@ -33,6 +34,10 @@
 		return m.config.genesis(c.Operators)
 	case c.Type == CommandOrder && c.Order != nil:
 		return m.applyOrder(c.Order)
+	case c.Type == CommandOrderLease && c.Lease != nil:
+		return m.placement.lease(c.Lease)
+	case c.Type == CommandEngineOrder && c.Engine != nil:
+		return m.placement.order(c.Engine, m.loadsPerMinute(), m.nowMillis)
 	case c.Call != nil:
 		m.calls.prune(m.nowMillis)
 		return m.calls.apply(c.Type, c.Call, m.nowMillis)
@@ -40,17 +45,25 @@
 	return Result{Code: CodeRefused, Message: fmt.Sprintf("unknown command type %d", c.Type)}
 }
 
+func (m *Machine) loadsPerMinute() float64 {
+	if b := m.Config().Bundle; b != nil {
+		return b.WeightStore.LoadsPerMinute
+	}
+	return 0
+}
+
 // snapshot is the serialized form of a Machine.
 type snapshot struct {
 	NowMillis int64          `msgpack:"n"`
 	Config    configSnapshot `msgpack:"c"`
 	Audit     auditState     `msgpack:"a"`
 	Calls     []*CallRecord  `msgpack:"r"`
+	Placement placementState `msgpack:"p"`
 }
 
 // Snapshot returns the machine's bytes.
 func (m *Machine) Snapshot() []byte {
-	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list()}
+	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list(), Placement: m.placement}
 	data, err := msgpack.Marshal(&s)
 	if err != nil {
 		panic(err) // plain data; encoding to memory can't fail
@@ -68,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState()}
+	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState(), placement: s.Placement}
 	for _, r := range s.Calls {
 		m.calls.put(r)
 	}
--- /dev/null
+++ b/core/state/placement_test.go
@@ -0,0 +1,58 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func lease(m *Machine, owner string, expected OrderLease) Result {
+	return m.Apply((&Command{Type: CommandOrderLease, Lease: &LeaseCommand{Owner: owner, Expected: expected}}).Encode())
+}
+
+func TestOrderLeaseMovesOnlyWhenStill(t *testing.T) {
+	m := New()
+	a := *lease(m, "a", OrderLease{}).Lease
+	if a.Fence != 1 || a.Owner != "a" {
+		t.Fatalf("first: %+v", a)
+	}
+	renewed := *lease(m, "a", a).Lease
+	if r := lease(m, "b", a); r.Code != CodeStale || r.Lease.Owner != "a" {
+		t.Fatalf("take-over of a lease that was renewed: %+v", r)
+	}
+	if r := lease(m, "", OrderLease{}); r.Code != CodeOK || *r.Lease != renewed {
+		t.Fatalf("read: %+v", r)
+	}
+	b := lease(m, "b", renewed)
+	if b.Code != CodeOK || b.Lease.Fence != 2 {
+		t.Fatalf("take-over of a still lease: %+v", b)
+	}
+	if r := lease(m, "a", renewed); r.Code != CodeStale {
+		t.Fatalf("the former owner renewed: %+v", r)
+	}
+	old := m.Apply((&Command{Type: CommandEngineOrder, Engine: &EngineOrder{Fence: 1, Server: "e"}}).Encode())
+	if old.Code != CodeStale {
+		t.Fatalf("an order under the old fence: %+v", old)
+	}
+}
+
+func TestWeightStoreRate(t *testing.T) {
+	m := fresh()
+	b := testBundle(1, "")
+	b.WeightStore.LoadsPerMinute = 30
+	applyOrder(m, publishOrder(b, 0))
+	lease(m, "a", OrderLease{})
+	accepted := 0
+	start := int64(1_000_000)
+	for n := range 600 {
+		now := start + int64(n)*100
+		r := m.Apply((&Command{Type: CommandEngineOrder, NowMillis: now, Engine: &EngineOrder{Fence: 1, Server: fmt.Sprint(n)}}).Encode())
+		if r.Code == CodeOK {
+			accepted++
+		}
+	}
+	span := 600 * 100 * time.Millisecond
+	if accepted < 28 || accepted > 36 {
+		t.Fatalf("%d loads in %v, want 30 and a short burst", accepted, span)
+	}
+}
--- a/ctl/fake/control.go
+++ b/ctl/fake/control.go
@@ -22,6 +22,9 @@
 	Generated int64 `json:"generated_tokens"`
 	// Cancelled tokens were generated for calls that ended early.
 	Cancelled int64 `json:"cancelled_tokens"`
+	// Version is loaded; Orders came in this order.
+	Version string       `json:"version"`
+	Orders  []TakenOrder `json:"orders"`
 }
 
 // Steer changes one engine.
@@ -59,7 +62,7 @@
 	out := State{Engines: map[string]EngineState{}, LastStart: map[string]time.Time{}, Retired: map[string]time.Time{}}
 	for id, e := range w.engines {
 		e.mu.Lock()
-		out.Engines[id] = EngineState{len(e.running), len(e.waiting), e.generated, e.cancelled}
+		out.Engines[id] = EngineState{len(e.running), len(e.waiting), e.generated, e.cancelled, e.loaded.version, append([]TakenOrder(nil), e.orders...)}
 		e.mu.Unlock()
 	}
 	w.mu.Lock()
--- a/ctl/fake/world.go
+++ b/ctl/fake/world.go
@@ -129,8 +129,14 @@
 			return nil
 		}
 		running, queued, ev := e.load(time.Now())
-		return &api.Announcement{Pool: e.cfg.Pool, ID: e.cfg.ID, Address: e.cfg.Address, Zone: e.cfg.Zone, Slots: e.cfg.Slots,
-			Running: running, Queued: queued, CachedPrefixes: ev.cached, EvictedPrefixes: ev.evicted}
+		e.mu.Lock()
+		loaded, slots := e.loaded, e.cfg.Slots
+		e.mu.Unlock()
+		if loaded.loading {
+			slots = 0
+		}
+		return &api.Announcement{Pool: e.cfg.Pool, ID: e.cfg.ID, Address: e.cfg.Address, Zone: e.cfg.Zone, Slots: slots,
+			Version: loaded.version, Adapters: loaded.adapters, Running: running, Queued: queued, CachedPrefixes: ev.cached, EvictedPrefixes: ev.evicted}
 	}
 }
 
--- a/ctl/harness/harness.go
+++ b/ctl/harness/harness.go
@@ -359,6 +359,12 @@
 	return nil
 }
 
+// Logged reports whether an instance's log holds a text.
+func (c *Cluster) Logged(i *Instance, text string) bool {
+	data, err := os.ReadFile(filepath.Join(c.Dir, i.Name+".log"))
+	return err == nil && strings.Contains(string(data), text)
+}
+
 // Metrics reads an instance's metrics page: names, labels included, to values.
 func (c *Cluster) Metrics(i *Instance) (map[string]float64, error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+i.Caller+api.PathMetrics, nil)
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -178,9 +178,14 @@
 
 // Servers lists the backend servers as their pools' dispatchers see them.
 func (a *Admin) Servers(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, a.ServerList(r.Context()))
+}
+
+// ServerList asks the dispatchers for their backend servers.
+func (a *Admin) ServerList(ctx context.Context) []api.ServerEntry {
 	list := a.Gossip.Instances()
 	replies := make([]dispatcher.ViewReply, len(list))
-	a.fanOut(r.Context(), list, func(ctx context.Context, k int, i membership.Instance) {
+	a.fanOut(ctx, list, func(ctx context.Context, k int, i membership.Instance) {
 		if err := a.Transport.Call(ctx, i.PeerAddress, dispatcher.MethodView, struct{}{}, &replies[k]); err != nil {
 			log.WithError(err).WithFields(log.Fields{"step": "view dispatcher", "peer": i.PeerAddress}).Warn("no answer")
 		}
@@ -196,5 +201,5 @@
 			}
 		}
 	}
-	writeJSON(w, http.StatusOK, out)
+	return out
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/gossip"
 	"cardamomwick.example/daemon/lease"
+	"cardamomwick.example/daemon/placement"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/scheduler"
 	"cardamomwick.example/daemon/settings"
@@ -48,6 +49,7 @@
 	slots      entry.Slots
 	entry      *entry.Entry
 	admin      *admin.Admin
+	placement  *placement.Service
 	metrics    *telemetry.Metrics
 	listener   *listener
 }
@@ -87,6 +89,7 @@
 		Replicas: d.replicas, Metrics: d.metrics, Owner: self.Owner(), SpreadAnnouncements: experiment, IgnoreTiers: experiment})
 	d.admin = &admin.Admin{Settings: s, Holder: d.holder, Gossip: d.gossip, Replicas: d.replicas, Transport: d.transport, Own: d.info}
 	d.admin.Register()
+	d.placement = &placement.Service{Owner: self.Owner(), Gossip: d.gossip, Holder: d.holder, Replicas: d.replicas, Servers: d.admin.ServerList}
 	d.registerGauges()
 	d.listener, err = d.newListener()
 	return d, err
@@ -140,6 +143,7 @@
 	work.Add(d.dispatcher)
 	work.Add(d.scheduler)
 	work.Add(d.entry)
+	work.Add(d.placement)
 	work.Add(d.listener)
 	root.Add(work)
 	return root
