--- a/core/lengths/lengths.go
+++ b/core/lengths/lengths.go
@@ -1,6 +1,6 @@
 // Package lengths learns how long outputs are. Lengths are unknown when a call
 // arrives; the estimator keeps a windowed histogram per class and answers with
-// quantiles of what was seen lately.
+// the mean of what was seen lately.
 package lengths
 
 import (
@@ -57,16 +57,6 @@
 	return w.view().Mean()
 }
 
-// Quantile returns the length in tokens that the share q (0 to 1) of a
-// class's outputs stays within.
-func (e *Estimator) Quantile(class string, q float64) float64 {
-	w := e.classes[class]
-	if w == nil || w.samples < minSamples {
-		return float64(e.Default)
-	}
-	return float64(w.view().ValueAtQuantile(q * 100))
-}
-
 // view merges the windows, at most once per observation.
 func (w *windowed) view() *hdrhistogram.Histogram {
 	if w.merged == nil {
--- a/core/state/placement.go
+++ b/core/state/placement.go
@@ -45,9 +45,6 @@
 	LoadsAt int64   `msgpack:"a"`
 }
 
-// OrderLeaseState returns the order lease.
-func (m *Machine) OrderLeaseState() OrderLease { return m.placement.Lease }
-
 func (s *placementState) lease(c *LeaseCommand) Result {
 	cur := s.Lease
 	switch {
--- a/ctl/harness/harness.go
+++ b/ctl/harness/harness.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/state"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/pelletier/go-toml/v2"
@@ -214,6 +215,24 @@
 	return nil
 }
 
+// Up starts all instances and puts a first bundle in force.
+func (c *Cluster) Up(ctx context.Context, b *bundle.Bundle) error {
+	if err := c.StartAll(); err != nil {
+		return err
+	}
+	if err := c.Ready(ctx, 0); err != nil {
+		return err
+	}
+	res, err := c.Client.Publish(ctx, c.Bundle(b))
+	if err != nil {
+		return err
+	}
+	if res.Code != state.CodeOK {
+		return eris.Errorf("publish: %s", res.Message)
+	}
+	return c.Client.WaitInForce(ctx, res.Order.Generation, nil)
+}
+
 // StartFake starts the stand-ins.
 func (c *Cluster) StartFake(cfg fake.Config) error {
 	cfg.Control = c.Control
@@ -456,13 +475,3 @@
 		return eris.Errorf("process %d did not end within %v", p.PID(), limit)
 	}
 }
-
-// Wait waits for the process to end.
-func (p *Process) Wait(limit time.Duration) error {
-	select {
-	case <-p.done:
-		return p.err
-	case <-time.After(limit):
-		return eris.New("process still runs")
-	}
-}
--- a/ctl/internal/bench/main.go
+++ b/ctl/internal/bench/main.go
@@ -15,7 +15,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/logx"
 
-	"cardamomwick.example/core/state"
 	"cardamomwick.example/ctl/caller"
 	"cardamomwick.example/ctl/commands"
 	"cardamomwick.example/ctl/fake"
@@ -196,21 +195,8 @@
 func setUp(ctx context.Context, c *harness.Cluster, p *load.Profile, views bool) error {
 	ctx, cancel := context.WithTimeout(ctx, setUpLimit)
 	defer cancel()
-	if err := c.StartAll(); err != nil {
-		return err
-	}
-	if err := c.Ready(ctx, 0); err != nil {
-		return err
-	}
 	b := p.Bundle
-	res, err := c.Client.Publish(ctx, c.Bundle(&b))
-	if err != nil {
-		return err
-	}
-	if res.Code != state.CodeOK {
-		return eris.New(res.Message)
-	}
-	if err := c.Client.WaitInForce(ctx, res.Order.Generation, nil); err != nil {
+	if err := c.Up(ctx, &b); err != nil {
 		return err
 	}
 	cfg, n := standIns(c, p)
--- a/ctl/internal/capacity/main.go
+++ b/ctl/internal/capacity/main.go
@@ -204,18 +204,8 @@
 }
 
 func setUp(ctx context.Context, c *harness.Cluster, s step) error {
-	if err := c.StartAll(); err != nil {
-		return err
-	}
 	c.Client.Addresses = c.Client.Addresses[:3]
-	if err := c.Ready(ctx, 0); err != nil {
-		return err
-	}
-	res, err := c.Client.Publish(ctx, c.Bundle(declarations(1)))
-	if err != nil || res.Code != state.CodeOK {
-		return eris.Errorf("publish: %v %s", err, res.Message)
-	}
-	if err := c.Client.WaitInForce(ctx, res.Order.Generation, nil); err != nil {
+	if err := c.Up(ctx, declarations(1)); err != nil {
 		return err
 	}
 	var cfg fake.Config
--- a/ctl/internal/overhead/main.go
+++ b/ctl/internal/overhead/main.go
@@ -19,7 +19,6 @@
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"cardamomwick.example/core/bundle"
-	"cardamomwick.example/core/state"
 	"cardamomwick.example/ctl/caller"
 	"cardamomwick.example/ctl/fake"
 	"cardamomwick.example/ctl/harness"
@@ -65,12 +64,6 @@
 }
 
 func setUp(ctx context.Context, c *harness.Cluster) error {
-	if err := c.StartAll(); err != nil {
-		return err
-	}
-	if err := c.Ready(ctx, 0); err != nil {
-		return err
-	}
 	second := bundle.Duration(time.Second)
 	class := bundle.Class{Tier: 1, Idempotent: true, FirstTokenTarget: second, Deadline: 10 * second, Order: bundle.OrderFIFO,
 		GiveUp: bundle.GiveUpDeadline, WhenIsolated: bundle.IsolatedRefuse}
@@ -78,14 +71,10 @@
 	once.Idempotent = false
 	b := &bundle.Bundle{Version: 1, Classes: map[string]bundle.Class{"plain": class, "once": once},
 		Pools: map[string]bundle.Pool{"fixtures": {Kind: bundle.PoolService, DefaultClass: "plain"}}}
-	res, err := c.Client.Publish(ctx, c.Bundle(b))
-	if err != nil || res.Code != state.CodeOK {
-		return eris.Errorf("publish: %v %s", err, res.Message)
-	}
-	if err := c.Client.WaitInForce(ctx, res.Order.Generation, nil); err != nil {
+	if err := c.Up(ctx, b); err != nil {
 		return err
 	}
-	err = c.StartFake(fake.Config{Services: []fake.ServiceConfig{{ID: "s", Address: c.Address(1), Zone: "a", Pool: "fixtures", Slots: serverSlots}}})
+	err := c.StartFake(fake.Config{Services: []fake.ServiceConfig{{ID: "s", Address: c.Address(1), Zone: "a", Pool: "fixtures", Slots: serverSlots}}})
 	if err != nil {
 		return err
 	}
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"cardamomwick.example/core/dispatch"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/loop"
 )
 
 const (
@@ -99,25 +100,18 @@
 
 // Serve advances all pools until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			s.mu.Lock()
-			list := s.list()
-			s.mu.Unlock()
-			for _, p := range list {
-				p.dropSilent(now)
-				if p.hasWaiting() {
-					p.poke()
-				}
-				s.dropIdle(p, now)
+	return loop.Every(ctx, tickPeriod, func(now time.Time) {
+		s.mu.Lock()
+		list := s.list()
+		s.mu.Unlock()
+		for _, p := range list {
+			p.dropSilent(now)
+			if p.hasWaiting() {
+				p.poke()
 			}
+			s.dropIdle(p, now)
 		}
-	}
+	})
 }
 
 func (s *Service) dropIdle(p *pool, now time.Time) {
--- a/daemon/entry/durable.go
+++ b/daemon/entry/durable.go
@@ -11,6 +11,7 @@
 
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/loop"
 )
 
 const (
@@ -73,21 +74,11 @@
 // Serve looks for durable calls whose instance is gone and runs them. One
 // instance at a time has this role; two for a while are kept apart by the log.
 func (e *Entry) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(takeOverPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-		if e.refusing.Load() || !e.holder.Fresh() {
-			continue
-		}
-		if ranked := e.gossip.Rank(takeOverRole); len(ranked) > 0 && ranked[0].Name == e.gossip.Self().Name {
+	return loop.Every(ctx, takeOverPeriod, func(time.Time) {
+		if !e.refusing.Load() && e.holder.Fresh() && e.gossip.Holds(takeOverRole) {
 			e.takeOver(ctx)
 		}
-	}
+	})
 }
 
 func (e *Entry) takeOver(ctx context.Context) {
--- a/daemon/gossip/gossip.go
+++ b/daemon/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/loop"
 )
 
 const (
@@ -59,20 +60,13 @@
 
 // Serve probes until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			s.mu.Lock()
-			out := s.table.Tick(time.Now())
-			s.publish()
-			s.mu.Unlock()
-			s.send(out)
-		}
-	}
+	return loop.Every(ctx, tickPeriod, func(time.Time) {
+		s.mu.Lock()
+		out := s.table.Tick(time.Now())
+		s.publish()
+		s.mu.Unlock()
+		s.send(out)
+	})
 }
 
 func (s *Service) handle(_ string, body []byte) {
@@ -146,6 +140,12 @@
 	return r
 }
 
+// Holds reports whether this instance comes first for a role.
+func (s *Service) Holds(role string) bool {
+	ranked := s.Rank(role)
+	return len(ranked) > 0 && ranked[0].Name == s.self.Name
+}
+
 func rank(key string, instances []membership.Instance) []membership.Instance {
 	var good, rest []membership.Instance
 	for _, i := range instances {
--- a/daemon/lease/lease.go
+++ b/daemon/lease/lease.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/loop"
 	"cardamomwick.example/daemon/replica"
 )
 
@@ -78,17 +79,10 @@
 
 // Serve renews the lease until the context ends.
 func (h *Holder) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(renewPeriod)
-	defer ticker.Stop()
-	for {
+	return loop.Every(ctx, renewPeriod, func(time.Time) {
 		h.renew(ctx)
 		h.noteLapse()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 func (h *Holder) renew(ctx context.Context) {
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -19,6 +19,7 @@
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/gossip"
 	"cardamomwick.example/daemon/lease"
+	"cardamomwick.example/daemon/loop"
 	"cardamomwick.example/daemon/replica"
 )
 
@@ -62,18 +63,11 @@
 
 // Serve holds the lease while this instance has the role, and gives orders.
 func (s *Service) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return loop.Every(ctx, period, func(time.Time) {
 		if s.wanted() && s.hold(ctx) {
 			s.give(ctx)
 		}
-	}
+	})
 }
 
 // wanted reports whether there is anything to order and this instance is the
@@ -87,8 +81,7 @@
 	for _, p := range b.Pools {
 		managed = managed || p.EngineVersion != ""
 	}
-	ranked := s.Gossip.Rank(role)
-	return managed && len(ranked) > 0 && ranked[0].Name == s.Gossip.Self().Name
+	return managed && s.Gossip.Holds(role)
 }
 
 // hold renews the lease, or takes it over when it has been still long enough.
--- a/daemon/replica/snapshots.go
+++ b/daemon/replica/snapshots.go
@@ -56,21 +56,17 @@
 	return nil
 }
 
-// sendSnapshot streams the stored snapshot to a replica in chunks, outside the
+// sendSnapshot streams the state to a replica in chunks, outside the
 // loop, and reports when it is done.
 func (r *Replica) sendSnapshot(m raft.Message, members raft.Membership) {
 	member, ok := members.Find(m.To)
 	if !ok || r.sending[m.To] {
 		return
 	}
-	snap, err := r.snapshotToSend()
-	if err != nil {
-		log.WithError(err).WithField("step", "read snapshot").Error("snapshot not sent")
-		r.node.ReportSnapshot(m.To)
-		return
-	}
-	data := snap.Data
-	m.Snapshot = &raft.Snapshot{Meta: snap.Meta}
+	// The current state is newer than the stored snapshot and never behind the
+	// first entry of the log.
+	data := r.machine.Snapshot()
+	m.Snapshot = &raft.Snapshot{Meta: r.node.SnapshotMetaAt(r.applied)}
 	r.sending[m.To] = true
 	group := r.store.Identity().Group
 	go func() {
@@ -85,12 +81,6 @@
 	}()
 }
 
-// snapshotToSend returns the current state: newer than the stored snapshot,
-// and never behind the log's first entry.
-func (r *Replica) snapshotToSend() (raft.Snapshot, error) {
-	return raft.Snapshot{Meta: r.node.SnapshotMetaAt(r.applied), Data: r.machine.Snapshot()}, nil
-}
-
 func (r *Replica) streamSnapshot(address string, group uint64, m raft.Message, data []byte) error {
 	for off := 0; ; off += chunkBytes {
 		end := min(off+chunkBytes, len(data))
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/daemon/dispatcher"
 	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/loop"
 )
 
 // Timing of the link to a dispatcher.
@@ -116,21 +117,14 @@
 
 // Serve reports to the dispatchers until the context ends.
 func (s *Scheduler) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(syncPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			s.mu.Lock()
-			for _, l := range s.pools {
-				s.checkDispatcher(now, l)
-				s.report(now, l)
-			}
-			s.mu.Unlock()
+	return loop.Every(ctx, syncPeriod, func(now time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, l := range s.pools {
+			s.checkDispatcher(now, l)
+			s.report(now, l)
 		}
-	}
+	})
 }
 
 // choose returns the pool's dispatcher in this entry's view.
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -407,13 +407,6 @@
 	return eris.Wrap(s.syncDir(), "remove old segments")
 }
 
-// Snapshot reads the latest snapshot back, for sending it to another replica.
-func (s *Store) Snapshot() (raft.Snapshot, error) {
-	var l Loaded
-	err := s.loadSnapshot(&l)
-	return l.Snapshot, err
-}
-
 // Size returns the bytes in the current segment.
 func (s *Store) Size() int64 { return s.size }
 
