--- /dev/null
+++ b/ctl/fake/engine_test.go
@@ -0,0 +1,64 @@
+package fake
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"cardamomwick.example/core/api"
+)
+
+// events reads a stream's text and whether it ended with the end marker.
+func events(t *testing.T, method, url, body string) (text string, ended bool) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderRequestID, "r1")
+	req.Header.Set(api.HeaderAttempt, "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	for in := bufio.NewScanner(resp.Body); in.Scan(); {
+		line := in.Text()
+		if i := strings.Index(line, `"content":"`); i >= 0 {
+			part := line[i+len(`"content":"`):]
+			text += part[:strings.IndexByte(part, '"')]
+		}
+		ended = ended || line == "data: [DONE]"
+	}
+	return text, ended
+}
+
+// TestEngineContinuesAndResumes: a whole answer, its resumed end and a
+// continuation behind a partial answer all come from one text.
+func TestEngineContinuesAndResumes(t *testing.T) {
+	e := NewEngine(EngineConfig{ID: "e", Slots: 2, StepBaseMicros: 200, PrefillTokensPerSecond: 100000, CachePrefixes: 8})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go e.Run(ctx)
+	s := httptest.NewServer(e)
+	defer s.Close()
+	prompt := `{"role":"user","content":"light"}`
+	whole, ended := events(t, "POST", s.URL+api.PathChat, `{"messages":[`+prompt+`],"metadata":{"output_tokens":12}}`)
+	if Tokens(whole) != 12 || !ended {
+		t.Fatalf("%q, ended %t", whole, ended)
+	}
+	rest, ended := events(t, "GET", s.URL+"/v1/streams/r1?attempt=1&offset=9", "")
+	if !ended || !strings.HasSuffix(whole, rest) || Tokens(rest) != 3 {
+		t.Fatalf("resumed %q of %q", rest, whole)
+	}
+	partial := whole[:strings.Index(whole, ".5 ")+3]
+	body := fmt.Sprintf(`{"messages":[%s,{"role":"assistant","content":%q}],"continue_final_message":true,"metadata":{"output_tokens":12}}`, prompt, partial)
+	more, ended := events(t, "POST", s.URL+api.PathChat, body)
+	if partial+more != whole || !ended {
+		t.Fatalf("%q and %q do not make %q", partial, more, whole)
+	}
+}
