An isolated instance refuses announcements

Cause: TestSilentIsolation went red: a call at a healthy entry was refused at its deadline, since a backend server had announced itself to the cut-off instance. HTTP still reached it, it answered 200 and could pass nothing on, so that the server stayed with it and unknown to all others. It had passed before by the hash that picks the instance. Ruled out: the dispatcher (it had moved), the lease. Change: without a fresh lease, or while shutting down, an announcement gets 503 and other addresses; the server goes on to the next.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -23,6 +23,7 @@
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/settings"
 )
 
@@ -49,7 +50,7 @@
 }
 
 // single runs one instance that is the only replica.
-func single(t *testing.T) (url string) {
+func single(t *testing.T) (d *Daemon, url string) {
 	t.Helper()
 	log.SetHandler(discard.New())
 	peer, callers := freePort(t), freePort(t)
@@ -60,7 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d, err := New(s)
+	d, err = New(s)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,7 +76,7 @@
 	})
 	url = "http://" + callers
 	waitFor(t, "a fresh lease", func() bool { return d.holder.Fresh() })
-	return url
+	return d, url
 }
 
 func waitFor(t *testing.T, what string, ok func() bool) {
@@ -132,7 +133,7 @@
 // TestStrangers: without a key nobody gets anything but typed refusals, and
 // nothing changes.
 func TestStrangers(t *testing.T) {
-	url := single(t)
+	_, url := single(t)
 	publishTest(t, url)
 	forged := &bundle.SignedOrder{Kind: bundle.OrderRetire, Server: "s", Expected: 1}
 	forged.Sign("ana", ed25519.NewKeyFromSeed(bytes.Repeat([]byte{7}, ed25519.SeedSize)))
@@ -183,10 +184,40 @@
 	}
 }
 
+// cutOff is a lease source that is never answered.
+type cutOff struct{}
+
+func (cutOff) Lease(ctx context.Context, _ uint64) (replica.Lease, error) {
+	<-ctx.Done()
+	return replica.Lease{}, ctx.Err()
+}
+
+// TestIsolatedInstanceSendsOthersAway: without a lease an instance refuses new
+// calls, and announcements too: it could not pass them on, and the server would
+// stay unknown to all others.
+func TestIsolatedInstanceSendsOthersAway(t *testing.T) {
+	d, url := single(t)
+	publishTest(t, url)
+	d.holder.SetSource(cutOff{})
+	waitFor(t, "the lease lapsed", func() bool { return !d.holder.Fresh() })
+	announcement := `{"pool":"lumen","id":"e1","address":"127.0.0.1:1","slots":2}`
+	status, _, text := send(t, "POST", url+api.PathAnnounce, map[string]string{"Authorization": "Bearer " + announceToken}, announcement)
+	if status != http.StatusServiceUnavailable || !strings.Contains(text, string(api.ErrorIsolated)) {
+		t.Errorf("announcement: %d %s", status, text)
+	}
+	status, h, text := send(t, "POST", url+api.PathChat, map[string]string{"Authorization": "Bearer " + customerKey}, `{"model":"lumen","messages":[{}]}`)
+	if status != http.StatusServiceUnavailable || h.Get(api.HeaderOutcome) != string(state.OutcomeNotRun) || h.Get("Retry-After") == "" {
+		t.Errorf("call: %d %v %s", status, h, text)
+	}
+	if status, _, text := send(t, "GET", url+api.PathHealth, nil, ""); status != http.StatusServiceUnavailable || !strings.Contains(text, "isolated") {
+		t.Errorf("health: %d %s", status, text)
+	}
+}
+
 // TestCallAndAudit: a call reaches an announced server and comes back whole,
 // and the audit trail holds the publish.
 func TestCallAndAudit(t *testing.T) {
-	url := single(t)
+	_, url := single(t)
 	publishTest(t, url)
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"warm \"}}]}\n\ndata: {\"choices\":[{\"delta\":{\"content\":\"light\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -59,6 +59,11 @@
 		writeError(w, notRun(http.StatusBadRequest, api.ErrorInvalid, err.Error()))
 		return
 	}
+	if !a.Entry.holder.Fresh() || a.Entry.refusing.Load() {
+		writeError(w, notRun(http.StatusServiceUnavailable, api.ErrorIsolated, "this instance can't pass announcements on; use another address").
+			elsewhere(a.Entry.otherAddresses(m.ID)))
+		return
+	}
 	_, retired := cfg.Retired[m.ID]
 	a.spread(&m)
 	writeJSON(w, http.StatusOK, api.AnnouncementReply{Retired: retired, IntervalMillis: announceMillis, Addresses: a.Entry.addresses(m.Zone, m.ID)})
--- a/daemon/lease/lease.go
+++ b/daemon/lease/lease.go
@@ -67,8 +67,20 @@
 	return c
 }
 
-// SetSource replaces where leases come from. Call before Serve.
-func (h *Holder) SetSource(s Source) { h.source = s }
+// SetSource replaces where leases come from.
+func (h *Holder) SetSource(s Source) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.source = s
+}
+
+// ask requests a lease from the source.
+func (h *Holder) ask(ctx context.Context, generation uint64) (replica.Lease, error) {
+	h.mu.Lock()
+	s := h.source
+	h.mu.Unlock()
+	return s.Lease(ctx, generation)
+}
 
 // OnChange registers a function that is called with each new configuration.
 // Register before Serve.
@@ -89,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	sent := time.Now()
-	l, err := h.source.Lease(ctx, h.Config().Generation)
+	l, err := h.ask(ctx, h.Config().Generation)
 	if err != nil {
 		log.WithError(eris.Cause(err)).WithField("step", "renew lease").Debug("no lease")
 		return
@@ -97,7 +109,7 @@
 	if err := h.accept(sent, l); err != nil {
 		log.WithError(err).WithField("step", "renew lease").Warn("update refused; asking for all")
 		sent = time.Now()
-		if l, err = h.source.Lease(ctx, wholeUpdate); err == nil {
+		if l, err = h.ask(ctx, wholeUpdate); err == nil {
 			err = h.accept(sent, l)
 		}
 		if err != nil {
