Proofs shown red; graceful shutdown's proof made stricter

Cause: make prove-red found two proofs that stayed green over a broken mechanism: TestGracefulShutdown without draining (its calls were shorter than the 5 s that the HTTP server waits by itself), and expressions that no longer fitted the code. Change: an eighth of its callers stream answers of some ten seconds; expressions mended; red runs end after 75 s.

--- a/ctl/prove/red.sh
+++ b/ctl/prove/red.sh
@@ -22,9 +22,9 @@
   fi
   start=$(date +%s)
   if [ "$4" = prove ]; then
-    out=$(cd "$scratch" && make build 2>&1 && cd ctl && timeout 170 go test -tags prove -count=1 -run "^$5\$" ./prove 2>&1)
+    out=$(cd "$scratch" && make build 2>&1 && cd ctl && go test -tags prove -count=1 -timeout 75s -run "^$5\$" ./prove 2>&1)
   else
-    out=$(cd "$scratch/$4" && timeout 170 go test -count=1 -run "^$5\$" ./... 2>&1)
+    out=$(cd "$scratch/$4" && go test -count=1 -timeout 75s -run "^$5\$" ./... 2>&1)
   fi
   if [ $? -ne 0 ] && echo "$out" | grep -qE -- "--- FAIL: $5|panic:|test timed out|Falsified"; then verdict=red; else verdict="NOT RED"; bad=1; echo "$out" | tail -5; fi
   cp "$kept" "$file"
@@ -33,7 +33,7 @@
 
 only=${1:-}
 broken no-claim             daemon/entry/execute.go        's/rep := e\.claim\(c\)$/var rep *reply/'                         prove  TestOnceServerSilent
-broken no-take-over         daemon/entry/durable.go        's/ranked\[0\]\.Name == e\.gossip\.Self\(\)\.Name/false/'         prove  TestDurableTakenOver
+broken no-take-over         daemon/entry/durable.go        's/e\.gossip\.Holds\(takeOverRole\)/false/'         prove  TestDurableTakenOver
 broken no-lease             daemon/lease/lease.go          's/return until != nil \&\& time\.Now\(\)\.Before\(\*until\)/return until != nil/' prove TestRetireWhileEntryCutOff
 broken no-drain             daemon/daemon.go               's/if err := d\.entry\.Wait\(ctx\); err != nil/if err := ctx.Err(); err != nil/' prove TestGracefulShutdown
 broken resume-from-start    daemon/entry/attempt.go        's/backend\.Resume\(ctx, t, events\)/backend.Resume(ctx, t, 0)/;s/text, before := out\.partial\(\)/text, before := "", 0/' prove TestAnswersWhole
@@ -42,13 +42,13 @@
 broken trusts-dispatcher    daemon/scheduler/scheduler.go  's/silenceLimit = 700 \* time\.Millisecond/silenceLimit = time.Hour/' prove TestFrozenDispatcher
 broken no-pre-vote          core/raft/node.go              's/n\.campaign\(PreCandidate, false\)/n.campaign(Candidate, false)/' core TestIsolatedLeaderStepsDown
 broken no-quorum-check      core/raft/node.go              's/if !n\.quorumActive\(\) \{/if false {/'                      core   TestIsolatedLeaderStepsDown
-broken no-log-check         core/raft/replication.go       's/!ok \|\| t != m\.LogTerm/!ok/'                                core   TestSafetyUnderFaults
+broken no-log-check         core/raft/replication.go       's/!ok \|\| t != m\.LogTerm/!ok || t == 0/'                      core   TestSafetyUnderFaults
 broken vote-twice           core/raft/election.go          's/\(n\.vote == None \|\| n\.vote == m\.From\) \&\& //'           core   TestSafetyUnderFaults
 broken two-voters-at-once   core/raft/node.go              's/votersChanged\(cur\.membership, m\) > 1/false/'               core   TestReplaceLostDisk
 broken any-owner            core/state/calls.go            's/if r\.CallID == c\.CallID \&\& r\.Phase != PhaseDone \{/if r.Phase != PhaseDone {/' core TestOneOwnerPerKey
 broken forgets-early        core/state/calls.go            's/return k\.Millis < now-Retention\.Milliseconds\(\) \|\| /return /' core TestKeysAreForgottenOnlyWhenRefused
 broken sheds-upward         core/dispatch/pool.go          's/lower\.policy\.Tier <= c\.policy\.Tier/false/'               core   TestNeverShedsSameOrHigherTier
-broken no-shares            core/dispatch/pool.go          's/if c\.granted < c\.policy\.Share\*total/if false/'            core   TestEveryClassRuns
+broken no-shares            core/dispatch/grant.go         's/if c\.granted < c\.policy\.Share\*total/if false/'            core   TestEveryClassRuns
 broken refuses-unwaited     core/dispatch/pool.go          's/maxFirstTokenEst = 0\.5/maxFirstTokenEst = 5/'              core   TestGivesUpOnlyForWaiting
 broken sent-twice           daemon/backend/backend.go      's/onceReader\{bytes\.NewReader\(body\)\}/bytes.NewReader(body)/' daemon TestNothingIsSentTwice
 broken acks-unsynced        daemon/storage/storage.go      's/if err := s\.segment\.Sync\(\); err != nil \{/if err := error(nil); err != nil {/' daemon TestFailedSyncIsFinal
--- a/ctl/prove/streams_test.go
+++ b/ctl/prove/streams_test.go
@@ -153,6 +153,10 @@
 	}
 }
 
+// longScene takes longer than an HTTP server waits for its connections by
+// itself.
+const longScene = 900
+
 // TestGracefulShutdown: entry, dispatcher and leader get SIGTERM under load, in
 // turn. Callers follow the address list, as callers do; none is cut off.
 func TestGracefulShutdown(t *testing.T) {
@@ -167,8 +171,12 @@
 		}
 	}
 	f := w.flow(32, func(worker, n int) *caller.Result {
+		output := 60
+		if worker%8 == 0 {
+			output = longScene
+		}
 		return caller.Do(w.ctx, &caller.Request{Address: pick(), Customer: w.CustomerKeys["villa"], Class: "scene", Model: "lumen",
-			Prompt: []string{fmt.Sprintf("%d %d", worker, n)}, Output: 60, Stream: true})
+			Prompt: []string{fmt.Sprintf("%d %d", worker, n)}, Output: output, Stream: true})
 	})
 	time.Sleep(time.Second)
 	for _, k := range []int{4, w.index(w.leader()), 3} {
