Proof of the lost dispatcher picks the dispatcher once all agree on it

Cause: make prove-red trusts-dispatcher stayed green: in the first seconds some instances are still believed without a lease, so that the test sometimes froze an instance that had just ceased to be the dispatcher (gap 17 ms, kept logs show the change). Ruled out: a second way of detection. Change: the test waits until the view has settled; limit 2 s to 1.5 s.

--- a/ctl/prove/red.sh
+++ b/ctl/prove/red.sh
@@ -26,7 +26,7 @@
   else
     out=$(cd "$scratch/$4" && go test -count=1 -timeout 75s -run "^$5\$" ./... 2>&1)
   fi
-  if [ $? -ne 0 ] && echo "$out" | grep -qE -- "--- FAIL: $5|panic:|test timed out|Falsified"; then verdict=red; else verdict="NOT RED"; bad=1; echo "$out" | tail -5; fi
+  if [ $? -ne 0 ] && echo "$out" | grep -qE -- "--- FAIL: $5|panic:|test timed out|Falsified"; then verdict=red; else verdict="NOT RED"; bad=1; echo "$out" | tail -5; fi; [ -z "${RED_VERBOSE:-}" ] || echo "$out" | tail -30
   cp "$kept" "$file"
   printf '%-24s %-32s %-8s %3d s  %s\n' "$1" "$5" "$verdict" $(($(date +%s) - start)) "$(echo "$out" | grep -E '_test.go:[0-9]+:' | tail -1 | cut -c1-110)"
 }
--- a/ctl/prove/streams_test.go
+++ b/ctl/prove/streams_test.go
@@ -198,6 +198,9 @@
 	t.Logf("%d calls, outcomes %v", len(list), tally(list))
 }
 
+// agreeTime is longer than news of leases travel.
+const agreeTime = 3 * time.Second
+
 // dispatcherLost harms the dispatcher of a pool while calls flow through the
 // other entries, and returns the longest time without an answer since.
 func dispatcherLost(t *testing.T, harm, heal func(i *harness.Instance)) time.Duration {
@@ -241,8 +244,11 @@
 	return gap
 }
 
+// dispatcherOf returns a pool's dispatcher once all instances agree on it: in the
+// first seconds some are still believed without a lease.
 func (w *world) dispatcherOf(pool string) *harness.Instance {
 	w.t.Helper()
+	time.Sleep(agreeTime)
 	servers, err := w.Client.Servers(w.ctx)
 	must(w.t, err)
 	for _, s := range servers {
@@ -261,7 +267,7 @@
 func TestFrozenDispatcher(t *testing.T) {
 	gap := dispatcherLost(t, func(i *harness.Instance) { i.Process().Signal(syscall.SIGSTOP) },
 		func(i *harness.Instance) { i.Process().Signal(syscall.SIGCONT) })
-	if gap > 2*time.Second {
+	if gap > 1500*time.Millisecond {
 		t.Fatal("calls were held up")
 	}
 }
