A cancelled look-up no longer sends the client away from the leader

Change: a cancelled context ends the call without a verdict about the target; the first redirect with a hint is followed at once. Test red, then green.

--- a/daemon/replica/client.go
+++ b/daemon/replica/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -61,9 +62,12 @@
 func call[T redirected](ctx context.Context, c *Client, method string, in any) (T, error) {
 	var none T
 	var last error
-	for ctx.Err() == nil {
+	for redirects := 0; ctx.Err() == nil; {
 		target := c.target()
 		out, err := attempt[T](ctx, c.transport, target, method, in)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			break // nobody waits any more; that says nothing about the target
+		}
 		if err != nil {
 			last = err
 			c.moveOn(target, "")
@@ -78,7 +82,11 @@
 		if d.NotLeader {
 			c.moveOn(target, d.Leader)
 		}
-		pause(ctx)
+		// The first hint is followed at once; two replicas that name each other
+		// are not asked in turn without end.
+		if redirects++; redirects > 1 || d.Leader == "" {
+			pause(ctx)
+		}
 	}
 	if last == nil {
 		last = ctx.Err()
--- /dev/null
+++ b/daemon/replica/client_test.go
@@ -0,0 +1,36 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/frame"
+)
+
+// TestCancelledReadKeepsTheLeader: a look-up that nobody waits for any more says
+// nothing about the leader; the next call must go there again.
+func TestCancelledReadKeepsTheLeader(t *testing.T) {
+	silent := func(string, bool) bool { return true }
+	tr := frame.NewTransport("127.0.0.1:1", []frame.Key{{ID: "k", Secret: make([]byte, 32)}}, silent)
+	c := NewClient(tr, []string{"127.0.0.1:2", "127.0.0.1:3"})
+	c.leader = "127.0.0.1:2"
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, _, err := c.Lookup(ctx, state.CallKey{}); err == nil {
+		t.Fatal("a cancelled look-up was answered")
+	}
+	if got := c.target(); got != "127.0.0.1:2" {
+		t.Fatalf("the client went on to %s", got)
+	}
+	late, cancel := context.WithTimeout(context.Background(), 2*attemptTimeout)
+	defer cancel()
+	go func() { _, _, _ = c.Lookup(late, state.CallKey{}) }()
+	for c.target() == "127.0.0.1:2" {
+		if late.Err() != nil {
+			t.Fatal("the client stays with a leader that is silent")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
