--- a/daemon/frame/frame_test.go
+++ b/daemon/frame/frame_test.go
@@ -99,11 +99,15 @@
 			t.Fatalf("call %d: %v", n, err)
 		}
 	}
-	time.Sleep(50 * time.Millisecond)
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	if len(client.links) != 0 {
-		t.Fatalf("%d idle links are kept", len(client.links))
+	kept := func() int {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		return len(client.links)
+	}
+	for end := time.Now().Add(2 * time.Second); kept() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d idle links are kept", kept())
+		}
 	}
 }
 
