One rule for attainment, in the class it belongs to

Cause: the re-read of the whole change found the same rule three times (metrics, load tool, its report), so that the figures of the two could drift apart; a field of placement.Engine that nothing read; a comment that named the wrong generation. Change: bundle.Class.Attained and PerTokenAttained serve all; behaviour is the same.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -21,7 +21,6 @@
 type Engine struct {
 	ID       string
 	Pool     string
-	Address  string
 	Version  string
 	Adapters []string
 	Usable   bool
--- a/core/state/history.go
+++ b/core/state/history.go
@@ -106,7 +106,7 @@
 }
 
 // Apply returns the configuration after the update. An error asks for a full
-// update: call again with generation 0.
+// update, as Since gives for a generation that is too high.
 func (u *Update) Apply(c Config) (Config, error) {
 	if u.Full {
 		return u.full()
--- a/ctl/load/report.go
+++ b/ctl/load/report.go
@@ -10,7 +10,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/state"
 )
 
@@ -128,7 +127,7 @@
 		_ = total.RecordValue(min(histogramMax, s.Total.Microseconds()))
 		attained += one(s.Attained)
 		firstOK += one(s.FirstToken <= policy.FirstTokenTarget.D())
-		perOK += one(perToken(policy, s))
+		perOK += one(policy.PerTokenAttained(s.FirstToken, s.Total, s.Result.Tokens))
 	}
 	share := func(n int) float64 { return float64(n) / float64(max(1, c.Calls)) }
 	c.Attained, c.FirstToken, c.PerToken, c.Completed = share(attained), share(firstOK), share(perOK), share(completed)
@@ -152,10 +151,6 @@
 	c.Outcomes[string(s.Result.Outcome)]++
 }
 
-func perToken(c bundle.Class, s *Sample) bool {
-	return c.PerTokenTarget == 0 || s.Result.Tokens < 2 || (s.Total-s.FirstToken)/time.Duration(s.Result.Tokens-1) <= c.PerTokenTarget.D()
-}
-
 func one(b bool) int {
 	if b {
 		return 1
--- a/ctl/load/run.go
+++ b/ctl/load/run.go
@@ -165,7 +165,7 @@
 		}
 		time.Sleep(resendPause)
 	}
-	s.Attained = s.Result.Transport == nil && s.Result.Error == nil && s.Result.Correct && Attained(class, s.FirstToken, s.Total, s.Result.Tokens)
+	s.Attained = s.Result.Transport == nil && s.Result.Error == nil && s.Result.Correct && class.Attained(s.FirstToken, s.Total, s.Result.Tokens)
 	return s
 }
 
@@ -185,14 +185,6 @@
 	return false
 }
 
-// Attained reports whether a completed call met all targets of its class.
-func Attained(c bundle.Class, first, total time.Duration, tokens int) bool {
-	if first > c.FirstTokenTarget.D() || (c.TotalTarget > 0 && total > c.TotalTarget.D()) {
-		return false
-	}
-	return c.PerTokenTarget == 0 || tokens < 2 || (total-first)/time.Duration(tokens-1) <= c.PerTokenTarget.D()
-}
-
 func (p *Profile) request(st Stream, a Arrival, key string) *caller.Request {
 	r := &caller.Request{Customer: key, Class: st.Class, Stream: true}
 	if st.Keyed {
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -120,7 +120,7 @@
 	var engines []placement.Engine
 	addresses := map[string]string{}
 	for _, x := range s.Servers(ctx) {
-		engines = append(engines, placement.Engine{ID: x.ID, Pool: x.Pool, Address: x.Address, Version: x.Version, Adapters: x.Adapters, Usable: x.Usable, Retired: x.Retired})
+		engines = append(engines, placement.Engine{ID: x.ID, Pool: x.Pool, Version: x.Version, Adapters: x.Adapters, Usable: x.Usable, Retired: x.Retired})
 		addresses[x.ID] = x.Address
 	}
 	for _, o := range s.planner.Next(time.Now(), b, engines) {
--- a/daemon/telemetry/metrics.go
+++ b/daemon/telemetry/metrics.go
@@ -47,23 +47,12 @@
 	m.set.GetOrCreateHistogram(name("cardamomwick_first_token_seconds", c.Class)).Update(c.FirstToken.Seconds())
 	m.set.GetOrCreateHistogram(name("cardamomwick_total_seconds", c.Class)).Update(c.Total.Seconds())
 	m.set.GetOrCreateCounter(name("cardamomwick_output_tokens_total", c.Class)).Add(c.Tokens)
-	if Attained(c.Policy, c.FirstToken, c.Total, c.Tokens) {
+	if c.Policy.Attained(c.FirstToken, c.Total, c.Tokens) {
 		m.set.GetOrCreateCounter(name("cardamomwick_attained_total", c.Class)).Inc()
 		m.set.GetOrCreateCounter(name("cardamomwick_goodput_tokens_total", c.Class)).Add(c.Tokens)
 	}
 }
 
-// Attained reports whether a completed call met all targets of its class.
-func Attained(p bundle.Class, first, total time.Duration, tokens int) bool {
-	if first > p.FirstTokenTarget.D() || (p.TotalTarget > 0 && total > p.TotalTarget.D()) {
-		return false
-	}
-	if p.PerTokenTarget == 0 || tokens < 2 {
-		return true
-	}
-	return (total-first)/time.Duration(tokens-1) <= p.PerTokenTarget.D()
-}
-
 // Abandoned counts tokens whose caller was gone before the end.
 func (m *Metrics) Abandoned(class string, tokens int) {
 	m.set.GetOrCreateCounter(name("cardamomwick_abandoned_tokens_total", class)).Add(tokens)
