--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Set-up on a machine that has Go: `make demo` runs the main job, `make test`
 # the tests. Everything else is for developers.
-MODULES := ./core/... ./daemon/... ./ctl/...
+MODULES := ./core/... ./daemon/... ./ctl/... ./platform/... ./cmd/...
+FOLDERS := core daemon ctl platform cmd
 BIN := bin
 
 .PHONY: all build demo test race vet fmt lint
@@ -9,7 +10,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./daemon/cmd/cardamomwickd ./ctl/cmd/cardamomctl
+	go build -o $(BIN)/ ./cmd/cardamomwickd ./cmd/cardamomctl
 
 demo: build
 	go build -o $(BIN)/demo ./ctl/internal/demo
@@ -25,7 +26,7 @@
 	go vet $(MODULES)
 
 fmt:
-	@test -z "$$(gofmt -l core daemon ctl)" || { echo "not gofmt clean:"; gofmt -l core daemon ctl; exit 1; }
+	@test -z "$$(gofmt -l $(FOLDERS))" || { echo "not gofmt clean:"; gofmt -l $(FOLDERS); exit 1; }
 
 lint:
 	cd ctl && go tool staticcheck ../core/... && go tool staticcheck ./... && go tool staticcheck ../daemon/...
--- a/daemon/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -14,6 +14,7 @@
 
 	"cardamomwick.example/daemon"
 	"cardamomwick.example/daemon/settings"
+	"cardamomwick.example/platform"
 )
 
 // gcPercent trades some processor time for memory: the instances are small.
@@ -30,7 +31,9 @@
 		Name:  "cardamomwickd",
 		Usage: "route language-model traffic by service levels and priorities",
 		Description: "Runs one instance. Which role it has follows from its settings: with a data folder it is\n" +
-			"also a replica of the durable state. SIGHUP reads frame keys and log level again. SIGTERM drains and stops it without cutting a call off.\n\n" +
+			"also a replica of the durable state; with [routing] it serves declared routes on a platform.\n" +
+			"SIGHUP, and any change of the file, reads seeds, frame keys and log level again.\n" +
+			"SIGTERM drains and stops it without cutting a call off.\n\n" +
 			"Exit codes: 0 stopped gracefully, 1 failed, 2 bad settings.\n\n" +
 			"Example: cardamomwickd --settings /etc/cardamomwick/instance.toml",
 		Flags: []cli.Flag{
@@ -45,8 +48,22 @@
 	}
 }
 
+// instance is a daemon of either kind.
+type instance interface {
+	Run(stop context.Context) error
+	Reload(s *settings.Settings) error
+}
+
+func newInstance(s *settings.Settings) (instance, error) {
+	if s.Routing.Enabled {
+		return daemon.NewRouted(s, platform.Adapter{})
+	}
+	return daemon.New(s)
+}
+
 func run(_ context.Context, cmd *cli.Command) error {
-	s, err := settings.Load(cmd.String("settings"))
+	file := cmd.String("settings")
+	s, err := settings.Load(file)
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
 	}
@@ -55,15 +72,17 @@
 		return nil
 	}
 	debug.SetGCPercent(gcPercent)
-	daemon.SetUpLog(os.Stderr, s.Log.Level, s.Instance.Name)
+	daemon.SetUpLog(logFile(s), s.Log.Level, s.Instance.Name)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	d, err := daemon.New(s)
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	d, err := newInstance(s)
 	if err != nil {
 		log.WithError(err).WithField("step", "start").Error("instance can't start")
 		return cli.Exit(err.Error(), exitFailed)
 	}
-	go reloadOnSignal(d, cmd.String("settings"))
+	go reloadOnChange(d, file, hangUps)
 	if err := d.Run(stop); err != nil {
 		log.WithError(err).WithField("step", "run").Error("instance ended with an error")
 		return cli.Exit(err.Error(), exitFailed)
@@ -71,17 +90,11 @@
 	return nil
 }
 
-// reloadOnSignal reads the settings again at each SIGHUP.
-func reloadOnSignal(d *daemon.Daemon, file string) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	for range hangUps {
-		s, err := settings.Load(file)
-		if err == nil {
-			err = d.Reload(s)
-		}
-		if err != nil {
-			log.WithError(err).WithField("step", "reload settings").Error("the old settings stay")
-		}
+// logFile is standard output on a platform, which collects it, and standard
+// error elsewhere.
+func logFile(s *settings.Settings) *os.File {
+	if s.Routing.Enabled {
+		return os.Stdout
 	}
+	return os.Stderr
 }
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,169 @@
+// Package fleet keeps what is known of the backend servers from their own
+// announcements. It is pure: the clock is passed in.
+//
+// Announcements arrive late, out of order and through different instances;
+// each start of a server has its own ID and numbers its announcements. A server
+// that has said that it leaves never counts as ready again.
+package fleet
+
+import (
+	"sort"
+	"time"
+)
+
+// Phase is a backend server's own word on whether it takes work.
+type Phase uint8
+
+// The phases, in the order in which they follow each other.
+const (
+	Ready Phase = iota
+	Draining
+	Departed
+)
+
+// String returns the name used in logs.
+func (p Phase) String() string { return [...]string{"ready", "draining", "departed"}[p] }
+
+// Server is one start of a backend server.
+type Server struct {
+	ID      string `msgpack:"i"`
+	Pool    string `msgpack:"p"`
+	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z"`
+	Slots   int    `msgpack:"s"`
+	Phase   Phase  `msgpack:"h"`
+	// Sequence numbers the server's announcements.
+	Sequence uint64 `msgpack:"q"`
+	// Overdue: no announcement for longer than OverdueAfter. It may be cut off
+	// from those that take announcements, and still serve.
+	Overdue bool `msgpack:"o"`
+}
+
+// Timing of the registry, from a heartbeat every 1.2 s on the deployments
+// measured, and announcements that arrive seconds late.
+const (
+	// OverdueAfter is three heartbeats: a server without news for so long is
+	// used only when there is no other.
+	OverdueAfter = 3600 * time.Millisecond
+	// ForgetAfter ends a server that neither announces nor departs. It is longer
+	// than any partition that a server is expected to serve through.
+	ForgetAfter = 30 * time.Second
+	// keptDepartures bounds the IDs remembered as departed, against late
+	// announcements.
+	keptDepartures = 1024
+)
+
+type record struct {
+	Server
+	heard time.Time
+}
+
+// Registry holds the servers that one instance knows. Not safe for concurrent
+// use.
+type Registry struct {
+	servers  map[string]*record
+	departed map[string]bool
+	order    []string
+	version  uint64
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{servers: map[string]*record{}, departed: map[string]bool{}}
+}
+
+// Version rises whenever Servers returns something else.
+func (r *Registry) Version() uint64 { return r.version }
+
+// Announce takes an announcement. Older news about a server changes nothing,
+// and a newer start at the same address ends the one before.
+func (r *Registry) Announce(now time.Time, s Server) {
+	if r.departed[s.ID] {
+		return
+	}
+	old := r.servers[s.ID]
+	if old == nil {
+		r.replaceAt(s)
+		s.Overdue = false
+		r.servers[s.ID] = &record{s, now}
+		r.version++
+		return
+	}
+	if s.Sequence < old.Sequence {
+		return
+	}
+	s.Phase = max(s.Phase, old.Phase)
+	s.Overdue = false
+	changed := s
+	changed.Sequence = old.Sequence
+	if changed != old.Server {
+		r.version++
+	}
+	*old = record{s, now}
+}
+
+// replaceAt ends the server that stood at the address of a new one, unless the
+// old one is known to announce still: a delayed first announcement of a server
+// that has crashed since must not displace its successor.
+func (r *Registry) replaceAt(s Server) {
+	for id, old := range r.servers {
+		if old.Address == s.Address && old.Overdue {
+			r.Depart(id)
+		}
+	}
+}
+
+// Withdraw notes that a server drains or has departed, whatever it announces
+// later.
+func (r *Registry) Withdraw(id string, p Phase) {
+	if p == Departed {
+		r.Depart(id)
+		return
+	}
+	if s := r.servers[id]; s != nil && s.Phase < p {
+		s.Phase = p
+		r.version++
+	}
+}
+
+// Depart forgets a server for good.
+func (r *Registry) Depart(id string) {
+	if _, known := r.servers[id]; known {
+		delete(r.servers, id)
+		r.version++
+	}
+	if r.departed[id] {
+		return
+	}
+	r.departed[id] = true
+	r.order = append(r.order, id)
+	if len(r.order) > keptDepartures {
+		delete(r.departed, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+// Expire marks servers overdue and forgets those that are silent for long.
+func (r *Registry) Expire(now time.Time) {
+	for id, s := range r.servers {
+		age := now.Sub(s.heard)
+		switch {
+		case age >= ForgetAfter:
+			delete(r.servers, id)
+			r.version++
+		case age >= OverdueAfter && !s.Overdue:
+			s.Overdue = true
+			r.version++
+		}
+	}
+}
+
+// Servers lists what is known, sorted by ID.
+func (r *Registry) Servers() []Server {
+	out := make([]Server, 0, len(r.servers))
+	for _, s := range r.servers {
+		out = append(out, s.Server)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/core/fleet/mirror.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+)
+
+// Withdrawal notes that a backend server drains or has departed.
+type Withdrawal struct {
+	ServerID string `msgpack:"i"`
+	Phase    Phase  `msgpack:"p"`
+}
+
+// Listing is the fleet as a leader of the replica group sees it.
+type Listing struct {
+	// Term is the leader's; Version counts its changes within the term.
+	Term    uint64   `msgpack:"t"`
+	Version uint64   `msgpack:"v"`
+	Servers []Server `msgpack:"s"`
+	// Withdrawals is filled in the first listing of a term.
+	Withdrawals []Withdrawal `msgpack:"w,omitempty"`
+}
+
+// adoptTime is how long servers that a new leader has not listed are still
+// believed: it learns of them from their announcements, which may come seconds
+// late.
+const adoptTime = 6 * time.Second
+
+// Mirror is a copy of the leader's fleet that survives changes of the leader.
+// Not safe for concurrent use.
+type Mirror struct {
+	term    uint64
+	version uint64
+	listed  map[string]Server
+	// adopted were listed by an earlier leader only.
+	adopted      map[string]Server
+	adoptedUntil time.Time
+	// phases never go back, whatever a leader that knows less lists.
+	phases map[string]Phase
+}
+
+// NewMirror returns an empty mirror.
+func NewMirror() *Mirror {
+	return &Mirror{listed: map[string]Server{}, adopted: map[string]Server{}, phases: map[string]Phase{}}
+}
+
+// At returns the term and version last taken.
+func (m *Mirror) At() (term, version uint64) { return m.term, m.version }
+
+// Take takes a listing. A listing of an older term is ignored.
+func (m *Mirror) Take(now time.Time, l Listing) {
+	if l.Term < m.term {
+		return
+	}
+	if l.Term > m.term {
+		m.adoptAll(now)
+		m.noteWithdrawals(l.Withdrawals)
+	}
+	m.term, m.version = l.Term, l.Version
+	m.listed = make(map[string]Server, len(l.Servers))
+	for _, s := range l.Servers {
+		s.Phase = max(s.Phase, m.phases[s.ID])
+		if s.Phase != Ready {
+			m.phases[s.ID] = s.Phase
+		}
+		m.listed[s.ID] = s
+		delete(m.adopted, s.ID)
+	}
+}
+
+func (m *Mirror) adoptAll(now time.Time) {
+	for id, s := range m.listed {
+		m.adopted[id] = s
+	}
+	m.adoptedUntil = now.Add(adoptTime)
+}
+
+func (m *Mirror) noteWithdrawals(list []Withdrawal) {
+	m.phases = make(map[string]Phase, len(list))
+	for _, w := range list {
+		m.phases[w.ServerID] = w.Phase
+	}
+	for id, s := range m.adopted {
+		s.Phase = max(s.Phase, m.phases[id])
+		m.adopted[id] = s
+		if s.Phase == Departed {
+			delete(m.adopted, id)
+		}
+	}
+}
+
+// Servers lists what is believed to be there, sorted by ID.
+func (m *Mirror) Servers(now time.Time) []Server {
+	var out []Server
+	for _, s := range m.listed {
+		if s.Phase != Departed {
+			out = append(out, s)
+		}
+	}
+	if now.Before(m.adoptedUntil) {
+		for _, s := range m.adopted {
+			out = append(out, s)
+		}
+	} else {
+		clear(m.adopted)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/core/routing/table.go
@@ -0,0 +1,90 @@
+package routing
+
+import "strings"
+
+// Table answers look-ups in one declaration. It is immutable and safe for
+// concurrent use.
+type Table struct {
+	declaration *Declaration
+	byHost      map[string]map[string]*Route
+	byKey       map[string]*Customer
+	pools       map[string]*Pool
+}
+
+// NewTable indexes a checked declaration, which must not change afterwards.
+func NewTable(d *Declaration) *Table {
+	t := &Table{declaration: d, byHost: map[string]map[string]*Route{}, byKey: map[string]*Customer{}, pools: map[string]*Pool{}}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		prefixes := t.byHost[r.Host]
+		if prefixes == nil {
+			prefixes = map[string]*Route{}
+			t.byHost[r.Host] = prefixes
+		}
+		prefixes[r.PathPrefix] = r
+	}
+	for i := range d.Customers {
+		c := &d.Customers[i]
+		for _, k := range c.Keys {
+			t.byKey[k] = c
+		}
+	}
+	for i := range d.Pools {
+		t.pools[d.Pools[i].Name] = &d.Pools[i]
+	}
+	return t
+}
+
+// Version returns the declaration's version.
+func (t *Table) Version() uint64 { return t.declaration.Version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.declaration.Limits }
+
+// HasCustomers reports whether keys are asked for at all.
+func (t *Table) HasCustomers() bool { return len(t.declaration.Customers) > 0 }
+
+// Route returns the route of the host with the longest prefix of the path, or
+// nil. Prefixes end with a slash, so only these places of the path are tried.
+func (t *Table) Route(host, path string) *Route {
+	prefixes := t.byHost[host]
+	if prefixes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Customer returns the customer that holds a key, or nil.
+func (t *Table) Customer(key string) *Customer { return t.byKey[key] }
+
+// Pool returns a pool by name, or nil.
+func (t *Table) Pool(name string) *Pool { return t.pools[name] }
+
+// Pick returns the pool for one call; random is uniform in [0, 1).
+func (r *Route) Pick(random float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := int(random * float64(total))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Pool
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Pool
+}
+
+// EffectiveTier returns the rank of a customer's call; customer may be nil.
+func (r *Route) EffectiveTier(c *Customer) int {
+	if c != nil && c.Tier != nil {
+		return *c.Tier
+	}
+	return r.Tier
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/fleet"
 )
 
 // CommandType tells which field of a Command is meant.
@@ -35,6 +36,10 @@
 	CommandOrderLease
 	// CommandEngineOrder records an engine order before it is sent.
 	CommandEngineOrder
+	// CommandDeclare puts a routing declaration in force.
+	CommandDeclare
+	// CommandWithdraw notes that a backend server leaves.
+	CommandWithdraw
 )
 
 // Command is one entry of the replicated log.
@@ -48,6 +53,8 @@
 	Call      *CallCommand        `msgpack:"c,omitempty"`
 	Lease     *LeaseCommand       `msgpack:"l,omitempty"`
 	Engine    *EngineOrder        `msgpack:"e,omitempty"`
+	Declare   *DeclareCommand     `msgpack:"d,omitempty"`
+	Withdraw  *fleet.Withdrawal   `msgpack:"w,omitempty"`
 }
 
 // CallCommand is the subject of the commands about one call.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -14,6 +14,7 @@
 	audit     auditState
 	calls     callState
 	placement placementState
+	routing   routingState
 }
 
 // New returns the empty machine that every group starts from.
@@ -38,6 +39,10 @@
 		return m.placement.lease(c.Lease)
 	case c.Type == CommandEngineOrder && c.Engine != nil:
 		return m.placement.order(c.Engine, m.loadsPerMinute(), m.nowMillis)
+	case c.Type == CommandDeclare && c.Declare != nil:
+		return m.routing.declare(c.Declare)
+	case c.Type == CommandWithdraw && c.Withdraw != nil:
+		return m.routing.withdraw(*c.Withdraw)
 	case c.Call != nil:
 		m.calls.prune(m.nowMillis)
 		return m.calls.apply(c.Type, c.Call, m.nowMillis)
@@ -59,11 +64,12 @@
 	Audit     auditState     `msgpack:"a"`
 	Calls     []*CallRecord  `msgpack:"r"`
 	Placement placementState `msgpack:"p"`
+	Routing   routingState   `msgpack:"t"`
 }
 
 // Snapshot returns the machine's bytes.
 func (m *Machine) Snapshot() []byte {
-	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list(), Placement: m.placement}
+	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list(), Placement: m.placement, Routing: m.routing}
 	data, err := msgpack.Marshal(&s)
 	if err != nil {
 		panic(err) // plain data; encoding to memory can't fail
@@ -81,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState(), placement: s.Placement}
+	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState(), placement: s.Placement, routing: s.Routing}
 	for _, r := range s.Calls {
 		m.calls.put(r)
 	}
--- /dev/null
+++ b/daemon/control/control.go
@@ -0,0 +1,239 @@
+// Package control takes routing declarations and the backend servers'
+// announcements on any instance that callers of control reach, and hands both
+// on: what must not be lost goes through the replica group's log, the rest to
+// its leader, which the entries watch.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/routing"
+	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/loop"
+	"cardamomwick.example/daemon/replica"
+)
+
+// Timing of the service.
+const (
+	// expirePeriod is how often silent servers are looked for.
+	expirePeriod = 200 * time.Millisecond
+	// announceTimeout bounds the hand-over of an announcement: a server waits a
+	// second for its acknowledgement and then tries another instance.
+	announceTimeout = 900 * time.Millisecond
+	// declareTimeout bounds the commit of a declaration. Operators go on to
+	// another instance after about a second; a later commit is harmless.
+	declareTimeout = 2 * time.Second
+	// readTimeout bounds a linearizable read, for the same reason.
+	readTimeout = 900 * time.Millisecond
+	// maxHold bounds how long a watching instance may be kept waiting.
+	maxHold = time.Second
+)
+
+// Service runs on the instances that hold replicas. It is a suture service.
+type Service struct {
+	replica *replica.Replica
+	client  *replica.Client
+
+	mu       sync.Mutex
+	registry *fleet.Registry
+	revision uint64
+	changed  chan struct{}
+}
+
+// New registers the frame handlers.
+func New(t *frame.Transport, r *replica.Replica, c *replica.Client) *Service {
+	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{})}
+	t.HandleRequest(methodAnnounce, s.handleAnnounce)
+	t.HandleRequest(methodWatch, s.handleWatch)
+	return s
+}
+
+// String names the service in the supervisor's log.
+func (s *Service) String() string { return "control" }
+
+// Serve notes silent servers until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	return loop.Every(ctx, expirePeriod, func(now time.Time) {
+		s.update(func() { s.registry.Expire(now) })
+		v, _ := s.replica.View()
+		s.client.Directory().Learn(v.Members)
+	})
+}
+
+// update changes the registry and wakes the watchers if that mattered.
+func (s *Service) update(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.registry.Version()
+	change()
+	if s.registry.Version() != before {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// Declare commits a declaration; nil means that it or a higher version is in
+// force and stays so. The error is an *routing.InvalidError for a declaration
+// that can't be in force, else it leaves open what happened.
+func (s *Service) Declare(ctx context.Context, d *routing.Declaration, source []byte) error {
+	if err := d.Check(); err != nil {
+		return err
+	}
+	data, err := d.Encode()
+	if err != nil {
+		return eris.Wrap(err, "encode declaration")
+	}
+	ctx, cancel := context.WithTimeout(ctx, declareTimeout)
+	defer cancel()
+	packedData, err := compress(data)
+	if err != nil {
+		return err
+	}
+	packedSource, err := compress(source)
+	if err != nil {
+		return err
+	}
+	cmd := &state.Command{Type: state.CommandDeclare, Declare: &state.DeclareCommand{Version: d.Version, Declaration: packedData, Source: packedSource}}
+	res, err := s.client.Propose(ctx, cmd)
+	if err != nil {
+		log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "declare", "version": d.Version}).Warn("not acknowledged")
+		return err
+	}
+	log.WithFields(log.Fields{"step": "declare", "version": d.Version, "in_force": res.Order.Version, "routes": len(d.Routes)}).Info("declaration acknowledged")
+	return nil
+}
+
+// Source returns the declaration in force as it was sent, nil before the first.
+func (s *Service) Source(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	packed, err := s.client.Source(ctx)
+	if err != nil || packed == nil {
+		return nil, err
+	}
+	return decompress(packed)
+}
+
+// Announce hands an announcement on; nil acknowledges it. A server that drains
+// is withdrawn through the log, so that no change of the leader forgets it.
+func (s *Service) Announce(ctx context.Context, server fleet.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if server.Phase != fleet.Ready {
+		return s.withdraw(ctx, fleet.Withdrawal{ServerID: server.ID, Phase: server.Phase}, &server)
+	}
+	_, err := replica.CallLeader[announceReply](ctx, s.client, methodAnnounce, &server)
+	return err
+}
+
+// Depart notes that a server has gone; nil acknowledges it.
+func (s *Service) Depart(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	return s.withdraw(ctx, fleet.Withdrawal{ServerID: id, Phase: fleet.Departed}, nil)
+}
+
+func (s *Service) withdraw(ctx context.Context, w fleet.Withdrawal, server *fleet.Server) error {
+	if v, _ := s.replica.View(); !withdrawn(v.Routing, w) {
+		if _, err := s.client.Propose(ctx, &state.Command{Type: state.CommandWithdraw, Withdraw: &w}); err != nil {
+			return err
+		}
+		log.WithFields(log.Fields{"step": "withdraw server", "server": w.ServerID, "phase": w.Phase.String()}).Info("server leaves")
+	}
+	if server == nil {
+		return nil
+	}
+	_, err := replica.CallLeader[announceReply](ctx, s.client, methodAnnounce, server)
+	return err
+}
+
+func withdrawn(r state.Routing, w fleet.Withdrawal) bool {
+	for _, x := range r.Withdrawals {
+		if x.ServerID == w.ServerID {
+			return x.Phase >= w.Phase
+		}
+	}
+	return false
+}
+
+func (s *Service) handleAnnounce(_ context.Context, _ string, body []byte) (any, error) {
+	var server fleet.Server
+	if err := msgpack.Unmarshal(body, &server); err != nil {
+		return nil, eris.Wrap(err, "decode announcement")
+	}
+	v, _ := s.replica.View()
+	s.takeWithdrawals(v.Routing)
+	s.update(func() { s.registry.Announce(time.Now(), server) })
+	if !v.Leading {
+		return announceReply{replica.NotLeaderReply(v)}, nil
+	}
+	return announceReply{}, nil
+}
+
+// takeWithdrawals applies what the log says to the registry.
+func (s *Service) takeWithdrawals(r state.Routing) {
+	s.update(func() {
+		if r.Revision == s.revision {
+			return
+		}
+		s.revision = r.Revision
+		for _, w := range r.Withdrawals {
+			s.registry.Withdraw(w.ServerID, w.Phase)
+		}
+	})
+}
+
+func (s *Service) handleWatch(ctx context.Context, _ string, body []byte) (any, error) {
+	var req watchRequest
+	if err := msgpack.Unmarshal(body, &req); err != nil {
+		return nil, eris.Wrap(err, "decode watch")
+	}
+	timeout := time.NewTimer(min(req.Hold, maxHold))
+	defer timeout.Stop()
+	for {
+		v, viewChanged := s.replica.View()
+		s.takeWithdrawals(v.Routing)
+		if !v.Leading {
+			return &watchReply{Redirect: replica.NotLeaderReply(v)}, nil
+		}
+		reply, changed, news := s.news(&req, v)
+		if news {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-viewChanged:
+		case <-timeout.C:
+			return reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// news returns what the asking instance lacks, and what to wait for otherwise.
+func (s *Service) news(req *watchRequest, v replica.View) (reply *watchReply, changed <-chan struct{}, news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply = &watchReply{Members: v.Members}
+	if v.Routing.Held.Version > req.Declaration {
+		reply.Declaration = v.Routing.Held.Declaration
+		news = true
+	}
+	if req.Term != v.Term || req.Version != s.registry.Version() {
+		reply.Listing = &fleet.Listing{Term: v.Term, Version: s.registry.Version(), Servers: s.registry.Servers()}
+		if req.Term != v.Term {
+			reply.Listing.Withdrawals = v.Routing.Withdrawals
+		}
+		news = true
+	}
+	return reply, s.changed, news
+}
--- /dev/null
+++ b/daemon/control/watch.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/replica"
+)
+
+// Timing of a watch. A change must be in force everywhere within 2 s of its
+// acknowledgement: one round that a lost leader swallows takes the client's
+// attempt timeout of 0.7 s, the next one finds the new leader.
+const (
+	watchHold = 450 * time.Millisecond
+	// watchTimeout bounds one round including the search for the leader.
+	watchTimeout = 1500 * time.Millisecond
+	watchPause   = 20 * time.Millisecond
+	// lostAfter is how long no round may succeed before that is logged.
+	lostAfter = 3 * time.Second
+)
+
+// Watch keeps an entry's copy of the declaration in force and of the fleet. A
+// copy never goes back to an older declaration. It is a suture service.
+type Watch struct {
+	client *replica.Client
+	table  atomic.Pointer[routing.Table]
+
+	mirror *fleet.Mirror
+	heard  time.Time
+	lost   bool
+	// onFleet is told of each new listing.
+	onFleet func([]fleet.Server)
+	onTable func(*routing.Table)
+}
+
+// NewWatch returns a watch that knows nothing yet; the functions are called
+// from its loop with each new declaration and listing.
+func NewWatch(c *replica.Client, onTable func(*routing.Table), onFleet func([]fleet.Server)) *Watch {
+	return &Watch{client: c, mirror: fleet.NewMirror(), onFleet: onFleet, onTable: onTable}
+}
+
+// String names the service in the supervisor's log.
+func (w *Watch) String() string { return "watch" }
+
+// Table returns the declaration in force, nil before the first.
+func (w *Watch) Table() *routing.Table { return w.table.Load() }
+
+// Serve watches until the context ends.
+func (w *Watch) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		w.round(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPause):
+		}
+	}
+	return ctx.Err()
+}
+
+func (w *Watch) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	req := watchRequest{Hold: watchHold}
+	if t := w.table.Load(); t != nil {
+		req.Declaration = t.Version()
+	}
+	req.Term, req.Version = w.mirror.At()
+	reply, err := replica.CallLeader[watchReply](ctx, w.client, methodWatch, &req)
+	w.note(err)
+	if err == nil {
+		w.take(&reply)
+	}
+	w.onFleet(w.mirror.Servers(time.Now()))
+}
+
+func (w *Watch) take(reply *watchReply) {
+	w.client.Directory().Learn(reply.Members)
+	if len(reply.Declaration) > 0 {
+		if err := w.takeDeclaration(reply.Declaration); err != nil {
+			log.WithError(err).WithField("step", "take declaration").Error("the declaration held stays")
+		}
+	}
+	if reply.Listing != nil {
+		w.mirror.Take(time.Now(), *reply.Listing)
+	}
+}
+
+func (w *Watch) takeDeclaration(packed []byte) error {
+	data, err := decompress(packed)
+	if err != nil {
+		return err
+	}
+	d, err := routing.Decode(data)
+	if err != nil {
+		return eris.Wrap(err, "decode declaration")
+	}
+	if old := w.table.Load(); old != nil && d.Version <= old.Version() {
+		return nil
+	}
+	t := routing.NewTable(d)
+	w.table.Store(t)
+	w.onTable(t)
+	log.WithFields(log.Fields{"step": "take declaration", "version": d.Version, "routes": len(d.Routes)}).Info("declaration in force")
+	return nil
+}
+
+// note logs the loss and the return of the replica group.
+func (w *Watch) note(err error) {
+	now := time.Now()
+	if err == nil {
+		if w.lost {
+			log.WithFields(log.Fields{"step": "watch", "silent_ms": now.Sub(w.heard).Milliseconds()}).Info("replica group is back")
+		}
+		w.heard, w.lost = now, false
+		return
+	}
+	if !w.lost && now.Sub(w.heard) >= lostAfter {
+		w.lost = true
+		log.WithError(eris.Cause(err)).WithField("step", "watch").Warn("replica group does not answer; what is held stays in force")
+	}
+}
--- /dev/null
+++ b/daemon/control/wire.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"time"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/daemon/replica"
+)
+
+// Frame methods of this package.
+const (
+	methodAnnounce = "control.announce"
+	methodWatch    = "control.watch"
+)
+
+type announceReply struct {
+	replica.Redirect `msgpack:",inline"`
+}
+
+// watchRequest tells what the asking instance has.
+type watchRequest struct {
+	Declaration uint64 `msgpack:"d"`
+	// Term and Version are those of the last listing taken.
+	Term    uint64 `msgpack:"t"`
+	Version uint64 `msgpack:"v"`
+	// Hold is how long the leader may wait for something newer.
+	Hold time.Duration `msgpack:"h"`
+}
+
+type watchReply struct {
+	replica.Redirect `msgpack:",inline"`
+	// Declaration is an encoded and compressed routing.Declaration, empty when
+	// the asking instance has it.
+	Declaration []byte `msgpack:"d,omitempty"`
+	// Listing is nil when the asking instance has it.
+	Listing *fleet.Listing `msgpack:"f,omitempty"`
+	// Members are the replicas' peer addresses.
+	Members []string `msgpack:"m"`
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,14 +67,15 @@
 	self := membership.Instance{Name: s.Instance.Name, Process: process, PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	d.gossip = gossip.New(d.transport, self, s.Peers.Seeds)
+	directory := replica.NewFixedDirectory(s.Replicas.Addresses)
 	if s.Instance.DataFolder != "" {
 		d.replica, err = replica.New(replica.Options{Transport: d.transport, Folder: s.Instance.DataFolder,
-			Addresses: s.Replicas.Addresses, Operators: s.Trust.Operators})
+			Directory: directory, Operators: s.Trust.Operators})
 		if err != nil {
 			return nil, eris.Wrap(err, "start replica")
 		}
 	}
-	d.replicas = replica.NewClient(d.transport, s.Replicas.Addresses)
+	d.replicas = replica.NewClient(d.transport, directory)
 	d.holder = lease.New(d.replicas, d.gossip.SetIsolated)
 	d.holder.SetSource(lease.NewRelay(d.transport, d.gossip, d.replicas, d.holder))
 	d.dispatcher = dispatcher.New(d.transport)
--- /dev/null
+++ b/daemon/httplisten.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+)
+
+// idleTimeout is how long a caller's idle connection is kept. It is above any
+// idle timeout that operators have declared, so that no caller sends on a
+// connection that is just being closed.
+const idleTimeout = 2 * time.Minute
+
+// httpListener serves one handler at one address. It is a suture service.
+type httpListener struct {
+	name   string
+	rest   *rest.Server
+	server atomic.Pointer[http.Server]
+}
+
+// direct is a go-zero router that hands every request to one handler. None of
+// go-zero's middlewares is on: its Recover would end a broken stream as if it
+// were complete.
+type direct struct{ http.Handler }
+
+// Handle implements httpx.Router; no routes are added.
+func (direct) Handle(string, string, http.Handler) error { return nil }
+
+// SetNotFoundHandler implements httpx.Router.
+func (direct) SetNotFoundHandler(http.Handler) {}
+
+// SetNotAllowedHandler implements httpx.Router.
+func (direct) SetNotAllowedHandler(http.Handler) {}
+
+var _ httpx.Router = direct{}
+
+func newHTTPListener(name, address string, h http.Handler) (*httpListener, error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "parse address of %s", name)
+	}
+	shutdown := proc.ShutdownConf{WrapUpTime: neverForced, WaitTime: neverForced}
+	proc.Setup(shutdown)
+	conf := rest.RestConf{Host: ap.Addr().String(), Port: int(ap.Port())}
+	conf.Shutdown = shutdown
+	conf.Log.Mode = "console"
+	conf.Log.Level = "severe"
+	s, err := rest.NewServer(conf, rest.WithRouter(direct{h}))
+	if err != nil {
+		return nil, eris.Wrapf(err, "make HTTP server of %s", name)
+	}
+	logx.Disable()
+	return &httpListener{name: name, rest: s}, nil
+}
+
+// String names the service in the supervisor's log.
+func (l *httpListener) String() string { return l.name }
+
+// Serve listens until the context ends, then closes all connections: what is
+// in flight has ended before.
+func (l *httpListener) Serve(ctx context.Context) error {
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		l.rest.StartWithOpts(func(s *http.Server) {
+			s.ReadHeaderTimeout = headerTimeout
+			s.IdleTimeout = idleTimeout
+			s.MaxHeaderBytes = maxHeaderBytes
+			l.server.Store(s)
+		})
+	}()
+	select {
+	case <-ctx.Done():
+		if s := l.server.Load(); s != nil {
+			_ = s.Close() // the process ends; nothing is left to serve
+		}
+		return ctx.Err()
+	case <-stopped:
+		return eris.Errorf("%s stopped", l.name)
+	}
+}
--- a/daemon/replica/client.go
+++ b/daemon/replica/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,21 +26,24 @@
 // concurrent use.
 type Client struct {
 	transport *frame.Transport
-	addresses []string
+	directory *Directory
 	mu        sync.Mutex
 	leader    string
 }
 
-// NewClient returns a client that knows the replicas' peer addresses.
-func NewClient(t *frame.Transport, addresses []string) *Client {
-	return &Client{transport: t, addresses: addresses}
+// NewClient returns a client that looks for replicas in the directory.
+func NewClient(t *frame.Transport, d *Directory) *Client {
+	return &Client{transport: t, directory: d}
 }
 
+// Directory returns where the client looks for replicas.
+func (c *Client) Directory() *Directory { return c.directory }
+
 func (c *Client) target() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
-		c.leader = c.addresses[rand.IntN(len(c.addresses))]
+		c.leader = c.anyReplica()
 	}
 	return c.leader
 }
@@ -52,9 +56,19 @@
 		return
 	}
 	c.leader = hint
-	for c.leader == "" || (c.leader == from && len(c.addresses) > 1) {
-		c.leader = c.addresses[rand.IntN(len(c.addresses))]
+	if hint == "" || hint == from {
+		c.leader = c.anyReplica(from)
+	}
+}
+
+// anyReplica draws an address, other than the given one if there is another.
+func (c *Client) anyReplica(other ...string) string {
+	list := c.directory.Addresses()
+	kept := slices.DeleteFunc(slices.Clone(list), func(a string) bool { return slices.Contains(other, a) })
+	if len(kept) == 0 {
+		kept = list
 	}
+	return kept[rand.IntN(len(kept))]
 }
 
 // call tries replicas until the leader has answered or the context ends. All
@@ -116,6 +130,13 @@
 	return reply.Result, err
 }
 
+// Source returns what the operator sent as the declaration in force, as of a
+// moment after the call began; nil before the first one.
+func (c *Client) Source(ctx context.Context) ([]byte, error) {
+	reply, err := call[sourceReply](ctx, c, methodSource, struct{}{})
+	return reply.Source, err
+}
+
 // Lease asks for what a holder of a generation lacks, as of a moment after the
 // call began.
 func (c *Client) Lease(ctx context.Context, generation uint64) (Lease, error) {
--- a/daemon/replica/client_test.go
+++ b/daemon/replica/client_test.go
@@ -14,7 +14,7 @@
 func TestCancelledReadKeepsTheLeader(t *testing.T) {
 	silent := func(string, bool) bool { return true }
 	tr := frame.NewTransport("127.0.0.1:1", []frame.Key{{ID: "k", Secret: make([]byte, 32)}}, silent)
-	c := NewClient(tr, []string{"127.0.0.1:2", "127.0.0.1:3"})
+	c := NewClient(tr, NewFixedDirectory([]string{"127.0.0.1:2", "127.0.0.1:3"}))
 	c.leader = "127.0.0.1:2"
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
--- a/daemon/replica/group.go
+++ b/daemon/replica/group.go
@@ -27,7 +27,7 @@
 		switch {
 		case id.Group == 0:
 			r.tryFormGroup(ctx)
-		case !member:
+		case !member || r.leaderless.Load():
 			r.askToJoin(ctx, id.ID)
 		}
 		select {
@@ -58,9 +58,11 @@
 	}
 }
 
+// tryFormGroup joins the group of any replica that has one; without one it
+// forms the first group, if all founders are there and empty.
 func (r *Replica) tryFormGroup(ctx context.Context) {
-	var members raft.Membership
-	for _, a := range r.opt.Addresses {
+	empty := map[string]uint64{}
+	for _, a := range r.opt.Directory.Addresses() {
 		h, err := r.hello(ctx, a)
 		if err != nil {
 			log.WithError(err).WithFields(log.Fields{"step": "find group", "peer": a}).Debug("no answer")
@@ -71,11 +73,27 @@
 			r.joinGroup(h.Group, raft.Membership{})
 			return
 		}
-		members = members.With(raft.Member{ID: h.ID, Address: a, Voter: true})
+		empty[a] = h.ID
+	}
+	r.formGroup(empty)
+}
+
+// formGroup starts the first group when all founders are empty. They are the
+// same set for each founder, hence so is the group's number.
+func (r *Replica) formGroup(empty map[string]uint64) {
+	founders := r.opt.Directory.founders(r.opt.Transport.Self())
+	if len(founders) == 0 {
+		return
 	}
-	if len(members.Members) == len(r.opt.Addresses) {
-		r.joinGroup(groupOf(members), members)
+	var members raft.Membership
+	for _, a := range founders {
+		id, answered := empty[a]
+		if !answered {
+			return
+		}
+		members = members.With(raft.Member{ID: id, Address: a, Voter: true})
 	}
+	r.joinGroup(groupOf(members), members)
 }
 
 func (r *Replica) hello(ctx context.Context, address string) (helloReply, error) {
@@ -124,7 +142,7 @@
 }
 
 func (r *Replica) askToJoin(ctx context.Context, id uint64) {
-	c := NewClient(r.opt.Transport, r.opt.Addresses)
+	c := NewClient(r.opt.Transport, r.opt.Directory)
 	ctx, cancel := context.WithTimeout(ctx, 2*joinPeriod)
 	defer cancel()
 	req := joinRequest{ID: id, Address: r.opt.Transport.Self()}
@@ -132,37 +150,3 @@
 		log.WithError(eris.Cause(err)).WithField("step", "join group").Debug("not admitted yet")
 	}
 }
-
-// maintain moves the membership on, one step at a time: a caught-up learner
-// first ends the member that it replaces at the same address, then becomes a
-// voter.
-func (r *Replica) maintain() {
-	st := r.node.Status()
-	if st.Role != raft.Leader || !st.MembershipSettled {
-		return
-	}
-	for _, m := range st.Membership.Members {
-		p, ok := st.Progress[m.ID]
-		if m.Voter || !ok || p.Match+1 < st.Commit {
-			continue
-		}
-		next := st.Membership.With(raft.Member{ID: m.ID, Address: m.Address, Voter: true})
-		if old, replaced := predecessor(st.Membership, m); replaced {
-			next = st.Membership.Without(old.ID)
-		}
-		if err := r.node.ProposeMembership(next); err != nil {
-			log.WithError(err).WithField("step", "change membership").Debug("try again later")
-		}
-		return
-	}
-}
-
-// predecessor finds the member whose place at the same address a learner takes.
-func predecessor(m raft.Membership, learner raft.Member) (raft.Member, bool) {
-	for _, x := range m.Members {
-		if x.Address == learner.Address && x.ID != learner.ID {
-			return x, true
-		}
-	}
-	return raft.Member{}, false
-}
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -26,7 +28,11 @@
 	// followers confirms all of them. No call waits for a read before it is sent.
 	readPeriod     = 20 * time.Millisecond
 	maintainPeriod = 200 * time.Millisecond
-	transferLimit  = 2 * time.Second
+	// leaderlessAfter is two of the longest election timeouts.
+	leaderlessAfter = 2 * time.Second
+	// reopenPause is the wait before a failed data folder is tried again.
+	reopenPause   = 500 * time.Millisecond
+	transferLimit = 2 * time.Second
 )
 
 // Bounds of the replica.
@@ -48,8 +54,8 @@
 	Transport *frame.Transport
 	// Folder is the data folder.
 	Folder string
-	// Addresses are the peer addresses of all replicas.
-	Addresses []string
+	// Directory tells where the other replicas are.
+	Directory *Directory
 	// Operators are trusted until the first bundle; name to public key.
 	Operators map[string]string
 }
@@ -78,6 +84,16 @@
 	// heardFrom holds the senders' peer addresses: a replica that has no
 	// membership yet answers there.
 	heardFrom map[uint64]string
+	// heardAt is when a member's last message came.
+	heardAt      map[uint64]time.Time
+	leadingSince time.Time
+	// leaderSeen is when this replica last knew a leader.
+	leaderSeen time.Time
+
+	// leaderless: no leader has been known for leaderlessAfter. A replica that
+	// was ended while it was cut off learns of that only by asking to join.
+	leaderless atomic.Bool
+	board      *viewBoard
 }
 
 type waiter struct {
@@ -101,7 +117,8 @@
 		log.WithField("bytes", loaded.TornBytes).WithField("step", "open storage").Warn("cut a torn record off the log")
 	}
 	r := &Replica{opt: opt, inbox: make(chan func(), inboxLength), stopped: make(chan struct{}), store: store, machine: state.New(),
-		waiters: map[uint64]waiter{}, reads: map[uint64]func(error){}, incoming: map[uint64][]byte{}, sending: map[uint64]bool{}, heardFrom: map[uint64]string{}}
+		waiters: map[uint64]waiter{}, reads: map[uint64]func(error){}, incoming: map[uint64][]byte{}, sending: map[uint64]bool{},
+		heardFrom: map[uint64]string{}, heardAt: map[uint64]time.Time{}, board: newViewBoard()}
 	if err := r.restore(loaded); err != nil {
 		return nil, err
 	}
@@ -147,6 +164,7 @@
 			r.node.Tick()
 		case <-maintain.C:
 			r.maintain()
+			r.noteLeaderless()
 		case <-reads.C:
 			if len(r.gathered) == 0 {
 				continue
@@ -157,10 +175,73 @@
 			r.drainInbox()
 		}
 		if err := r.process(); err != nil {
-			log.WithError(err).WithField("step", "persist").Error("replica stops")
+			log.WithError(err).WithField("step", "persist").Error("storage failed; the replica leaves the group's work until it is back")
+			if err := r.reopen(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// reopen loads the data folder anew after a failed write, until that works. The
+// process stays: its other parts don't need the disk. What was not persisted
+// was not promised to anyone.
+func (r *Replica) reopen(ctx context.Context) error {
+	r.failWaiters()
+	r.failReads()
+	r.board.put(View{})
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(reopenPause):
+		}
+		err := r.tryReopen()
+		if err == nil {
+			log.WithField("step", "reopen storage").Info("storage is back")
+			return nil
+		}
+		if errors.Is(err, storage.ErrCorrupt) {
 			return eris.Wrap(suture.ErrTerminateSupervisorTree, err.Error())
 		}
+		log.WithError(err).WithField("step", "reopen storage").Warn("storage still fails")
+	}
+}
+
+func (r *Replica) tryReopen() error {
+	r.audit.close()
+	r.store.Close()
+	store, loaded, err := storage.Open(r.opt.Folder)
+	if err != nil {
+		return err
+	}
+	if err := store.Rewrite(loaded); err != nil {
+		store.Close()
+		return err
+	}
+	r.store = store
+	r.machine = state.New()
+	r.leading, r.incoming = false, map[uint64][]byte{}
+	return r.restore(loaded)
+}
+
+// failReads answers reads that can't be confirmed any more.
+func (r *Replica) failReads() {
+	for context, done := range r.reads {
+		delete(r.reads, context)
+		done(errRetry)
+	}
+	for _, d := range r.due {
+		d.done(errRetry)
+	}
+	r.due = nil
+}
+
+func (r *Replica) noteLeaderless() {
+	if r.node.LeaderID() != raft.None || r.store.Identity().Group == 0 {
+		r.leaderSeen = time.Now()
 	}
+	r.leaderless.Store(time.Since(r.leaderSeen) >= leaderlessAfter)
 }
 
 // drainInbox takes what has gathered, so that one sync serves many.
@@ -219,6 +300,7 @@
 		r.takeReads(rd.Reads)
 	}
 	r.noteLeadership()
+	r.publishView()
 	return r.snapshotIfDue()
 }
 
@@ -321,6 +403,7 @@
 		return
 	}
 	r.leading, r.leadTerm = lead, term
+	r.leadingSince = time.Now()
 	log.WithField("term", term).WithField("leader", lead).Info("leadership")
 	if !lead {
 		r.failWaiters()
@@ -403,6 +486,7 @@
 	t.HandleRequest(methodAudit, r.handleAudit)
 	t.HandleRequest(methodOrphans, r.handleOrphans)
 	t.HandleRequest(methodCall, r.handleCall)
+	t.HandleRequest(methodSource, r.handleSource)
 }
 
 func (r *Replica) handleRaft(from string, body []byte) {
@@ -417,6 +501,7 @@
 		}
 		for _, m := range env.Messages {
 			r.heardFrom[m.From] = from
+			r.heardAt[m.From] = time.Now()
 			r.node.Step(m)
 		}
 	})
--- a/daemon/replica/serve.go
+++ b/daemon/replica/serve.go
@@ -141,15 +141,21 @@
 		})
 }
 
-// handleJoin admits a replica with a new identity as a learner. Only addresses
-// in the settings are admitted.
+func (r *Replica) handleSource(ctx context.Context, _ string, _ []byte) (any, error) {
+	return readThen(ctx, r,
+		func(d redirect) sourceReply { return sourceReply{redirect: d} },
+		func() sourceReply { return sourceReply{Source: r.machine.Routing().Held.Source} })
+}
+
+// handleJoin admits a replica with a new identity as a learner, if the
+// directory admits its address.
 func (r *Replica) handleJoin(ctx context.Context, from string, body []byte) (any, error) {
 	var req joinRequest
 	if err := decode(body, &req); err != nil {
 		return nil, err
 	}
-	if req.Address != from || !r.listed(req.Address) {
-		return nil, eris.Errorf("address %s is not among the replicas of the settings", req.Address)
+	if req.Address != from || !r.opt.Directory.admits(req.Address) {
+		return nil, eris.Errorf("address %s may not join as a replica", req.Address)
 	}
 	return run(ctx, r, func(reply func(joinReply)) {
 		st := r.node.Status()
@@ -165,12 +171,3 @@
 		reply(joinReply{})
 	})
 }
-
-func (r *Replica) listed(address string) bool {
-	for _, a := range r.opt.Addresses {
-		if a == address {
-			return true
-		}
-	}
-	return false
-}
--- a/daemon/replica/wire.go
+++ b/daemon/replica/wire.go
@@ -5,6 +5,7 @@
 package replica
 
 import (
+	"context"
 	"time"
 
 	"cardamomwick.example/core/api"
@@ -24,6 +25,7 @@
 	methodAudit    = "replica.audit"
 	methodOrphans  = "replica.orphans"
 	methodCall     = "replica.call"
+	methodSource   = "replica.source"
 )
 
 // raftEnvelope carries messages of one group.
@@ -63,6 +65,20 @@
 
 type redirected interface{ where() redirect }
 
+// Redirect is embedded in the replies of other packages' leader-only methods.
+type Redirect = redirect
+
+// NotLeaderReply names the leader that a replica knows of.
+func NotLeaderReply(v View) Redirect {
+	return Redirect{NotLeader: true, Leader: v.Leader}
+}
+
+// CallLeader sends a request to the leader, wherever it is, until it has
+// answered or the context ends. The request must be safe to send again.
+func CallLeader[T redirected](ctx context.Context, c *Client, method string, in any) (T, error) {
+	return call[T](ctx, c, method, in)
+}
+
 type joinReply struct {
 	redirect `msgpack:",inline"`
 }
@@ -117,6 +133,12 @@
 	Orphans  []state.Orphan `msgpack:"v"`
 }
 
+// sourceReply carries the declaration in force as the operator sent it.
+type sourceReply struct {
+	redirect `msgpack:",inline"`
+	Source   []byte `msgpack:"s"`
+}
+
 type callReply struct {
 	redirect `msgpack:",inline"`
 	Found    bool             `msgpack:"f"`
--- /dev/null
+++ b/daemon/routed.go
@@ -0,0 +1,245 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/membership"
+	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/control"
+	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/gossip"
+	"cardamomwick.example/daemon/replica"
+	"cardamomwick.example/daemon/router"
+	"cardamomwick.example/daemon/settings"
+	"cardamomwick.example/daemon/upstream"
+)
+
+// ControlAPI is what operators and backend servers may ask for.
+type ControlAPI interface {
+	Declare(ctx context.Context, d *routing.Declaration, source []byte) error
+	Source(ctx context.Context) ([]byte, error)
+	Announce(ctx context.Context, s fleet.Server) error
+	Depart(ctx context.Context, serverID string) error
+}
+
+// Directory tells callers where to connect.
+type Directory interface {
+	// Entries lists the callers' addresses of the instances that take calls.
+	Entries() []string
+	// TTL is how long callers may keep the list.
+	TTL() time.Duration
+}
+
+// Adapter is a platform's way of speaking HTTP.
+type Adapter interface {
+	upstream.Protocol
+	Control(ControlAPI) http.Handler
+	Directory(Directory) http.Handler
+	// Readiness answers whether this instance takes calls.
+	Readiness(ready func() bool) http.Handler
+}
+
+// Routed is an instance that serves declared routes on a platform. Which parts
+// it has follows from its settings.
+type Routed struct {
+	settings  *settings.Settings
+	transport *frame.Transport
+	gossip    *gossip.Service
+	replica   *replica.Replica
+	directory *replica.Directory
+	watch     *control.Watch
+	router    *router.Router
+	services  []suture.Service
+	leaving   atomic.Bool
+}
+
+// NewRouted builds an instance from checked settings.
+func NewRouted(s *settings.Settings, a Adapter) (*Routed, error) {
+	keys, err := frameKeys(s.Peers.Keys)
+	if err != nil {
+		return nil, err
+	}
+	d := &Routed{settings: s, transport: frame.NewTransport(s.Peers.Address, keys, newCutFilter(s.Faults.CutFile))}
+	self := membership.Instance{Name: s.Instance.Name, Process: uuid.NewString()[:8], PeerAddress: s.Peers.Address,
+		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
+	seeds := s.Peers.SeedAddresses()
+	d.gossip = gossip.New(d.transport, self, seeds)
+	d.directory = replica.NewSeedDirectory(seeds, s.Replicas.Bootstrap)
+	client := replica.NewClient(d.transport, d.directory)
+	if s.Instance.DataFolder != "" {
+		if err := d.addReplica(a, client); err != nil {
+			return nil, err
+		}
+	}
+	if s.Callers.Address != "" {
+		if err := d.addEntry(a, client); err != nil {
+			return nil, err
+		}
+	}
+	if s.Routing.DirectoryAddress != "" {
+		err = d.listen("directory", s.Routing.DirectoryAddress, a.Directory(d))
+	}
+	return d, err
+}
+
+func (d *Routed) listen(name, address string, h http.Handler) error {
+	l, err := newHTTPListener(name, address, h)
+	if err != nil {
+		return err
+	}
+	d.services = append(d.services, l)
+	return nil
+}
+
+func (d *Routed) addReplica(a Adapter, client *replica.Client) error {
+	var err error
+	d.replica, err = replica.New(replica.Options{Transport: d.transport, Folder: d.settings.Instance.DataFolder, Directory: d.directory})
+	if err != nil {
+		return eris.Wrap(err, "start replica")
+	}
+	c := control.New(d.transport, d.replica, client)
+	d.services = append(d.services, d.replica, c)
+	if d.settings.Routing.ControlAddress == "" {
+		return nil
+	}
+	return d.listen("control", d.settings.Routing.ControlAddress, a.Control(c))
+}
+
+func (d *Routed) addEntry(a Adapter, client *replica.Client) error {
+	r := d.settings.Routing
+	d.router = router.New(router.Options{Protocol: a, Zone: d.settings.Instance.AvailabilityZone,
+		Table:   func() *routing.Table { return d.watch.Table() },
+		Entries: func() int { return len(d.entries()) },
+		Retry:   router.RetryLimits{Span: r.RetryWindow.D(), Ratio: r.RetryRatio, Slack: r.RetrySlack}})
+	d.watch = control.NewWatch(client, func(*routing.Table) { d.gossip.SetIsolated(false) }, d.router.SetFleet)
+	exchange := router.NewExchange(d.router, d.transport, d.otherEntries)
+	d.services = append(d.services, d.watch, exchange)
+	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router); err != nil {
+		return err
+	}
+	if r.ReadinessAddress == "" {
+		return nil
+	}
+	return d.listen("readiness", r.ReadinessAddress, a.Readiness(d.ready))
+}
+
+// ready reports whether new calls are welcome here.
+func (d *Routed) ready() bool { return !d.leaving.Load() && d.watch.Table() != nil }
+
+// entries lists the instances that take calls.
+func (d *Routed) entries() []membership.Instance {
+	var out []membership.Instance
+	for _, i := range d.gossip.Instances() {
+		if i.CallerAddress != "" && !i.Draining && !i.Isolated && i.State == membership.Alive {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (d *Routed) otherEntries() []string {
+	var out []string
+	for _, i := range d.entries() {
+		if i.Name != d.settings.Instance.Name {
+			out = append(out, i.PeerAddress)
+		}
+	}
+	return out
+}
+
+// Entries implements Directory.
+func (d *Routed) Entries() []string {
+	out := []string{}
+	for _, i := range d.entries() {
+		out = append(out, i.CallerAddress)
+	}
+	return out
+}
+
+// TTL implements Directory.
+func (d *Routed) TTL() time.Duration { return d.settings.Callers.AddressTTL.D() }
+
+// Reload takes over what may change without a stop: seeds, frame keys, log
+// level.
+func (d *Routed) Reload(s *settings.Settings) error {
+	keys, err := frameKeys(s.Peers.Keys)
+	if err != nil {
+		return err
+	}
+	d.transport.SetKeys(keys)
+	d.directory.SetSeeds(s.Peers.SeedAddresses())
+	log.SetLevelFromString(s.Log.Level)
+	log.WithField("seeds", s.Peers.SeedAddresses()).Info("settings reloaded")
+	return nil
+}
+
+// Run serves until stop ends, then drains and shuts down.
+func (d *Routed) Run(stop context.Context) error {
+	base, endBase := context.WithCancel(context.Background())
+	defer endBase()
+	below := supervisor("transport")
+	below.Add(d.transport)
+	baseErr := below.ServeBackground(base)
+	root := supervisor("instance")
+	root.Add(d.gossip)
+	for _, s := range d.services {
+		root.Add(s)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	treeErr := root.ServeBackground(ctx)
+	log.WithFields(log.Fields{"peers": d.settings.Peers.Address, "callers": d.settings.Callers.Address,
+		"replica": d.replica != nil, "zone": d.settings.Instance.AvailabilityZone}).Info("instance started")
+	select {
+	case err := <-treeErr:
+		return eris.Wrap(err, "instance failed")
+	case <-stop.Done():
+	}
+	d.drain()
+	end()
+	<-treeErr
+	endBase()
+	<-baseErr
+	log.Info("instance stopped")
+	return nil
+}
+
+// Parts of the time that a shutdown may take.
+const (
+	// closingShare: from here on answers ask callers to close their connections.
+	// Callers have had the time to learn of it from the address list.
+	closingShare = 0.6
+	// drainShare: here what is in flight is cut off.
+	drainShare = 0.95
+	drainPoll  = 20 * time.Millisecond
+)
+
+// drain leaves the address list and serves on while callers may still hold the
+// address, then until no call is in flight or the time is over.
+func (d *Routed) drain() {
+	d.leaving.Store(true)
+	d.gossip.SetDraining()
+	if d.router == nil {
+		return
+	}
+	limit := d.settings.Callers.DrainTimeout.D()
+	began := time.Now()
+	log.WithField("in_flight", d.router.InFlight()).Info("draining")
+	time.Sleep(time.Duration(closingShare * float64(limit)))
+	d.router.SetClosing()
+	quiet := began.Add(3 * d.TTL())
+	over := began.Add(time.Duration(drainShare * float64(limit)))
+	for time.Now().Before(over) && (time.Now().Before(quiet) || d.router.InFlight() > 0) {
+		time.Sleep(drainPoll)
+	}
+	log.WithField("in_flight", d.router.InFlight()).Info("drained")
+}
--- /dev/null
+++ b/daemon/router/call.go
@@ -0,0 +1,374 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/balance"
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/upstream"
+)
+
+// Limits of one call's attempts.
+const (
+	// maxRefusals bounds the servers that are asked in vain by one call, where
+	// each has certainly not run it.
+	maxRefusals = 4
+	// refusalPause is when a caller may come back after a refusal for want of
+	// room, and its spread, so that not all come back at once.
+	refusalPause  = 400 * time.Millisecond
+	refusalSpread = 600 * time.Millisecond
+	// leastTime is the least time left that a second attempt is worth.
+	leastTime = 30 * time.Millisecond
+	// maxAnswer bounds a plain answer's body.
+	maxAnswer = 8 << 20
+)
+
+// call is one attempt of a caller, from its arrival to its final answer.
+type call struct {
+	router   *Router
+	w        http.ResponseWriter
+	req      *http.Request
+	arrived  time.Time
+	said     upstream.Call
+	body     []byte
+	route    *routing.Route
+	customer *routing.Customer
+	pool     *routing.Pool
+	until    time.Time
+
+	// runs counts the attempts that may have run, refusals those that certainly
+	// have not.
+	runs     int
+	refusals int
+	tried    []string
+	stream   *stream
+	last     *upstream.Error
+}
+
+// verdict tells how an attempt ended.
+type verdict uint8
+
+const (
+	// answered: the caller has its final answer.
+	answered verdict = iota
+	// notRun: the server certainly has not run the call.
+	notRun
+	// failed: the call may have run and there is no answer to pass on.
+	failed
+	// gone: the caller has left.
+	gone
+)
+
+func (c *call) serve() {
+	c.until = c.arrived.Add(c.route.Timeout)
+	if c.said.Patience > 0 {
+		c.until = minTime(c.until, c.arrived.Add(c.said.Patience))
+	}
+	ctx, cancel := context.WithDeadline(c.req.Context(), c.until)
+	defer cancel()
+	c.router.arrive(c)
+	for {
+		server, ok := c.router.choose(c)
+		if !ok {
+			c.giveUp("no backend server")
+			return
+		}
+		v := c.attempt(ctx, server)
+		if v == answered {
+			return
+		}
+		if c.req.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if !c.mayTryAgain(v) {
+			c.giveUp("attempts used up")
+			return
+		}
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// load is what placement needs to know of the call.
+func (c *call) load() balance.Call {
+	p := &c.said.Prompt
+	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens}
+	if n := len(p.Parts); n > 0 {
+		out.Unshared = p.Parts[n-1].Tokens
+		if n > 1 {
+			out.Home = p.Parts[n-2].ID
+		}
+	}
+	return out
+}
+
+func (r *Router) arrive(c *call) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Arrive(now, c.pool.Name, c.load())
+	r.budget(c.pool.Name).Call(now)
+}
+
+func (r *Router) choose(c *call) (fleet.Server, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	exclude := func(id string) bool {
+		for _, t := range c.tried {
+			if t == id {
+				return true
+			}
+		}
+		return false
+	}
+	s, ok := r.balancer.Choose(time.Now(), c.pool.Name, c.load(), exclude, rand.Float64())
+	if ok {
+		r.balancer.Start(s.ID)
+	}
+	return s, ok
+}
+
+// attempt sends the call to one server and passes its answer on.
+func (c *call) attempt(ctx context.Context, s fleet.Server) verdict {
+	c.tried = append(c.tried, s.ID)
+	defer c.router.end(s.ID)
+	target := upstream.Target{ID: s.ID, Address: s.Address, MaxConnections: c.router.share(c.pool.MaxConnections)}
+	resp, err := c.router.upstream.Send(ctx, target, c.request(s))
+	if err != nil {
+		return c.noteError(s, err)
+	}
+	defer resp.Close()
+	return c.pass(ctx, s, resp)
+}
+
+// share is this instance's part of the connections that one server takes.
+func (r *Router) share(all int) int {
+	if all == 0 {
+		return 0
+	}
+	return max(1, all/max(1, r.opt.Entries()))
+}
+
+func (r *Router) end(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.End(id)
+}
+
+// request builds what the server gets: the caller's bytes and headers, less
+// what concerns one connection or is the system's to set.
+func (c *call) request(s fleet.Server) *upstream.Request {
+	h := endToEnd(c.req.Header)
+	c.router.opt.Protocol.Strip(h)
+	stamp := upstream.Stamp{TimeLeft: time.Until(c.until), ServerID: s.ID, After: c.said.After}
+	if c.customer != nil {
+		stamp.Customer = c.customer.Name
+	}
+	if c.pool.Engine != nil {
+		tier := min(9, max(0, c.route.EffectiveTier(c.customer)))
+		stamp.Priority = &tier
+	}
+	if c.stream != nil && c.stream.lastID != "" {
+		stamp.After = c.stream.lastID
+	}
+	c.router.opt.Protocol.Stamp(h, stamp)
+	hasBody := len(c.body) > 0 || c.req.Method == http.MethodPost || c.req.Method == http.MethodPut
+	return &upstream.Request{CallID: c.said.ID, Method: c.req.Method, URI: requestURI(c.req), Host: c.req.Host,
+		Header: h, Body: c.body, HasBody: hasBody}
+}
+
+// requestURI returns path and query as they came.
+func requestURI(req *http.Request) string {
+	if req.URL.Host == "" {
+		return req.RequestURI
+	}
+	return req.URL.RequestURI() // the absolute form names the host as well
+}
+
+func (c *call) noteError(s fleet.Server, err error) verdict {
+	var e *upstream.Error
+	if !errors.As(err, &e) {
+		e = &upstream.Error{Sent: true, Step: "send", Server: s.ID, Err: err}
+	}
+	c.last = e
+	callerLeft := c.req.Context().Err() != nil
+	inTime := time.Now().Before(c.until)
+	if !errors.Is(e.Err, upstream.ErrConnections) && !callerLeft && inTime {
+		c.router.bad(s.ID, true)
+	}
+	if e.Sent {
+		c.runs++
+		return failed
+	}
+	c.refusals++
+	return notRun
+}
+
+func (r *Router) bad(id string, unreachable bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Bad(time.Now(), id, unreachable)
+}
+
+func (r *Router) good(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Good(time.Now(), id)
+}
+
+// pass passes a server's answer on, or says why there is none to pass on.
+func (c *call) pass(ctx context.Context, s fleet.Server, resp *upstream.Response) verdict {
+	if resp.Answer.WrongServer || resp.Answer.NotRun {
+		return c.noteRefusal(s, resp)
+	}
+	c.runs++
+	success := resp.Status >= 200 && resp.Status < 300
+	if success && (!resp.Answer.Signed || resp.Answer.CallID != c.said.ID || resp.Header.Get("Content-Encoding") != "") {
+		c.last = &upstream.Error{Sent: true, Step: "check answer", Server: s.ID, Err: errors.New("the answer is not this call's")}
+		c.router.bad(s.ID, false)
+		return failed
+	}
+	if success && c.route.Semantics == routing.Stream {
+		return c.passStream(ctx, s, resp)
+	}
+	return c.passWhole(s, resp)
+}
+
+func (c *call) noteRefusal(s fleet.Server, resp *upstream.Response) verdict {
+	c.refusals++
+	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
+	_, _ = io.Copy(io.Discard, resp.Body) // only to keep the connection; a broken one is closed
+	r := c.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if resp.Answer.WrongServer {
+		r.balancer.Bad(now, s.ID, true)
+		return notRun
+	}
+	r.balancer.Full(now, s.ID)
+	return notRun
+}
+
+var errRefused = errors.New("the server did not run the call")
+
+// passWhole passes a whole answer on, once all of it is there.
+func (c *call) passWhole(s fleet.Server, resp *upstream.Response) verdict {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		c.last = &upstream.Error{Sent: true, Step: "read answer", Server: s.ID, Err: err}
+		if time.Now().Before(c.until) && c.req.Context().Err() == nil {
+			c.router.bad(s.ID, false)
+		}
+		return failed
+	}
+	serverFailed := resp.Status >= http.StatusInternalServerError
+	if serverFailed {
+		c.router.bad(s.ID, false)
+		if c.mayTryAgain(failed) {
+			return failed
+		}
+	} else {
+		c.router.good(s.ID)
+	}
+	if c.stream != nil && c.stream.started {
+		return failed
+	}
+	copyHeader(c.w.Header(), resp.Header)
+	c.w.Header()["Content-Length"] = []string{itoa(len(body))}
+	c.w.WriteHeader(resp.Status)
+	if _, err := c.w.Write(body); err != nil {
+		c.logEnd("caller left during the answer")
+	}
+	return answered
+}
+
+// mayTryAgain reports whether another attempt is allowed and worth it.
+func (c *call) mayTryAgain(v verdict) bool {
+	if time.Until(c.until) < leastTime {
+		return false
+	}
+	switch v {
+	case notRun:
+		if c.refusals >= maxRefusals {
+			return false
+		}
+		if c.last != nil && c.last.Step == "connect" {
+			return true // nothing arrived there
+		}
+	case failed:
+		if !c.route.Repeatable() || c.runs >= c.route.MaxAttempts {
+			return false
+		}
+	default:
+		return false
+	}
+	return c.router.takeRepeat(c.pool.Name)
+}
+
+func (r *Router) takeRepeat(pool string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(pool).Take(time.Now(), r.opt.Entries())
+}
+
+// giveUp gives the final answer of a call that has none from a server.
+func (c *call) giveUp(reason string) {
+	if c.stream != nil && c.stream.started {
+		c.logEnd("stream broken: " + reason)
+		panic(http.ErrAbortHandler) // the stream must not look complete
+	}
+	switch {
+	case c.runs == 0:
+		c.refuse(http.StatusServiceUnavailable, reason, refusalPause+time.Duration(rand.Float64()*float64(refusalSpread)))
+	case !time.Now().Before(c.until):
+		c.refuse(http.StatusGatewayTimeout, "time is over", 0)
+	default:
+		c.refuse(http.StatusBadGateway, "the server's answer is lost", 0)
+	}
+}
+
+// refuse answers the call with a failure of this system's own.
+func (c *call) refuse(status int, reason string, after time.Duration) {
+	if after > 0 {
+		c.router.opt.Protocol.SetRetryAfter(c.w.Header(), after)
+	}
+	c.logFailure(status, reason)
+	c.w.Header().Set("Content-Type", "application/json")
+	c.w.WriteHeader(status)
+	_, err := io.WriteString(c.w, `{"error":"`+reason+`"}`+"\n")
+	if err != nil {
+		c.logEnd("caller left during the answer")
+	}
+}
+
+func (c *call) logFailure(status int, reason string) {
+	entry := c.logEntry().WithFields(log.Fields{"status": status, "reason": reason})
+	if c.last != nil {
+		entry = entry.WithFields(log.Fields{"last_step": c.last.Step, "last_server": c.last.Server, "last_error": c.last.Err.Error()})
+	}
+	entry.Info("call failed")
+}
+
+func (c *call) logEnd(what string) { c.logEntry().Info(what) }
+
+func (c *call) logEntry() *log.Entry {
+	f := log.Fields{"call": c.said.ID, "runs": c.runs, "refusals": c.refusals, "after_ms": time.Since(c.arrived).Milliseconds()}
+	if c.route != nil {
+		f["route"] = c.route.Name
+	}
+	return log.WithFields(f)
+}
--- /dev/null
+++ b/daemon/router/router.go
@@ -0,0 +1,175 @@
+// Package router serves callers on declared routes: it finds the route and the
+// customer, places the call on a backend server, sends it and passes the answer
+// on. Decisions are made in core packages; this one does the input and output.
+//
+// Each call gets one final answer. Statuses that promise that a call has not
+// run are used only when that is certain.
+package router
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/balance"
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/retry"
+	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/upstream"
+)
+
+// defaultMaxBody bounds a call's body where the declaration does not.
+const defaultMaxBody = 4 << 20
+
+// Options sets up a Router.
+type Options struct {
+	Protocol upstream.Protocol
+	// Table returns the declaration in force, nil before the first.
+	Table func() *routing.Table
+	// Entries returns how many instances serve callers, this one included.
+	Entries func() int
+	Zone    string
+	Retry   RetryLimits
+}
+
+// RetryLimits are the limits of repeated attempts per pool; see retry.Window.
+type RetryLimits struct {
+	Span         time.Duration
+	Ratio, Slack float64
+}
+
+// Router is an http.Handler. Safe for concurrent use.
+type Router struct {
+	opt      Options
+	upstream *upstream.Client
+	inFlight inFlight
+
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	budgets  map[string]*retry.Window
+	// closing: answers ask callers to close their connections.
+	closing bool
+}
+
+// New returns a router that knows no servers yet.
+func New(o Options) *Router {
+	return &Router{opt: o, upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Zone), budgets: map[string]*retry.Window{}}
+}
+
+// SetFleet takes the backend servers that are there.
+func (r *Router) SetFleet(list []fleet.Server) {
+	r.mu.Lock()
+	r.balancer.SetFleet(list)
+	r.mu.Unlock()
+	known := make(map[string]bool, len(list))
+	for _, s := range list {
+		known[s.ID] = s.Phase == fleet.Ready
+	}
+	r.upstream.Forget(func(id string) bool { return !known[id] })
+	r.upstream.Sweep()
+}
+
+// SetClosing makes every answer ask its caller to close the connection.
+func (r *Router) SetClosing() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closing = true
+}
+
+// InFlight returns the calls that have no final answer yet.
+func (r *Router) InFlight() int { return r.inFlight.count() }
+
+// ServeHTTP serves one call of a caller.
+func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.inFlight.add(1)
+	defer r.inFlight.add(-1)
+	c := &call{router: r, w: w, req: req, arrived: time.Now()}
+	if r.isClosing() {
+		w.Header().Set("Connection", "close")
+	}
+	if c.accept() {
+		c.serve()
+	}
+}
+
+func (r *Router) isClosing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.closing
+}
+
+// accept reads the call and finds its route, customer and pool. It answers the
+// call itself, and returns false, if it can't be passed on.
+func (c *call) accept() bool {
+	table := c.router.opt.Table()
+	if table == nil {
+		c.refuse(http.StatusServiceUnavailable, "no declaration yet", noDeclarationPause)
+		return false
+	}
+	c.said = c.router.opt.Protocol.Call(c.req.Header)
+	if !c.readBody(table.Limits().MaxBodyBytes) {
+		return false
+	}
+	// The declaration is looked up after the body has come, which can take long.
+	table = c.router.opt.Table()
+	c.route = table.Route(hostOf(c.req), c.req.URL.EscapedPath())
+	if c.route == nil {
+		c.refuse(http.StatusNotFound, "no such route", 0)
+		return false
+	}
+	if table.HasCustomers() && !c.route.Public {
+		c.customer = table.Customer(c.said.Key)
+		if c.customer == nil {
+			c.refuse(http.StatusUnauthorized, "unknown key", 0)
+			return false
+		}
+	}
+	c.pool = table.Pool(c.route.Pick(rand.Float64()))
+	return true
+}
+
+// noDeclarationPause is when a caller of an instance that has just started may
+// come back.
+const noDeclarationPause = 300 * time.Millisecond
+
+func hostOf(req *http.Request) string {
+	host, _, found := strings.Cut(req.Host, ":")
+	if found {
+		return host
+	}
+	return req.Host
+}
+
+func (c *call) readBody(limit int64) bool {
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.req.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		c.refuse(http.StatusRequestEntityTooLarge, "body is too large", 0)
+		return false
+	case err != nil:
+		log.WithError(err).WithFields(log.Fields{"step": "read call", "call": c.said.ID}).Debug("caller broke off")
+		panic(http.ErrAbortHandler)
+	}
+	c.body = body
+	return true
+}
+
+// budget returns the pool's retry budget. Call with the lock held.
+func (r *Router) budget(pool string) *retry.Window {
+	w := r.budgets[pool]
+	if w == nil {
+		w = &retry.Window{Span: r.opt.Retry.Span, Ratio: r.opt.Retry.Ratio, Slack: r.opt.Retry.Slack}
+		r.budgets[pool] = w
+	}
+	return w
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -29,6 +29,7 @@
 	Trust    Trust    `toml:"trust"`
 	Log      Log      `toml:"log"`
 	Metrics  Metrics  `toml:"metrics"`
+	Routing  Routing  `toml:"routing"`
 	Faults   Faults   `toml:"faults"`
 	// Experiment switches a baseline policy on; see the type.
 	Experiment Experiment `toml:"experiment"`
@@ -63,6 +64,9 @@
 	Address string `toml:"address"`
 	// Seeds are peer addresses through which the others are found. Required.
 	Seeds []string `toml:"seeds"`
+	// SeedPort replaces the port of all seeds, where these are known by another
+	// of their addresses. Default 0: the seeds are taken as they stand.
+	SeedPort uint16 `toml:"seed_port"`
 	// Keys authenticate frames. The first is used for connecting, all are
 	// accepted, so that keys rotate without a stop. Required.
 	Keys []FrameKey `toml:"keys"`
@@ -77,8 +81,12 @@
 
 // Replicas names the peer addresses of the instances with a data folder.
 type Replicas struct {
-	// Addresses holds an odd number of peer addresses. Required.
+	// Addresses holds an odd number of peer addresses. Required, except with
+	// routing, where the replicas are found through the seeds.
 	Addresses []string `toml:"addresses"`
+	// Bootstrap lets the seeds form the first group, on empty disks. With
+	// routing only. Default false.
+	Bootstrap bool `toml:"bootstrap"`
 }
 
 // Trust names the operators trusted until the first bundle names its own.
@@ -192,6 +200,7 @@
 	if s.Callers.DrainTimeout == 0 {
 		s.Callers.DrainTimeout = bundle.Duration(DefaultDrainTimeout)
 	}
+	s.Routing.fillDefaults()
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
@@ -213,6 +222,9 @@
 }
 
 func (s *Settings) check() []Problem {
+	if s.Routing.Enabled {
+		return s.checkRouted()
+	}
 	c := &checker{}
 	c.require(nameRE.MatchString(s.Instance.Name), "instance.name", "is required: lower-case letters, digits, '-', '_', '.'")
 	c.require(nameRE.MatchString(s.Instance.AvailabilityZone), "instance.availability_zone", "is required: the zone this instance stands in")
@@ -228,15 +240,32 @@
 		_, err := bundle.ParsePublicKey(key)
 		c.require(err == nil, "trust.operators."+name, "must be an ed25519 public key in base64")
 	}
+	s.checkLog(c)
+	return c.list
+}
+
+func (s *Settings) checkLog(c *checker) {
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
 		c.require(false, "log.level", "must be debug, info, warn or error")
 	}
-	return c.list
 }
 
 func (s *Settings) checkPeers(c *checker) {
+	s.checkFrames(c)
+	n := len(s.Replicas.Addresses)
+	c.require(n%2 == 1, "replicas.addresses", fmt.Sprintf("has %d addresses; an odd number is required", n))
+	listed := false
+	for _, a := range s.Replicas.Addresses {
+		c.address("replicas.addresses", a)
+		listed = listed || a == s.Peers.Address
+	}
+	c.require(s.Instance.DataFolder == "" || listed, "replicas.addresses", "does not list this instance's peers.address although instance.data_folder is set")
+	c.require(s.Instance.DataFolder != "" || !listed, "instance.data_folder", "is required: this instance's peers.address is listed in replicas.addresses")
+}
+
+func (s *Settings) checkFrames(c *checker) {
 	c.address("peers.address", s.Peers.Address)
 	c.require(len(s.Peers.Seeds) > 0, "peers.seeds", "needs at least one peer address")
 	for _, a := range s.Peers.Seeds {
@@ -248,13 +277,4 @@
 		c.require(k.ID != "", "peers.keys.id", "is required")
 		c.require(err == nil && len(raw) >= minSecretBytes, "peers.keys.secret", fmt.Sprintf("key %q: at least %d bytes in base64", k.ID, minSecretBytes))
 	}
-	n := len(s.Replicas.Addresses)
-	c.require(n%2 == 1, "replicas.addresses", fmt.Sprintf("has %d addresses; an odd number is required", n))
-	listed := false
-	for _, a := range s.Replicas.Addresses {
-		c.address("replicas.addresses", a)
-		listed = listed || a == s.Peers.Address
-	}
-	c.require(s.Instance.DataFolder == "" || listed, "replicas.addresses", "does not list this instance's peers.address although instance.data_folder is set")
-	c.require(s.Instance.DataFolder != "" || !listed, "instance.data_folder", "is required: this instance's peers.address is listed in replicas.addresses")
 }
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -215,7 +215,7 @@
 		return nil, 0, ErrCorrupt
 	}
 	n = headerBytes + int(size)
-	if len(data) < n {
+	if size == 0 || len(data) < n {
 		return nil, 0, errTorn
 	}
 	body = data[headerBytes:n]
@@ -290,8 +290,7 @@
 			off += n
 			continue
 		}
-		atEnd := errors.Is(err, errTorn) || off+n == len(data)
-		if !last || !atEnd {
+		if !last || wholeRecordFollows(data[off:], n) {
 			return eris.Wrapf(ErrCorrupt, "%s at byte %d", filepath.Base(name), off)
 		}
 		l.TornBytes = int64(len(data) - off)
@@ -300,6 +299,17 @@
 	return nil
 }
 
+// wholeRecordFollows reports whether a good record stands behind a bad one of n
+// bytes. Each record is synced before the next is written, so that a write torn
+// by a power loss, whatever it left behind, is never followed by another one.
+func wholeRecordFollows(rest []byte, n int) bool {
+	if n <= headerBytes || n >= len(rest) {
+		return false
+	}
+	body, _, err := parseRecord(rest[n:])
+	return err == nil && len(body) > 0
+}
+
 func (s *Store) cut(name string, size int64) error {
 	f, err := os.OpenFile(name, os.O_WRONLY, 0)
 	if err != nil {
@@ -407,6 +417,26 @@
 	return eris.Wrap(s.syncDir(), "remove old segments")
 }
 
+// Rewrite puts everything that was loaded into a new segment and syncs it. After
+// a failed write or sync, what the folder seems to hold may not be on the disk
+// yet; after Rewrite it is.
+func (s *Store) Rewrite(l *Loaded) error {
+	old, err := s.segments()
+	if err != nil {
+		return eris.Wrap(err, "list log segments")
+	}
+	if err := s.startSegment(); err != nil {
+		return err
+	}
+	if err := s.Append(&l.State, l.Entries); err != nil {
+		return err
+	}
+	for _, name := range old {
+		os.Remove(name)
+	}
+	return eris.Wrap(s.syncDir(), "remove old segments")
+}
+
 // Size returns the bytes in the current segment.
 func (s *Store) Size() int64 { return s.size }
 
