--- a/core/routing/declaration.go
+++ b/core/routing/declaration.go
@@ -110,8 +110,8 @@
 type Customer struct {
 	Name string   `msgpack:"n"`
 	Keys []string `msgpack:"k"`
-	// Tier overrides a route's when not nil.
-	Tier *int `msgpack:"i,omitempty"`
+	// Rank orders customers; 0 is the highest and goes before a route's tier.
+	Rank int `msgpack:"i,omitempty"`
 }
 
 // Limits bound what a caller may send. Zero means the product's default.
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -81,10 +81,20 @@
 	return r.Targets[len(r.Targets)-1].Pool
 }
 
-// EffectiveTier returns the rank of a customer's call; customer may be nil.
-func (r *Route) EffectiveTier(c *Customer) int {
-	if c != nil && c.Tier != nil {
-		return *c.Tier
+// Urgency ranks a call for waiting and preemption: 0 is the most urgent. The
+// customer's rank goes first, the route's tier orders the calls of equal
+// customers. customer may be nil.
+func (r *Route) Urgency(c *Customer) int {
+	rank := 0
+	if c != nil {
+		rank = max(0, c.Rank)
 	}
-	return r.Tier
+	return min(leastUrgent, rank*tiersPerRank+min(max(0, r.Tier), tiersPerRank-1))
 }
+
+const (
+	// tiersPerRank is how many tiers are told apart among customers of one rank.
+	tiersPerRank = 4
+	// leastUrgent is the last of the ten levels that engines tell apart.
+	leastUrgent = 9
+)
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -178,8 +178,8 @@
 		stamp.Customer = c.customer.Name
 	}
 	if c.pool.Engine != nil {
-		tier := min(9, max(0, c.route.EffectiveTier(c.customer)))
-		stamp.Priority = &tier
+		urgency := c.route.Urgency(c.customer)
+		stamp.Priority = &urgency
 	}
 	if c.stream != nil && c.stream.lastID != "" {
 		stamp.After = c.stream.lastID
