--- a/core/routing/declaration.go
+++ b/core/routing/declaration.go
@@ -110,7 +110,7 @@
 type Customer struct {
 	Name string   `msgpack:"n"`
 	Keys []string `msgpack:"k"`
-	// Rank orders customers; 0 is the highest and goes before a route's tier.
+	// Rank orders customers within a route's tier; 0 is the highest.
 	Rank int `msgpack:"i,omitempty"`
 }
 
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -82,19 +82,19 @@
 }
 
 // Urgency ranks a call for waiting and preemption: 0 is the most urgent. The
-// customer's rank goes first, the route's tier orders the calls of equal
-// customers. customer may be nil.
+// route's tier goes first, so that a higher tier is never preempted for a lower
+// one; the customer's rank orders the calls of equal tiers. customer may be nil.
 func (r *Route) Urgency(c *Customer) int {
 	rank := 0
 	if c != nil {
-		rank = max(0, c.Rank)
+		rank = min(max(0, c.Rank), ranksPerTier-1)
 	}
-	return min(leastUrgent, rank*tiersPerRank+min(max(0, r.Tier), tiersPerRank-1))
+	return min(leastUrgent, max(0, r.Tier)*ranksPerTier+rank)
 }
 
 const (
-	// tiersPerRank is how many tiers are told apart among customers of one rank.
-	tiersPerRank = 4
+	// ranksPerTier is how many ranks of customers are told apart in one tier.
+	ranksPerTier = 3
 	// leastUrgent is the last of the ten levels that engines tell apart.
 	leastUrgent = 9
 )
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -213,32 +213,32 @@
 	return nil
 }
 
-// Parts of the time that a shutdown may take.
 const (
-	// closingShare: from here on answers ask callers to close their connections.
-	// Callers have had the time to learn of it from the address list.
-	closingShare = 0.6
-	// drainShare: here what is in flight is cut off.
+	// staleTTLs is how many times the address list's time to live a caller may
+	// go on using an address.
+	staleTTLs = 3
+	// drainShare of the time that a shutdown may take is used; then what is in
+	// flight is cut off.
 	drainShare = 0.95
 	drainPoll  = 20 * time.Millisecond
 )
 
 // drain leaves the address list and serves on while callers may still hold the
-// address, then until no call is in flight or the time is over.
+// address. After that it takes only calls that are certainly done in time, and
+// waits until no call is in flight or the time is over.
 func (d *Routed) drain() {
 	d.leaving.Store(true)
 	d.gossip.SetDraining()
 	if d.router == nil {
 		return
 	}
-	limit := d.settings.Callers.DrainTimeout.D()
 	began := time.Now()
+	cutOff := began.Add(time.Duration(drainShare * float64(d.settings.Callers.DrainTimeout.D())))
 	log.WithField("in_flight", d.router.InFlight()).Info("draining")
-	time.Sleep(time.Duration(closingShare * float64(limit)))
-	d.router.SetClosing()
-	quiet := began.Add(3 * d.TTL())
-	over := began.Add(time.Duration(drainShare * float64(limit)))
-	for time.Now().Before(over) && (time.Now().Before(quiet) || d.router.InFlight() > 0) {
+	time.Sleep(staleTTLs * d.TTL())
+	d.router.Close(cutOff)
+	quiet := time.Now().Add(d.TTL())
+	for time.Now().Before(cutOff) && (time.Now().Before(quiet) || d.router.InFlight() > 0) {
 		time.Sleep(drainPoll)
 	}
 	log.WithField("in_flight", d.router.InFlight()).Info("drained")
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -53,8 +53,8 @@
 	mu       sync.Mutex
 	balancer *balance.Balancer
 	budgets  map[string]*retry.Window
-	// closing: answers ask callers to close their connections.
-	closing bool
+	// cutOff is when this instance ends what is in flight; zero until it leaves.
+	cutOff time.Time
 }
 
 // New returns a router that knows no servers yet.
@@ -75,11 +75,12 @@
 	r.upstream.Sweep()
 }
 
-// SetClosing makes every answer ask its caller to close the connection.
-func (r *Router) SetClosing() {
+// Close makes every answer ask its caller to close the connection, and refuses
+// calls that might not be done at the given time.
+func (r *Router) Close(cutOff time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.closing = true
+	r.cutOff = cutOff
 }
 
 // InFlight returns the calls that have no final answer yet.
@@ -90,7 +91,7 @@
 	r.inFlight.add(1)
 	defer r.inFlight.add(-1)
 	c := &call{router: r, w: w, req: req, arrived: time.Now()}
-	if r.isClosing() {
+	if !r.closing().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	if c.accept() {
@@ -98,10 +99,12 @@
 	}
 }
 
-func (r *Router) isClosing() bool {
+// closing returns when this instance ends what is in flight, zero while it
+// stays.
+func (r *Router) closing() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.closing
+	return r.cutOff
 }
 
 // accept reads the call and finds its route, customer and pool. It answers the
@@ -130,10 +133,18 @@
 			return false
 		}
 	}
+	if cutOff := c.router.closing(); !cutOff.IsZero() && time.Now().Add(c.route.Timeout).After(cutOff) {
+		c.refuse(http.StatusServiceUnavailable, "instance is shutting down", elsewherePause)
+		return false
+	}
 	c.pool = table.Pool(c.route.Pick(rand.Float64()))
 	return true
 }
 
+// elsewherePause is when a caller may come back whose call another instance can
+// take at once.
+const elsewherePause = 10 * time.Millisecond
+
 // noDeclarationPause is when a caller of an instance that has just started may
 // come back.
 const noDeclarationPause = 300 * time.Millisecond
