--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -24,99 +24,69 @@
 	"cardamomwick.example/core/fleet"
 )
 
-// Limits and weights.
+// Weights of the cost of a server, in running calls.
 const (
-	// LongPrompt is the prompt length in tokens from which a call belongs to the
-	// long side. Two chunks of 2,048 tokens take longer to read than the pause
-	// that a chat allows between two events.
-	LongPrompt = 4000
-	// rankCost is what the next engine in a shared part's ranking costs, in
-	// running calls. Reading a shared part again takes about as long as five
-	// running calls delay a new one.
+	// rankCost is what the next engine in a shared part's ranking costs. Reading a
+	// shared part again takes about as long as five running calls delay a new one.
 	rankCost = 5
-	// shortWeight gives the short side more room than its tokens ask for, since
-	// its calls have targets of some hundred milliseconds.
-	shortWeight = 1.5
-	// rateTime is the time constant of the arriving tokens: bursts last seconds.
-	rateTime = 1500 * time.Millisecond
+	// backlogTokens is how many unread prompt tokens weigh as one running call.
+	backlogTokens = 600
+	// fullCost keeps calls off a server whose memory or slots are used up, as long
+	// as another one has room.
+	fullCost = 200
+	// memoryShare of an engine's memory is given to running calls; beyond it the
+	// engine preempts, and what was read is read again.
+	memoryShare = 0.9
 	// peerTime is how long another instance's counts are believed.
 	peerTime = 700 * time.Millisecond
-	// sharedUnread is the share of a prompt's shared parts that is taken to be
-	// read again.
-	sharedUnread = 0.2
 )
 
-// Call is what placement needs to know.
-type Call struct {
-	// Tokens is the prompt's length, zero for plain calls.
-	Tokens int
-	// Unshared is how many of them no other call has.
-	Unshared int
-	// Home names the last shared part, "" for none.
-	Home string
+// Load is what runs at one server.
+type Load struct {
+	// Running counts calls.
+	Running int `msgpack:"r"`
+	// Unread counts prompt tokens of calls that have no answer yet.
+	Unread int `msgpack:"u,omitempty"`
+	// Memory counts the tokens that running calls may fill.
+	Memory int `msgpack:"m,omitempty"`
 }
 
-func (c *Call) long() bool { return c.Tokens >= LongPrompt }
-
-// unread estimates the tokens that an engine must read.
-func (c *Call) unread() float64 {
-	return float64(c.Unshared) + sharedUnread*float64(c.Tokens-c.Unshared)
-}
-
-// Count is an instance's own load at one server.
-type Count struct {
-	Server  string `msgpack:"s"`
-	Running int    `msgpack:"r"`
+func (l *Load) add(x Load) {
+	l.Running += x.Running
+	l.Unread += x.Unread
+	l.Memory += x.Memory
 }
 
-// Report is what an instance tells the others.
-type Report struct {
-	Counts []Count `msgpack:"c"`
-	// Long and Short are prompt tokens per second by pool.
-	Rates []Rate `msgpack:"t"`
-}
-
-// Rate is the arriving work of a pool at one instance, in prompt tokens per
-// second for each side.
-type Rate struct {
-	Pool  string  `msgpack:"p"`
-	Long  float64 `msgpack:"l"`
-	Short float64 `msgpack:"s"`
+func (l *Load) sub(x Load) {
+	l.Running -= x.Running
+	l.Unread -= x.Unread
+	l.Memory -= x.Memory
 }
 
 type server struct {
 	fleet.Server
-	running int
-	// reported is the server's own count of calls, at reportedAt.
-	reported   int
-	reportedAt time.Time
-	fullUntil  time.Time
-	health     health
+	own       Load
+	fullUntil time.Time
+	health    health
 }
 
 type pool struct {
 	servers []*server // in boundary order
-	long    meter
-	short   meter
-}
-
-type peer struct {
-	at     time.Time
-	counts map[string]int
-	rates  map[string]Rate
+	memory  int
+	sides   sides
 }
 
 // Balancer places calls on all pools. Not safe for concurrent use.
 type Balancer struct {
+	name    string
 	servers map[string]*server
 	pools   map[string]*pool
 	peers   map[string]*peer
-	zone    string
 }
 
-// New returns a balancer for an instance in a zone that knows no servers.
-func New(zone string) *Balancer {
-	return &Balancer{servers: map[string]*server{}, pools: map[string]*pool{}, peers: map[string]*peer{}, zone: zone}
+// New returns a balancer for the named instance that knows no servers.
+func New(name string) *Balancer {
+	return &Balancer{name: name, servers: map[string]*server{}, pools: map[string]*pool{}, peers: map[string]*peer{}}
 }
 
 // SetFleet takes the servers that are there. What is known of those that stay
@@ -142,6 +112,10 @@
 	}
 }
 
+// SetMemory tells how many tokens one engine of a pool keeps; zero for plain
+// services.
+func (b *Balancer) SetMemory(poolName string, tokens int) { b.pool(poolName).memory = tokens }
+
 func (b *Balancer) pool(name string) *pool {
 	p := b.pools[name]
 	if p == nil {
@@ -156,12 +130,7 @@
 
 // Arrive notes a call for a pool, placed or not.
 func (b *Balancer) Arrive(now time.Time, poolName string, c Call) {
-	p := b.pool(poolName)
-	if c.long() {
-		p.long.add(now, c.unread())
-		return
-	}
-	p.short.add(now, c.unread())
+	b.pool(poolName).sides.arrive(now, c)
 }
 
 // Choose returns the server for a call, other than the excluded ones; ok is
@@ -173,7 +142,7 @@
 		return fleet.Server{}, false
 	}
 	if c.Tokens > 0 {
-		candidates = b.side(now, poolName, candidates, c.long())
+		candidates = part(candidates, b.longEngines(now, poolName, len(candidates)), c.long())
 	}
 	ranks := rankByHome(c.Home, candidates)
 	best, bestCost := candidates[0], math.Inf(1)
@@ -181,36 +150,39 @@
 	for i := range candidates {
 		k := (i + offset) % len(candidates)
 		s := candidates[k]
-		if cost := b.cost(now, s, ranks[k]); cost < bestCost {
+		if cost := b.cost(now, p, s, c, ranks[k]); cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
 	return best.Server, true
 }
 
-// cost compares servers: running calls, the distance from the shared part's
-// home, and failures seen.
-func (b *Balancer) cost(now time.Time, s *server, rank int) float64 {
-	load := float64(b.running(now, s))
-	cost := load + rankCost*float64(rank) + s.health.cost(now)
-	if s.Slots > 0 && int(load) >= s.Slots {
-		cost += float64(s.Slots)
+// cost compares servers: what runs and waits there, the distance from the
+// shared part's home, and failures seen.
+func (b *Balancer) cost(now time.Time, p *pool, s *server, c Call, rank int) float64 {
+	l := b.load(now, s)
+	cost := float64(l.Running) + float64(l.Unread)/backlogTokens + rankCost*float64(rank) + s.health.cost(now)
+	if s.Slots > 0 && l.Running >= s.Slots {
+		cost += fullCost
+	}
+	if p.memory > 0 && float64(l.Memory+c.memory()) > memoryShare*float64(p.memory) {
+		cost += fullCost
 	}
 	if now.Before(s.fullUntil) {
-		cost += float64(s.Slots)
+		cost += fullCost
 	}
 	return cost
 }
 
-// running counts a server's calls over all instances.
-func (b *Balancer) running(now time.Time, s *server) int {
-	n := s.running
+// load counts a server's calls over all instances.
+func (b *Balancer) load(now time.Time, s *server) Load {
+	l := s.own
 	for _, p := range b.peers {
-		if now.Sub(p.at) < peerTime {
-			n += p.counts[s.ID]
+		if p.fresh(now) {
+			l.add(p.loads[s.ID])
 		}
 	}
-	return n
+	return l
 }
 
 // usable prefers servers in this order: announced and healthy, announced,
@@ -237,49 +209,40 @@
 	return overdue
 }
 
-// side returns the engines for long prompts or those for the rest.
-func (b *Balancer) side(now time.Time, poolName string, list []*server, long bool) []*server {
-	if len(list) < 2 {
-		return list
-	}
-	k := int(math.Round(b.longShare(now, poolName) * float64(len(list))))
-	k = max(1, min(len(list)-1, k))
-	if long {
-		return list[:k]
-	}
-	return list[k:]
+// Ticket accounts for one call at one server.
+type Ticket struct {
+	server string
+	load   Load
 }
 
-// longShare is the part of the arriving work that long prompts make up.
-func (b *Balancer) longShare(now time.Time, poolName string) float64 {
-	p := b.pool(poolName)
-	long, short := p.long.rate(now), p.short.rate(now)
-	for _, x := range b.peers {
-		if now.Sub(x.at) < peerTime {
-			long += x.rates[poolName].Long
-			short += x.rates[poolName].Short
-		}
-	}
-	if long+short == 0 {
-		return 0.5
+// Start notes that a call was sent to a server.
+func (b *Balancer) Start(id string, c Call) Ticket {
+	t := Ticket{id, Load{Running: 1, Unread: int(c.unread()), Memory: c.memory()}}
+	if s := b.servers[id]; s != nil {
+		s.own.add(t.load)
 	}
-	return long / (long + shortWeight*short)
+	return t
 }
 
-// Start notes that a call was sent to a server.
-func (b *Balancer) Start(id string) {
-	if s := b.servers[id]; s != nil {
-		s.running++
+// Began notes that the server has read the call's prompt.
+func (b *Balancer) Began(t *Ticket) {
+	if s := b.servers[t.server]; s != nil {
+		s.own.Unread -= t.load.Unread
 	}
+	t.load.Unread = 0
 }
 
 // End notes that a call is over at a server.
-func (b *Balancer) End(id string) {
-	if s := b.servers[id]; s != nil && s.running > 0 {
-		s.running--
+func (b *Balancer) End(t Ticket) {
+	if s := b.servers[t.server]; s != nil {
+		s.own.sub(t.load)
 	}
 }
 
+// fullTime is how long a server that refused is taken to be full: the time of
+// a few calls at an engine's usual speed.
+const fullTime = 150 * time.Millisecond
+
 // Full notes that a server refused a call because it has no room.
 func (b *Balancer) Full(now time.Time, id string) {
 	if s := b.servers[id]; s != nil {
@@ -287,11 +250,7 @@
 	}
 }
 
-// fullTime is how long a server that refused is taken to be full: the time of
-// a few calls at an engine's usual speed.
-const fullTime = 150 * time.Millisecond
-
-// Good and Bad note how a call ended at a server, for its health.
+// Good notes that a server answered a call as it should.
 func (b *Balancer) Good(now time.Time, id string) {
 	if s := b.servers[id]; s != nil {
 		s.health.good(now)
@@ -305,40 +264,3 @@
 		s.health.bad(now, unreachable)
 	}
 }
-
-// Report returns this instance's counts for the others.
-func (b *Balancer) Report(now time.Time) Report {
-	var r Report
-	for id, s := range b.servers {
-		if s.running > 0 {
-			r.Counts = append(r.Counts, Count{id, s.running})
-		}
-	}
-	for name, p := range b.pools {
-		if long, short := p.long.rate(now), p.short.rate(now); long+short >= 1 {
-			r.Rates = append(r.Rates, Rate{name, long, short})
-		}
-	}
-	return r
-}
-
-// TakeReport takes another instance's counts.
-func (b *Balancer) TakeReport(now time.Time, from string, r Report) {
-	p := &peer{at: now, counts: make(map[string]int, len(r.Counts)), rates: make(map[string]Rate, len(r.Rates))}
-	for _, c := range r.Counts {
-		p.counts[c.Server] = c.Running
-	}
-	for _, x := range r.Rates {
-		p.rates[x.Pool] = x
-	}
-	b.peers[from] = p
-}
-
-// Forget drops counts of instances that are silent.
-func (b *Balancer) Forget(now time.Time) {
-	for name, p := range b.peers {
-		if now.Sub(p.at) >= 2*peerTime {
-			delete(b.peers, name)
-		}
-	}
-}
--- a/core/balance/meter.go
+++ b/core/balance/meter.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// rateTime is the time constant of the arriving work: bursts last seconds.
+const rateTime = 1500 * time.Millisecond
+
 // meter is an exponentially decaying rate per second.
 type meter struct {
 	value float64
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -62,6 +62,9 @@
 // Customer returns the customer that holds a key, or nil.
 func (t *Table) Customer(key string) *Customer { return t.byKey[key] }
 
+// Pools lists the pools. Read only.
+func (t *Table) Pools() []Pool { return t.declaration.Pools }
+
 // Pool returns a pool by name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -116,11 +116,11 @@
 
 func (d *Routed) addEntry(a Adapter, client *replica.Client) error {
 	r := d.settings.Routing
-	d.router = router.New(router.Options{Protocol: a, Zone: d.settings.Instance.AvailabilityZone,
+	d.router = router.New(router.Options{Protocol: a, Name: d.settings.Instance.Name,
 		Table:   func() *routing.Table { return d.watch.Table() },
 		Entries: func() int { return len(d.entries()) },
 		Retry:   router.RetryLimits{Span: r.RetryWindow.D(), Ratio: r.RetryRatio, Slack: r.RetrySlack}})
-	d.watch = control.NewWatch(client, func(*routing.Table) { d.gossip.SetIsolated(false) }, d.router.SetFleet)
+	d.watch = control.NewWatch(client, d.takeTable, d.router.SetFleet)
 	exchange := router.NewExchange(d.router, d.transport, d.otherEntries)
 	d.services = append(d.services, d.watch, exchange)
 	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router); err != nil {
@@ -132,6 +132,12 @@
 	return d.listen("readiness", r.ReadinessAddress, a.Readiness(d.ready))
 }
 
+// takeTable makes this instance take calls by a new declaration.
+func (d *Routed) takeTable(t *routing.Table) {
+	d.router.SetTable(t)
+	d.gossip.SetIsolated(false)
+}
+
 // ready reports whether new calls are welcome here.
 func (d *Routed) ready() bool { return !d.leaving.Load() && d.watch.Table() != nil }
 
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -49,6 +49,7 @@
 	runs     int
 	refusals int
 	tried    []string
+	ticket   balance.Ticket
 	stream   *stream
 	last     *upstream.Error
 }
@@ -105,7 +106,7 @@
 // load is what placement needs to know of the call.
 func (c *call) load() balance.Call {
 	p := &c.said.Prompt
-	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens}
+	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens, MaxOutput: p.MaxOutput}
 	if n := len(p.Parts); n > 0 {
 		out.Unshared = p.Parts[n-1].Tokens
 		if n > 1 {
@@ -123,6 +124,7 @@
 	r.budget(c.pool.Name).Call(now)
 }
 
+// choose returns the server for the call's next attempt and accounts for it.
 func (r *Router) choose(c *call) (fleet.Server, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,7 +138,7 @@
 	}
 	s, ok := r.balancer.Choose(time.Now(), c.pool.Name, c.load(), exclude, rand.Float64())
 	if ok {
-		r.balancer.Start(s.ID)
+		c.ticket = r.balancer.Start(s.ID, c.load())
 	}
 	return s, ok
 }
@@ -144,7 +146,7 @@
 // attempt sends the call to one server and passes its answer on.
 func (c *call) attempt(ctx context.Context, s fleet.Server) verdict {
 	c.tried = append(c.tried, s.ID)
-	defer c.router.end(s.ID)
+	defer c.router.end(c)
 	target := upstream.Target{ID: s.ID, Address: s.Address, MaxConnections: c.router.share(c.pool.MaxConnections)}
 	resp, err := c.router.upstream.Send(ctx, target, c.request(s))
 	if err != nil {
@@ -162,10 +164,17 @@
 	return max(1, all/max(1, r.opt.Entries()))
 }
 
-func (r *Router) end(id string) {
+func (r *Router) end(c *call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.End(id)
+	r.balancer.End(c.ticket)
+}
+
+// began notes that the server has read the call's prompt.
+func (r *Router) began(c *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Began(&c.ticket)
 }
 
 // request builds what the server gets: the caller's bytes and headers, less
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -64,5 +64,5 @@
 	}
 	x.router.mu.Lock()
 	defer x.router.mu.Unlock()
-	x.router.balancer.TakeReport(time.Now(), from, report)
+	x.router.balancer.TakeReport(time.Now(), report)
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -34,8 +34,9 @@
 	Table func() *routing.Table
 	// Entries returns how many instances serve callers, this one included.
 	Entries func() int
-	Zone    string
-	Retry   RetryLimits
+	// Name is this instance's.
+	Name  string
+	Retry RetryLimits
 }
 
 // RetryLimits are the limits of repeated attempts per pool; see retry.Window.
@@ -59,7 +60,7 @@
 
 // New returns a router that knows no servers yet.
 func New(o Options) *Router {
-	return &Router{opt: o, upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Zone), budgets: map[string]*retry.Window{}}
+	return &Router{opt: o, upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Name), budgets: map[string]*retry.Window{}}
 }
 
 // SetFleet takes the backend servers that are there.
@@ -75,6 +76,17 @@
 	r.upstream.Sweep()
 }
 
+// SetTable takes a new declaration.
+func (r *Router) SetTable(t *routing.Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range t.Pools() {
+		if p.Engine != nil {
+			r.balancer.SetMemory(p.Name, p.Engine.KVTokens)
+		}
+	}
+}
+
 // Close makes every answer ask its caller to close the connection, and refuses
 // calls that might not be done at the given time.
 func (r *Router) Close(cutOff time.Time) {
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -32,8 +32,11 @@
 		c.stream = &stream{lastID: c.said.After}
 	}
 	events := bufio.NewReaderSize(resp.Body, eventBuffer)
-	for {
+	for first := true; ; first = false {
 		event, err := readEvent(events)
+		if first {
+			c.router.began(c)
+		}
 		if err == io.EOF {
 			return c.endStream(s, resp)
 		}
