Placement by expected loss; slow engines read the long prompts; sides keep their engines

Re-reads came from sides that moved with noise. Now: loss = delay against the target + parts read again + failures; pace learned per engine and shared; slow engines go to the long side first; engines change sides one by one.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -18,22 +18,15 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
 	"cardamomwick.example/core/fleet"
 )
 
-// Weights of the cost of a server, in running calls.
+// Limits of placement.
 const (
-	// rankCost is what the next engine in a shared part's ranking costs. Reading a
-	// shared part again takes about as long as five running calls delay a new one.
-	rankCost = 5
-	// backlogTokens is how many unread prompt tokens weigh as one running call.
-	backlogTokens = 600
-	// fullCost keeps calls off a server whose memory or slots are used up, as long
-	// as another one has room.
-	fullCost = 200
 	// memoryShare of an engine's memory is given to running calls; beyond it the
 	// engine preempts, and what was read is read again.
 	memoryShare = 0.9
@@ -49,18 +42,22 @@
 	Unread int `msgpack:"u,omitempty"`
 	// Memory counts the tokens that running calls may fill.
 	Memory int `msgpack:"m,omitempty"`
+	// Sensitive counts streams whose events must come in a short time.
+	Sensitive int `msgpack:"s,omitempty"`
 }
 
 func (l *Load) add(x Load) {
 	l.Running += x.Running
 	l.Unread += x.Unread
 	l.Memory += x.Memory
+	l.Sensitive += x.Sensitive
 }
 
 func (l *Load) sub(x Load) {
 	l.Running -= x.Running
 	l.Unread -= x.Unread
 	l.Memory -= x.Memory
+	l.Sensitive -= x.Sensitive
 }
 
 type server struct {
@@ -68,12 +65,17 @@
 	own       Load
 	fullUntil time.Time
 	health    health
+	pace      pace
+	// slowness is the pace against the pool's best.
+	slowness float64
+	slow     bool
 }
 
 type pool struct {
 	servers []*server // in boundary order
 	memory  int
 	sides   sides
+	speed   speed
 }
 
 // Balancer places calls on all pools. Not safe for concurrent use.
@@ -82,6 +84,9 @@
 	servers map[string]*server
 	pools   map[string]*pool
 	peers   map[string]*peer
+
+	pacedAt       time.Time
+	reportedPaces time.Time
 }
 
 // New returns a balancer for the named instance that knows no servers.
@@ -99,7 +104,7 @@
 	for _, f := range list {
 		s := b.servers[f.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{slowness: 1}
 		}
 		s.Server = f
 		next[f.ID] = s
@@ -141,39 +146,24 @@
 	if len(candidates) == 0 {
 		return fleet.Server{}, false
 	}
+	b.refreshPaces(now)
+	var long []string
 	if c.Tokens > 0 {
-		candidates = part(candidates, b.longEngines(now, poolName, len(candidates)), c.long())
+		long = b.longSide(now, poolName)
 	}
-	ranks := rankByHome(c.Home, candidates)
+	ranks := rankByHome(c.Home, candidates, func(id string) bool { return c.Tokens == 0 || slices.Contains(long, id) == c.long() })
 	best, bestCost := candidates[0], math.Inf(1)
 	offset := int(random * float64(len(candidates)))
 	for i := range candidates {
 		k := (i + offset) % len(candidates)
 		s := candidates[k]
-		if cost := b.cost(now, p, s, c, ranks[k]); cost < bestCost {
+		if cost := b.loss(now, p, s, c, ranks[k]); cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
 	return best.Server, true
 }
 
-// cost compares servers: what runs and waits there, the distance from the
-// shared part's home, and failures seen.
-func (b *Balancer) cost(now time.Time, p *pool, s *server, c Call, rank int) float64 {
-	l := b.load(now, s)
-	cost := float64(l.Running) + float64(l.Unread)/backlogTokens + rankCost*float64(rank) + s.health.cost(now)
-	if s.Slots > 0 && l.Running >= s.Slots {
-		cost += fullCost
-	}
-	if p.memory > 0 && float64(l.Memory+c.memory()) > memoryShare*float64(p.memory) {
-		cost += fullCost
-	}
-	if now.Before(s.fullUntil) {
-		cost += fullCost
-	}
-	return cost
-}
-
 // load counts a server's calls over all instances.
 func (b *Balancer) load(now time.Time, s *server) Load {
 	l := s.own
@@ -213,21 +203,30 @@
 type Ticket struct {
 	server string
 	load   Load
+	sent   time.Time
+	// ahead is what the engine had to read up to the end of this call's prompt.
+	ahead float64
 }
 
+// Ahead is how many prompt tokens the server had to read up to the end of the
+// call's own, when the call was sent.
+func (t *Ticket) Ahead() float64 { return t.ahead }
+
 // Start notes that a call was sent to a server.
-func (b *Balancer) Start(id string, c Call) Ticket {
-	t := Ticket{id, Load{Running: 1, Unread: int(c.unread()), Memory: c.memory()}}
+func (b *Balancer) Start(now time.Time, id string, c Call) Ticket {
+	t := Ticket{server: id, sent: now, load: c.load()}
 	if s := b.servers[id]; s != nil {
 		s.own.add(t.load)
+		t.ahead = float64(b.load(now, s).Unread)
 	}
 	return t
 }
 
 // Began notes that the server has read the call's prompt.
-func (b *Balancer) Began(t *Ticket) {
+func (b *Balancer) Began(now time.Time, t *Ticket) {
 	if s := b.servers[t.server]; s != nil {
 		s.own.Unread -= t.load.Unread
+		b.pool(s.Pool).speed.observe(t.ahead, now.Sub(t.sent))
 	}
 	t.load.Unread = 0
 }
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -1,5 +1,7 @@
 package balance
 
+import "time"
+
 const (
 	// LongPrompt is the prompt length in tokens from which a call belongs to the
 	// long side. Two chunks of 2,048 tokens take longer to read than the pause
@@ -18,16 +20,45 @@
 	Unshared int
 	// MaxOutput is the most that may be generated, in tokens.
 	MaxOutput int
+	// Target is the time to the answer, or its first event, that the operator
+	// wants; zero where none is declared.
+	Target time.Duration
+	// Gap is the longest pause between two events that is on time; zero where none
+	// is declared.
+	Gap time.Duration
 	// Home names the last shared part, "" for none.
 	Home string
 }
 
 func (c *Call) long() bool { return c.Tokens >= LongPrompt }
 
+func (c *Call) target() time.Duration {
+	if c.Target <= 0 {
+		return defaultTarget
+	}
+	return c.Target
+}
+
 // unread estimates the tokens that an engine must read.
 func (c *Call) unread() float64 {
 	return float64(c.Unshared) + sharedUnread*float64(c.Tokens-c.Unshared)
 }
 
+// sensitiveGap is the pause up to which a stream is late when its engine reads
+// prompts without a break: five tokens an event, each after a chunk of 2,048
+// tokens, take a quarter of a second on a slow engine.
+const sensitiveGap = 250 * time.Millisecond
+
+func (c *Call) sensitive() bool { return c.Gap > 0 && c.Gap <= sensitiveGap }
+
+// load is what the call adds to its server.
+func (c *Call) load() Load {
+	l := Load{Running: 1, Unread: int(c.unread()), Memory: c.memory()}
+	if c.sensitive() {
+		l.Sensitive = 1
+	}
+	return l
+}
+
 // memory is what the call may fill at its engine, beside shared parts.
 func (c *Call) memory() int { return c.Unshared + c.MaxOutput }
--- a/core/balance/health.go
+++ b/core/balance/health.go
@@ -11,8 +11,8 @@
 	// it doubles with each further failure in a row.
 	avoidBase = 500 * time.Millisecond
 	avoidMax  = 4 * time.Second
-	// failureCost is what a server that fails every call costs, in running calls.
-	failureCost = 40
+	// failureLoss is the loss of a server that fails every call.
+	failureLoss = 2
 	// failureWeight is the weight of the newest call in the failure share.
 	failureWeight = 0.1
 	// failureTime lets a failure share fade, so that a mended server is found.
@@ -54,7 +54,7 @@
 
 func (h *health) avoided(now time.Time) bool { return now.Before(h.avoidUntil) }
 
-func (h *health) cost(now time.Time) float64 {
+func (h *health) loss(now time.Time) float64 {
 	h.fade(now)
-	return failureCost * h.failures
+	return failureLoss * h.failures
 }
--- /dev/null
+++ b/core/balance/loss.go
@@ -0,0 +1,96 @@
+package balance
+
+import "time"
+
+// Weights of the expected loss of placing a call on a server. One is a call
+// that misses its target.
+const (
+	// safeDelay is the share of a call's target that the expected delay may take
+	// before it weighs.
+	safeDelay = 0.35
+	// delaySlope is the loss per target of delay beyond the safe part, idleSlope
+	// the loss below it, which only breaks ties.
+	delaySlope = 1.2
+	idleSlope  = 0.1
+	// rereadTokens is how many tokens of shared parts read again weigh as one
+	// missed call: reading them takes the engine's time from others.
+	rereadTokens = 8000
+	// rankStep keeps to a shared part's ranking beyond its home, so that a part
+	// has few copies.
+	rankStep = 0.02
+	// runningWeight is the loss of a full batch against an empty one.
+	runningWeight = 0.2
+	// fullLoss keeps calls off a server whose slots or memory are used up, as long
+	// as another one has room.
+	fullLoss = 5
+	// slowLoss is the loss of a sensitive stream on an engine that takes twice as
+	// long as the best one.
+	slowLoss = 2
+	// sensitiveLoss is the loss that a long prompt brings to each sensitive stream
+	// at its engine.
+	sensitiveLoss = 0.3
+	// offSideHard and offSideSoft are the losses of crossing the boundary, for
+	// calls that harm or are harmed there and for the rest.
+	offSideHard = 0.8
+	offSideSoft = 0.5
+	// defaultTarget is taken where the operator declares none.
+	defaultTarget = time.Second
+)
+
+// loss estimates what is lost by placing a call on a server that has the given
+// place in the ranking of the call's shared part.
+func (b *Balancer) loss(now time.Time, p *pool, s *server, c Call, rank int) float64 {
+	l := b.load(now, s)
+	loss := s.health.loss(now)
+	shared := float64(c.Tokens - c.Unshared)
+	unread := float64(l.Unread) + float64(c.Unshared)
+	if rank != 0 {
+		unread += shared
+		loss += shared/rereadTokens + rankStep*float64(max(rank, 1))
+	}
+	if rank == offSide {
+		loss += c.offSideLoss(l)
+	}
+	delay := time.Duration(s.slowness * float64(p.speed.time(unread)))
+	loss += delayLoss(delay, c.target())
+	if c.sensitive() {
+		loss += slowLoss * (s.slowness - 1)
+	}
+	return loss + roomLoss(now, p, s, c, l)
+}
+
+// offSideLoss is the loss of crossing the boundary: a long prompt delays the
+// events of the sensitive streams there, and long prompts delay a sensitive
+// stream. Other short calls only lose time.
+func (c *Call) offSideLoss(l Load) float64 {
+	switch {
+	case c.long():
+		return offSideHard + sensitiveLoss*float64(l.Sensitive)
+	case c.sensitive():
+		return offSideHard
+	}
+	return offSideSoft
+}
+
+// roomLoss keeps calls off servers without room.
+func roomLoss(now time.Time, p *pool, s *server, c Call, l Load) float64 {
+	loss := 0.0
+	if s.Slots > 0 {
+		loss += runningWeight * float64(l.Running) / float64(s.Slots)
+		if l.Running >= s.Slots {
+			loss += fullLoss
+		}
+	}
+	if p.memory > 0 && float64(l.Memory+c.memory()) > memoryShare*float64(p.memory) {
+		loss += fullLoss
+	}
+	if now.Before(s.fullUntil) {
+		loss += fullLoss
+	}
+	return loss
+}
+
+func delayLoss(delay, target time.Duration) float64 {
+	x := delay.Seconds() / target.Seconds()
+	return idleSlope*x + delaySlope*max(0, x-safeDelay)
+}
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -106,7 +106,7 @@
 // load is what placement needs to know of the call.
 func (c *call) load() balance.Call {
 	p := &c.said.Prompt
-	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens, MaxOutput: p.MaxOutput}
+	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens, MaxOutput: p.MaxOutput, Target: c.route.TargetLatency, Gap: c.route.TargetGap}
 	if n := len(p.Parts); n > 0 {
 		out.Unshared = p.Parts[n-1].Tokens
 		if n > 1 {
@@ -136,9 +136,10 @@
 		}
 		return false
 	}
-	s, ok := r.balancer.Choose(time.Now(), c.pool.Name, c.load(), exclude, rand.Float64())
+	now := time.Now()
+	s, ok := r.balancer.Choose(now, c.pool.Name, c.load(), exclude, rand.Float64())
 	if ok {
-		c.ticket = r.balancer.Start(s.ID, c.load())
+		c.ticket = r.balancer.Start(now, s.ID, c.load())
 	}
 	return s, ok
 }
@@ -174,7 +175,7 @@
 func (r *Router) began(c *call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.Began(&c.ticket)
+	r.balancer.Began(time.Now(), &c.ticket)
 }
 
 // request builds what the server gets: the caller's bytes and headers, less
@@ -302,6 +303,7 @@
 	if _, err := c.w.Write(body); err != nil {
 		c.logEnd("caller left during the answer")
 	}
+	c.logAnswer(s, resp.Status)
 	return answered
 }
 
@@ -372,6 +374,23 @@
 	entry.Info("call failed")
 }
 
+// logAnswer says how a call was answered by a server.
+func (c *call) logAnswer(s fleet.Server, status int) {
+	f := log.Fields{"status": status, "server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens}
+	if c.stream != nil && c.stream.events > 0 {
+		f["first_ms"] = c.stream.first.Sub(c.arrived).Milliseconds()
+		f["gap_ms"] = c.stream.longestGap.Milliseconds()
+		f["events"] = c.stream.events
+	}
+	c.logEntry().WithFields(f).Info("call answered")
+}
+
+func (r *Router) streamed(id string, s *stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Streamed(id, s.gaps)
+}
+
 func (c *call) logEnd(what string) { c.logEntry().Info(what) }
 
 func (c *call) logEntry() *log.Entry {
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/daemon/upstream"
@@ -22,6 +23,24 @@
 	started bool
 	lastID  string
 	events  int
+	// first is when the first event was passed on, last the latest; longestGap is
+	// the longest time between two.
+	first, last time.Time
+	longestGap  time.Duration
+	gaps        []time.Duration
+}
+
+// note takes the time of an event.
+func (s *stream) note(now time.Time) {
+	if s.events == 0 {
+		s.first = now
+	} else {
+		gap := now.Sub(s.last)
+		s.longestGap = max(s.longestGap, gap)
+		s.gaps = append(s.gaps, gap)
+	}
+	s.last = now
+	s.events++
 }
 
 // passStream passes whole events on as they come. When the server breaks off,
@@ -63,6 +82,8 @@
 		c.startStream(resp)
 	}
 	c.router.good(s.ID)
+	c.router.streamed(s.ID, c.stream)
+	c.logAnswer(s, resp.Status)
 	return answered
 }
 
@@ -88,7 +109,7 @@
 	if !c.stream.started {
 		c.startStream(resp)
 	}
-	c.stream.events++
+	c.stream.note(time.Now())
 	if _, err := c.w.Write(event); err != nil {
 		return errCallerLeft
 	}
