--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -87,6 +87,7 @@
 			return
 		}
 		if c.req.Context().Err() != nil {
+			c.logCallerLeft(server)
 			panic(http.ErrAbortHandler)
 		}
 		if !c.mayTryAgain(v) {
@@ -385,6 +386,14 @@
 	c.logEntry().WithFields(f).Info("call answered")
 }
 
+func (c *call) logCallerLeft(s fleet.Server) {
+	f := log.Fields{"server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens}
+	if c.stream != nil {
+		f["events"] = c.stream.events
+	}
+	c.logEntry().WithFields(f).Info("caller left")
+}
+
 func (r *Router) streamed(id string, s *stream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
