--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -76,6 +76,8 @@
 	memory  int
 	sides   sides
 	speed   speed
+	// usual is the usual time between two events.
+	usual time.Duration
 }
 
 // Balancer places calls on all pools. Not safe for concurrent use.
@@ -139,8 +141,8 @@
 }
 
 // Choose returns the server for a call, other than the excluded ones; ok is
-// false when none can take it. random is uniform in [0, 1).
-func (b *Balancer) Choose(now time.Time, poolName string, c Call, exclude func(id string) bool, random float64) (fleet.Server, bool) {
+// false when none can take it. random draws uniformly from [0, 1).
+func (b *Balancer) Choose(now time.Time, poolName string, c Call, exclude func(id string) bool, random func() float64) (fleet.Server, bool) {
 	p := b.pool(poolName)
 	candidates := usable(now, p.servers, exclude)
 	if len(candidates) == 0 {
@@ -152,13 +154,15 @@
 		long = b.longSide(now, poolName)
 	}
 	ranks := rankByHome(c.Home, candidates, func(id string) bool { return c.Tokens == 0 || slices.Contains(long, id) == c.long() })
-	best, bestCost := candidates[0], math.Inf(1)
-	offset := int(random * float64(len(candidates)))
-	for i := range candidates {
-		k := (i + offset) % len(candidates)
-		s := candidates[k]
-		if cost := b.loss(now, p, s, c, ranks[k]); cost < bestCost {
-			best, bestCost = s, cost
+	var best *server
+	least := math.Inf(1)
+	for i, s := range candidates {
+		loss := b.loss(now, p, s, c, ranks[i])
+		if ranks[i] != 0 || c.Home == "" {
+			loss += spreadLoss * random()
+		}
+		if loss < least {
+			best, least = s, loss
 		}
 	}
 	return best.Server, true
@@ -175,6 +179,11 @@
 	return l
 }
 
+// down reports whether a server is taken to be gone, for the time being.
+func (s *server) down(now time.Time) bool {
+	return s.Phase != fleet.Ready || s.Overdue || s.health.avoided(now)
+}
+
 // usable prefers servers in this order: announced and healthy, announced,
 // overdue. Draining ones take nothing.
 func usable(now time.Time, list []*server, exclude func(id string) bool) []*server {
@@ -226,7 +235,9 @@
 func (b *Balancer) Began(now time.Time, t *Ticket) {
 	if s := b.servers[t.server]; s != nil {
 		s.own.Unread -= t.load.Unread
-		b.pool(s.Pool).speed.observe(t.ahead, now.Sub(t.sent))
+		if t.ahead <= float64(t.load.Unread) {
+			b.pool(s.Pool).speed.observe(t.ahead, now.Sub(t.sent))
+		}
 	}
 	t.load.Unread = 0
 }
--- /dev/null
+++ b/core/balance/belief.go
@@ -0,0 +1,25 @@
+package balance
+
+import "time"
+
+// Belief is what placement holds of one server, for logs and metrics.
+type Belief struct {
+	ID string `json:"id"`
+	// Long: the server takes long prompts.
+	Long bool `json:"long"`
+	// Slowness is its time per event against the best of its pool.
+	Slowness float64 `json:"slowness"`
+	// Failures is the share of calls that failed lately.
+	Failures float64 `json:"failures"`
+	Load     Load    `json:"load"`
+}
+
+// Beliefs lists what is held of a pool's servers.
+func (b *Balancer) Beliefs(now time.Time, poolName string) []Belief {
+	p := b.pool(poolName)
+	out := make([]Belief, 0, len(p.servers))
+	for _, s := range p.servers {
+		out = append(out, Belief{ID: s.ID, Long: p.sides.has(s.ID), Slowness: s.slowness, Failures: s.health.failures, Load: b.load(now, s)})
+	}
+	return out
+}
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -18,8 +18,14 @@
 	// rankStep keeps to a shared part's ranking beyond its home, so that a part
 	// has few copies.
 	rankStep = 0.02
-	// runningWeight is the loss of a full batch against an empty one.
-	runningWeight = 0.2
+	// runningWeight is the loss of a full batch against an empty one. It grows with
+	// the square of what runs: the last slots go while a burst is still growing.
+	runningWeight = 0.8
+	// spreadLoss is the most that chance adds to a server that is not the home of
+	// the call's shared part. All instances see the same counts, some hundred
+	// milliseconds old: when an engine dies, its calls would all go to the same
+	// other one.
+	spreadLoss = 0.3
 	// fullLoss keeps calls off a server whose slots or memory are used up, as long
 	// as another one has room.
 	fullLoss = 5
@@ -28,11 +34,20 @@
 	slowLoss = 2
 	// sensitiveLoss is the loss that a long prompt brings to each sensitive stream
 	// at its engine.
-	sensitiveLoss = 0.3
+	sensitiveLoss = 0.05
+	// mostSensitive bounds it: a side that has lost its engines must use the other.
+	mostSensitive = 1.0
 	// offSideHard and offSideSoft are the losses of crossing the boundary, for
 	// calls that harm or are harmed there and for the rest.
 	offSideHard = 0.8
 	offSideSoft = 0.5
+	// crowdTime is the time of other calls' streams that weighs as one missed call:
+	// while an engine reads a prompt, each stream that it runs hardly moves.
+	crowdTime = 10 * time.Second
+	// gapsOfDelay is how many of a stream's longest pauses its delay is measured
+	// against at most: an engine with seconds of prompts ahead also slows all
+	// that it runs, until streams end at their time limit.
+	gapsOfDelay = 100
 	// defaultTarget is taken where the operator declares none.
 	defaultTarget = time.Second
 )
@@ -52,7 +67,9 @@
 		loss += c.offSideLoss(l)
 	}
 	delay := time.Duration(s.slowness * float64(p.speed.time(unread)))
-	loss += delayLoss(delay, c.target())
+	loss += delayLoss(delay, c.patience())
+	own := unread - float64(l.Unread)
+	loss += float64(l.Running) * s.slowness * p.speed.time(own).Seconds() / crowdTime.Seconds()
 	if c.sensitive() {
 		loss += slowLoss * (s.slowness - 1)
 	}
@@ -65,7 +82,7 @@
 func (c *Call) offSideLoss(l Load) float64 {
 	switch {
 	case c.long():
-		return offSideHard + sensitiveLoss*float64(l.Sensitive)
+		return offSideHard + min(mostSensitive, sensitiveLoss*float64(l.Sensitive))
 	case c.sensitive():
 		return offSideHard
 	}
@@ -76,7 +93,8 @@
 func roomLoss(now time.Time, p *pool, s *server, c Call, l Load) float64 {
 	loss := 0.0
 	if s.Slots > 0 {
-		loss += runningWeight * float64(l.Running) / float64(s.Slots)
+		used := float64(l.Running) / float64(s.Slots)
+		loss += runningWeight * used * used
 		if l.Running >= s.Slots {
 			loss += fullLoss
 		}
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -8,7 +8,7 @@
 	Name  string          `msgpack:"n"`
 	Loads map[string]Load `msgpack:"l,omitempty"`
 	Sides map[string]Side `msgpack:"s,omitempty"`
-	// Paces are the least times between two events by engine, in microseconds;
+	// Paces are the times between two events by engine, in microseconds;
 	// left out in most reports.
 	Paces map[string]uint32 `msgpack:"p,omitempty"`
 }
@@ -58,8 +58,8 @@
 		b.reportedPaces = now
 		r.Paces = map[string]uint32{}
 		for id, s := range b.servers {
-			if s.pace.least > 0 {
-				r.Paces[id] = uint32(s.pace.least.Microseconds())
+			if s.pace.perEvent > 0 {
+				r.Paces[id] = uint32(s.pace.perEvent.Microseconds())
 			}
 		}
 	}
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -5,27 +5,27 @@
 	"slices"
 	"sort"
 	"time"
-
-	"cardamomwick.example/core/fleet"
 )
 
 // Limits of the boundary.
 const (
-	// shortWeight gives the short side more room than its tokens ask for, since
-	// its calls have targets of some hundred milliseconds.
-	shortWeight = 1.5
+	// shortDuty and longDuty are the parts of an engine's time that may go into
+	// reading prompts on each side. Short calls have targets of some hundred
+	// milliseconds, so that little may queue; on the long side streams still have
+	// to end within their time while prompts are read between their tokens.
+	shortDuty = 0.45
+	longDuty  = 0.7
+	// shortSlots is the part of the slots that short calls may fill.
+	shortSlots = 0.6
+	// leastLong is the part of the engines that long prompts keep when there are
+	// too few for all.
+	leastLong = 0.2
 	// shareStep is how far the wanted share must be from the one in force before
 	// the boundary moves. Each move takes engines away from the shared parts that
 	// they hold, so that noise in the arrivals must not move it.
 	shareStep = 0.1
 	// startShare holds before anything has arrived.
 	startShare = 0.5
-	// slowFrom is the pace, against the pool's best, from which an engine is slow,
-	// fastUpTo the one up to which it is so no more. Slow engines take long prompts
-	// first: where they read prompts without a pause, their events come too late
-	// for a chat.
-	slowFrom = 1.18
-	fastUpTo = 1.1
 )
 
 // sides parts a pool's engines into those for long prompts and the others.
@@ -38,6 +38,8 @@
 	swappedAt time.Time
 }
 
+func (s *sides) has(id string) bool { return slices.Contains(s.engines, id) }
+
 func (s *sides) arrive(now time.Time, c Call) {
 	if c.Tokens == 0 {
 		return
@@ -71,17 +73,17 @@
 // on their sides otherwise, since each move costs the shared parts they hold.
 func (b *Balancer) decide(now time.Time, p *pool, poolName string) {
 	s := &p.sides
-	b.decideShare(now, s, poolName)
 	var long, others []*server
 	for _, e := range p.servers {
 		switch {
-		case e.Phase != fleet.Ready:
+		case e.down(now):
 		case slices.Contains(s.engines, e.ID):
 			long = append(long, e)
 		default:
 			others = append(others, e)
 		}
 	}
+	b.decideShare(now, p, poolName, len(long)+len(others))
 	want := longCount(s.share, len(long)+len(others))
 	bySlowness(long)
 	bySlowness(others)
@@ -126,21 +128,50 @@
 	return max(1, min(n-1, int(math.Round(share*float64(n)))))
 }
 
-func (b *Balancer) decideShare(now time.Time, s *sides, poolName string) {
+// decideShare gives each side the engines that its arriving work needs. When
+// there are too few for all, the short side comes first: its calls are worth
+// most for an engine's time.
+func (b *Balancer) decideShare(now time.Time, p *pool, poolName string, engines int) {
+	s := &p.sides
 	if s.share == 0 {
 		s.share = startShare
 	}
-	long, short := s.long.rate(now), s.short.rate(now)
-	for _, p := range b.peers {
-		if p.fresh(now) {
-			long += p.sides[poolName].Long
-			short += p.sides[poolName].Short
-		}
-	}
-	if long+short < 1 {
+	short, long := b.needs(now, p, poolName)
+	if short+long < leastNeed || engines == 0 {
 		return
 	}
-	if want := long / (long + shortWeight*short); math.Abs(want-s.share) >= shareStep {
+	want := long / (short + long)
+	if all := float64(engines); short+long > all {
+		want = max(leastLong, 1-short/all)
+	}
+	if math.Abs(want-s.share) >= shareStep {
 		s.share = want
 	}
 }
+
+// leastNeed is the need, in engines, from which the boundary is moved at all.
+const leastNeed = 0.05
+
+// needs returns how many engines each side needs for what arrives and runs.
+func (b *Balancer) needs(now time.Time, p *pool, poolName string) (short, long float64) {
+	shortRate, longRate := p.sides.short.rate(now), p.sides.long.rate(now)
+	for _, x := range b.peers {
+		if x.fresh(now) {
+			shortRate += x.sides[poolName].Short
+			longRate += x.sides[poolName].Long
+		}
+	}
+	short = shortRate / (p.speed.value() * shortDuty)
+	long = longRate / (p.speed.value() * longDuty)
+	running, slots := 0, 0
+	for _, e := range p.servers {
+		slots = max(slots, e.Slots)
+		if !p.sides.has(e.ID) {
+			running += b.load(now, e).Running
+		}
+	}
+	if slots > 0 {
+		short = max(short, float64(running)/(shortSlots*float64(slots)))
+	}
+	return short, long
+}
--- a/core/balance/speed.go
+++ b/core/balance/speed.go
@@ -6,13 +6,13 @@
 const (
 	// startSpeed holds before anything was observed, in prompt tokens per second.
 	startSpeed = 50_000
-	// leastAhead is the least reading that tells the speed: for less, the time to
+	// leastRead is the least reading that tells the speed: for less, the time to
 	// the first event is mostly the network's and the first step's.
-	leastAhead = 4000
+	leastRead = 2500
 	// speedWeight is the weight of the newest observation.
 	speedWeight = 0.05
-	// fastest and slowest bound an observation against the value held.
-	fastest, slowest = 3.0, 0.2
+	// mostOfHeld and leastOfHeld bound an observation against the value held.
+	mostOfHeld, leastOfHeld = 2.0, 0.5
 )
 
 // speed is how fast the engines of a pool read prompts, among all else that
@@ -26,13 +26,14 @@
 	return s.perSecond
 }
 
-// observe takes the time in which an engine read what was ahead.
-func (s *speed) observe(ahead float64, took time.Duration) {
-	if ahead < leastAhead || took <= 0 {
+// observe takes the time in which an engine that had nothing else to read read
+// a prompt.
+func (s *speed) observe(tokens float64, took time.Duration) {
+	if tokens < leastRead || took <= 0 {
 		return
 	}
 	v := s.value()
-	seen := min(fastest*v, max(slowest*v, ahead/took.Seconds()))
+	seen := min(mostOfHeld*v, max(leastOfHeld*v, tokens/took.Seconds()))
 	s.perSecond = v + speedWeight*(seen-v)
 }
 
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -27,6 +27,10 @@
 	refusalSpread = 600 * time.Millisecond
 	// leastTime is the least time left that a second attempt is worth.
 	leastTime = 30 * time.Millisecond
+	// mostPause and pauseShare (of the target) bound the wait before a second
+	// attempt: two exchanges of load counts, and never much of the target.
+	mostPause  = 200 * time.Millisecond
+	pauseShare = 0.15
 	// maxAnswer bounds a plain answer's body.
 	maxAnswer = 8 << 20
 )
@@ -94,6 +98,23 @@
 			c.giveUp("attempts used up")
 			return
 		}
+		if v == failed && !c.pause(ctx) {
+			c.giveUp("time is over")
+			return
+		}
+	}
+}
+
+// pause waits a little before a second attempt. When a server dies, all its
+// calls come back at once, and every instance would place them by the same
+// counts.
+func (c *call) pause(ctx context.Context) bool {
+	most := min(mostPause, time.Duration(pauseShare*float64(c.route.TargetLatency)))
+	select {
+	case <-time.After(time.Duration(rand.Float64() * float64(most))):
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -138,7 +159,7 @@
 		return false
 	}
 	now := time.Now()
-	s, ok := r.balancer.Choose(now, c.pool.Name, c.load(), exclude, rand.Float64())
+	s, ok := r.balancer.Choose(now, c.pool.Name, c.load(), exclude, rand.Float64)
 	if ok {
 		c.ticket = r.balancer.Start(now, s.ID, c.load())
 	}
