Back sooner after a power loss of all: early pre-votes, stale begin, servers in the log

Ruled out: start-up time of the programs (24 ms). Now: replicas that have just started ask early (six short pre-vote rounds; with short real elections TestSafetyUnderFaults made no progress, red, so these keep their time); dials end after 250 ms; entries begin with what any replica knows; servers stand in the log.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -113,6 +113,39 @@
 	}
 }
 
+// Remember adds servers that are known from elsewhere, as if they had announced
+// themselves now; those known already get the same time. A new leader begins
+// with it, and then waits for their announcements.
+func (r *Registry) Remember(now time.Time, list []Server) {
+	for _, s := range list {
+		if r.departed[s.ID] {
+			continue
+		}
+		old := r.servers[s.ID]
+		if old == nil {
+			r.servers[s.ID] = &record{s, now}
+			r.version++
+			continue
+		}
+		old.heard = now
+		if old.Overdue {
+			old.Overdue = false
+			r.version++
+		}
+	}
+}
+
+// Silent lists the servers that would be forgotten.
+func (r *Registry) Silent(now time.Time) []string {
+	var out []string
+	for id, s := range r.servers {
+		if now.Sub(s.heard) >= ForgetAfter {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Withdraw notes that a server drains or has departed, whatever it announces
 // later.
 func (r *Registry) Withdraw(id string, p Phase) {
@@ -143,15 +176,10 @@
 	}
 }
 
-// Expire marks servers overdue and forgets those that are silent for long.
+// Expire marks silent servers overdue.
 func (r *Registry) Expire(now time.Time) {
-	for id, s := range r.servers {
-		age := now.Sub(s.heard)
-		switch {
-		case age >= ForgetAfter:
-			delete(r.servers, id)
-			r.version++
-		case age >= OverdueAfter && !s.Overdue:
+	for _, s := range r.servers {
+		if now.Sub(s.heard) >= OverdueAfter && !s.Overdue {
 			s.Overdue = true
 			r.version++
 		}
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -4,8 +4,8 @@
 // for by the leader itself, so that voters need not protect that leader.
 func (n *Node) campaign(role Role, transfer bool) {
 	n.elapsed = 0
-	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks)
 	n.role = role
+	n.resetElectionTimeout()
 	n.leader = None
 	n.votes = map[uint64]bool{n.id: true}
 	term, kind := n.term+1, MsgPreVote
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -50,8 +50,10 @@
 
 	elapsed         int
 	electionTimeout int
-	heartbeat       int
-	quorumElapsed   int
+	// eager counts the short election timeouts that are left after the start.
+	eager         int
+	heartbeat     int
+	quorumElapsed int
 
 	votes      map[uint64]bool
 	progress   map[uint64]*Progress
@@ -83,10 +85,32 @@
 	n.vote = cfg.State.Vote
 	n.log.commit = max(n.log.commit, min(cfg.State.Commit, n.log.last()))
 	n.saved = n.hardState()
+	n.eager = eagerRounds
 	n.becomeFollower(n.term, None)
 	return n
 }
 
+// Limits of the first elections after a start.
+const (
+	// startDivisor shortens their timeouts.
+	startDivisor = 4
+	// eagerRounds is how many of them there are.
+	eagerRounds = 6
+)
+
+// resetElectionTimeout draws the next timeout. A replica that has just started
+// asks early whether there is a leader, so that a group that was down as a whole
+// is back soon. A pre-vote disturbs nobody; real elections, and those after some
+// rounds in vain, take their full time, so that slow answers are waited for.
+func (n *Node) resetElectionTimeout() {
+	ticks := n.cfg.ElectionTicks
+	if n.eager > 0 && n.role != Candidate {
+		n.eager--
+		ticks = max(2, ticks/startDivisor)
+	}
+	n.electionTimeout = ticks + n.cfg.Rand(ticks)
+}
+
 func (n *Node) hardState() HardState {
 	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
 }
@@ -151,7 +175,10 @@
 	n.role = Follower
 	n.leader = leader
 	n.elapsed = 0
-	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks)
+	if leader != None {
+		n.eager = 0
+	}
+	n.resetElectionTimeout()
 	n.transferee = None
 	n.progress = nil
 	n.failReads()
@@ -168,6 +195,7 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.id
+	n.eager = 0
 	n.elapsed = 0
 	n.heartbeat = 0
 	n.quorumElapsed = 0
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -40,6 +40,8 @@
 	CommandDeclare
 	// CommandWithdraw notes that a backend server leaves.
 	CommandWithdraw
+	// CommandRegister remembers a backend server that has announced itself.
+	CommandRegister
 )
 
 // Command is one entry of the replicated log.
@@ -55,6 +57,7 @@
 	Engine    *EngineOrder        `msgpack:"e,omitempty"`
 	Declare   *DeclareCommand     `msgpack:"d,omitempty"`
 	Withdraw  *fleet.Withdrawal   `msgpack:"w,omitempty"`
+	Register  *fleet.Server       `msgpack:"g,omitempty"`
 }
 
 // CallCommand is the subject of the commands about one call.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -43,6 +43,8 @@
 		return m.routing.declare(c.Declare)
 	case c.Type == CommandWithdraw && c.Withdraw != nil:
 		return m.routing.withdraw(*c.Withdraw)
+	case c.Type == CommandRegister && c.Register != nil:
+		return m.routing.register(*c.Register)
 	case c.Call != nil:
 		m.calls.prune(m.nowMillis)
 		return m.calls.apply(c.Type, c.Call, m.nowMillis)
--- a/core/state/routing.go
+++ b/core/state/routing.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"cardamomwick.example/core/fleet"
 )
 
@@ -23,6 +25,9 @@
 type routingState struct {
 	Held        DeclareCommand     `msgpack:"h"`
 	Withdrawals []fleet.Withdrawal `msgpack:"w"`
+	// Servers are the backend servers that have announced themselves and not
+	// departed, so that a new leader, and a group that was down, know them at once.
+	Servers []fleet.Server `msgpack:"f,omitempty"`
 	// Revision rises with every change of the above.
 	Revision uint64 `msgpack:"r"`
 }
@@ -38,7 +43,42 @@
 	return Result{Code: CodeOK, Order: OrderResult{Version: s.Held.Version}}
 }
 
+// keptServers bounds the servers remembered; the oldest go first.
+const keptServers = 4096
+
+// register remembers a server. One that has said that it leaves stays so.
+func (s *routingState) register(server fleet.Server) Result {
+	for _, w := range s.Withdrawals {
+		if w.ServerID == server.ID {
+			return Result{Code: CodeOK}
+		}
+	}
+	for _, known := range s.Servers {
+		if known.ID == server.ID {
+			return Result{Code: CodeOK}
+		}
+	}
+	server.Phase, server.Overdue = fleet.Ready, false
+	s.Servers = append(s.Servers, server)
+	if extra := len(s.Servers) - keptServers; extra > 0 {
+		s.Servers = append([]fleet.Server(nil), s.Servers[extra:]...)
+	}
+	s.Revision++
+	return Result{Code: CodeOK}
+}
+
+// settle applies a withdrawal to the servers remembered.
+func (s *routingState) settle(w fleet.Withdrawal) {
+	s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.ID == w.ServerID && w.Phase == fleet.Departed })
+	for i := range s.Servers {
+		if s.Servers[i].ID == w.ServerID {
+			s.Servers[i].Phase = w.Phase
+		}
+	}
+}
+
 func (s *routingState) withdraw(w fleet.Withdrawal) Result {
+	s.settle(w)
 	for i := range s.Withdrawals {
 		old := &s.Withdrawals[i]
 		if old.ServerID != w.ServerID {
@@ -62,13 +102,15 @@
 type Routing struct {
 	Held        DeclareCommand
 	Withdrawals []fleet.Withdrawal
+	Servers     []fleet.Server
 	Revision    uint64
 }
 
 // Routing returns what is committed about routing.
 func (m *Machine) Routing() Routing {
 	s := &m.routing
-	return Routing{Held: s.Held, Withdrawals: append([]fleet.Withdrawal(nil), s.Withdrawals...), Revision: s.Revision}
+	return Routing{Held: s.Held, Withdrawals: append([]fleet.Withdrawal(nil), s.Withdrawals...),
+		Servers: append([]fleet.Server(nil), s.Servers...), Revision: s.Revision}
 }
 
 // RoutingRevision returns the revision of what Routing would return.
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,11 +47,15 @@
 	registry *fleet.Registry
 	revision uint64
 	changed  chan struct{}
+	// ledTerm is the last term that this replica led.
+	ledTerm uint64
+	// registering are the servers whose registration is under way.
+	registering map[string]bool
 }
 
 // New registers the frame handlers.
 func New(t *frame.Transport, r *replica.Replica, c *replica.Client) *Service {
-	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{})}
+	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{}), registering: map[string]bool{}}
 	t.HandleRequest(methodAnnounce, s.handleAnnounce)
 	t.HandleRequest(methodWatch, s.handleWatch)
 	return s
@@ -62,12 +67,29 @@
 // Serve notes silent servers until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
 	return loop.Every(ctx, expirePeriod, func(now time.Time) {
-		s.update(func() { s.registry.Expire(now) })
 		v, _ := s.replica.View()
 		s.client.Directory().Learn(v.Members)
+		s.follow(v)
+		if !v.Leading {
+			return
+		}
+		s.update(func() { s.registry.Expire(now) })
+		s.departSilent(ctx, now)
 	})
 }
 
+// departSilent ends servers that neither announce nor depart for long.
+func (s *Service) departSilent(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	silent := s.registry.Silent(now)
+	s.mu.Unlock()
+	for _, id := range silent {
+		if err := s.Depart(ctx, id); err != nil {
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "depart silent server", "server": id}).Warn("will be tried again")
+		}
+	}
+}
+
 // update changes the registry and wakes the watchers if that mattered.
 func (s *Service) update(change func()) {
 	s.mu.Lock()
@@ -170,24 +192,56 @@
 		return nil, eris.Wrap(err, "decode announcement")
 	}
 	v, _ := s.replica.View()
-	s.takeWithdrawals(v.Routing)
-	s.update(func() { s.registry.Announce(time.Now(), server) })
 	if !v.Leading {
 		return announceReply{replica.NotLeaderReply(v)}, nil
 	}
+	s.follow(v)
+	s.update(func() { s.registry.Announce(time.Now(), server) })
+	s.register(v.Routing, server)
 	return announceReply{}, nil
 }
 
-// takeWithdrawals applies what the log says to the registry.
-func (s *Service) takeWithdrawals(r state.Routing) {
+// register puts a server that the log does not know into it, in the background:
+// the announcement is acknowledged without, and repeated.
+func (s *Service) register(r state.Routing, server fleet.Server) {
+	if slices.ContainsFunc(r.Servers, func(x fleet.Server) bool { return x.ID == server.ID }) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.registering[server.ID] {
+		return
+	}
+	s.registering[server.ID] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), declareTimeout)
+		defer cancel()
+		_, err := s.client.Propose(ctx, &state.Command{Type: state.CommandRegister, Register: &server})
+		if err != nil {
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "register server", "server": server.ID}).Warn("its next announcement tries again")
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.registering, server.ID)
+	}()
+}
+
+// follow applies what the log says to the registry. At the beginning of a term
+// that this replica leads, all servers count as just heard.
+func (s *Service) follow(v replica.View) {
 	s.update(func() {
-		if r.Revision == s.revision {
+		newTerm := v.Leading && v.Term != s.ledTerm
+		if v.Routing.Revision == s.revision && !newTerm {
 			return
 		}
-		s.revision = r.Revision
-		for _, w := range r.Withdrawals {
+		s.revision = v.Routing.Revision
+		for _, w := range v.Routing.Withdrawals {
 			s.registry.Withdraw(w.ServerID, w.Phase)
 		}
+		if newTerm {
+			s.ledTerm = v.Term
+			s.registry.Remember(time.Now(), v.Routing.Servers)
+		}
 	})
 }
 
@@ -200,7 +254,10 @@
 	defer timeout.Stop()
 	for {
 		v, viewChanged := s.replica.View()
-		s.takeWithdrawals(v.Routing)
+		s.follow(v)
+		if !v.Leading && req.Stale && v.Ready {
+			return staleNews(v), nil
+		}
 		if !v.Leading {
 			return &watchReply{Redirect: replica.NotLeaderReply(v)}, nil
 		}
@@ -237,3 +294,9 @@
 	}
 	return reply, s.changed, news
 }
+
+// staleNews is what a replica without a leader knows: enough for an entry that
+// has just started to serve calls until the group is back.
+func staleNews(v replica.View) *watchReply {
+	return &watchReply{Declaration: v.Routing.Held.Declaration, Members: v.Members, Listing: &fleet.Listing{Servers: v.Routing.Servers}}
+}
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -10,6 +10,7 @@
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/replica"
 )
 
@@ -21,6 +22,8 @@
 	// watchTimeout bounds one round including the search for the leader.
 	watchTimeout = 1500 * time.Millisecond
 	watchPause   = 20 * time.Millisecond
+	// beginTimeout bounds the question to one replica at the start.
+	beginTimeout = 150 * time.Millisecond
 	// lostAfter is how long no round may succeed before that is logged.
 	lostAfter = 3 * time.Second
 )
@@ -28,8 +31,9 @@
 // Watch keeps an entry's copy of the declaration in force and of the fleet. A
 // copy never goes back to an older declaration. It is a suture service.
 type Watch struct {
-	client *replica.Client
-	table  atomic.Pointer[routing.Table]
+	transport *frame.Transport
+	client    *replica.Client
+	table     atomic.Pointer[routing.Table]
 
 	mirror *fleet.Mirror
 	heard  time.Time
@@ -41,8 +45,8 @@
 
 // NewWatch returns a watch that knows nothing yet; the functions are called
 // from its loop with each new declaration and listing.
-func NewWatch(c *replica.Client, onTable func(*routing.Table), onFleet func([]fleet.Server)) *Watch {
-	return &Watch{client: c, mirror: fleet.NewMirror(), onFleet: onFleet, onTable: onTable}
+func NewWatch(t *frame.Transport, c *replica.Client, onTable func(*routing.Table), onFleet func([]fleet.Server)) *Watch {
+	return &Watch{transport: t, client: c, mirror: fleet.NewMirror(), onFleet: onFleet, onTable: onTable}
 }
 
 // String names the service in the supervisor's log.
@@ -63,8 +67,39 @@
 	return ctx.Err()
 }
 
+// begin asks any replica for what it knows, leader or not: after a power loss of
+// all instances the entries serve again before the group has a leader.
+func (w *Watch) begin(ctx context.Context) {
+	for _, address := range w.client.Directory().Addresses() {
+		if err := w.askStale(ctx, address); err != nil {
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "begin watch", "peer": address}).Debug("asking another replica")
+			continue
+		}
+		if w.table.Load() != nil {
+			return
+		}
+	}
+}
+
+func (w *Watch) askStale(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	var reply watchReply
+	if err := w.transport.Call(ctx, address, methodWatch, &watchRequest{Stale: true}, &reply); err != nil {
+		return err
+	}
+	w.take(&reply)
+	w.onFleet(w.mirror.Servers(time.Now()))
+	return nil
+}
+
 func (w *Watch) round(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	timeout := watchTimeout
+	if w.table.Load() == nil {
+		w.begin(ctx)
+		timeout = beginTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req := watchRequest{Hold: watchHold}
 	if t := w.table.Load(); t != nil {
--- a/daemon/control/wire.go
+++ b/daemon/control/wire.go
@@ -25,6 +25,8 @@
 	Version uint64 `msgpack:"v"`
 	// Hold is how long the leader may wait for something newer.
 	Hold time.Duration `msgpack:"h"`
+	// Stale accepts what a replica without a leader knows.
+	Stale bool `msgpack:"s,omitempty"`
 }
 
 type watchReply struct {
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -15,7 +15,9 @@
 
 // Parameters of a Transport.
 const (
-	dialTimeout  = 500 * time.Millisecond
+	// dialTimeout is above any round trip between instances. A dial to one that is
+	// dark must end soon: the instance may be back meanwhile.
+	dialTimeout  = 250 * time.Millisecond
 	writeTimeout = 5 * time.Second
 	// redialPause keeps an unreachable address from being dialled all the time.
 	redialPause = 100 * time.Millisecond
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -120,7 +120,7 @@
 		Table:   func() *routing.Table { return d.watch.Table() },
 		Entries: func() int { return len(d.entries()) },
 		Retry:   router.RetryLimits{Span: r.RetryWindow.D(), Ratio: r.RetryRatio, Slack: r.RetrySlack}})
-	d.watch = control.NewWatch(client, d.takeTable, d.router.SetFleet)
+	d.watch = control.NewWatch(d.transport, client, d.takeTable, d.router.SetFleet)
 	exchange := router.NewExchange(d.router, d.transport, d.otherEntries)
 	d.services = append(d.services, d.watch, exchange)
 	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router); err != nil {
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"fmt"
 	"context"
 	"time"
 
@@ -54,18 +53,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.Forget(now)
-	if now.Sub(dbgAt) > 2*time.Second {
-		dbgAt = now
-		for _, p := range r.opt.Table().Pools() {
-			if p.Engine != nil {
-				out := ""
-				for _, x := range r.balancer.Beliefs(now, p.Name) {
-					out += fmt.Sprintf(" %s:%v:%.2f:f%.2f:r%d:u%d", x.ID[2:6], x.Long, x.Slowness, x.Failures, x.Load.Running, x.Load.Unread)
-				}
-				log.Info("BELIEF" + out)
-			}
-		}
-	}
 	return r.balancer.Report(now)
 }
 
@@ -79,5 +66,3 @@
 	defer x.router.mu.Unlock()
 	x.router.balancer.TakeReport(time.Now(), report)
 }
-
-var dbgAt time.Time
