--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -20,10 +20,6 @@
 	// leastLong is the part of the engines that long prompts keep when there are
 	// too few for all.
 	leastLong = 0.2
-	// shareStep is how far the wanted share must be from the one in force before
-	// the boundary moves. Each move takes engines away from the shared parts that
-	// they hold, so that noise in the arrivals must not move it.
-	shareStep = 0.1
 	// startShare holds before anything has arrived.
 	startShare = 0.5
 )
@@ -128,9 +124,9 @@
 	return max(1, min(n-1, int(math.Round(share*float64(n)))))
 }
 
-// decideShare gives each side the engines that its arriving work needs. When
-// there are too few for all, the short side comes first: its calls are worth
-// most for an engine's time.
+// decideShare moves the boundary when one side needs more engines than it has.
+// When there are too few for all, the short side comes first: its calls are
+// worth most for an engine's time.
 func (b *Balancer) decideShare(now time.Time, p *pool, poolName string, engines int) {
 	s := &p.sides
 	if s.share == 0 {
@@ -140,12 +136,14 @@
 	if short+long < leastNeed || engines == 0 {
 		return
 	}
-	want := long / (short + long)
-	if all := float64(engines); short+long > all {
-		want = max(leastLong, 1-short/all)
+	all := float64(engines)
+	onLong := float64(longCount(s.share, engines))
+	if short <= all-onLong && long <= onLong {
+		return
 	}
-	if math.Abs(want-s.share) >= shareStep {
-		s.share = want
+	s.share = long / (short + long)
+	if short+long > all {
+		s.share = max(leastLong, 1-short/all)
 	}
 }
 
