--- /dev/null
+++ b/core/balance/engine_test.go
@@ -0,0 +1,108 @@
+package balance
+
+import (
+	"time"
+)
+
+// engineSim is a model engine that batches: each step gives one token to every
+// stream whose prompt is read, and reads a chunk of the oldest unread prompt.
+// The figures are those of the larger deployment's engines.
+type engineSim struct {
+	id      string
+	slow    float64
+	at      time.Duration
+	streams []*streamSim
+	cached  map[string]time.Duration
+}
+
+type streamSim struct {
+	call     Call
+	arrived  time.Duration
+	unread   int
+	context  int
+	tokens   int
+	output   int
+	first    time.Duration
+	last     time.Duration
+	worstGap time.Duration
+	gaps     []time.Duration
+	ticket   Ticket
+	done     bool
+}
+
+const (
+	stepTime       = 4230 * time.Microsecond
+	chunkTokens    = 2048
+	tokensPerMilli = 64.2
+	pairsPerMilli  = 1e6 / 0.647
+	tokensPerEvent = 5
+	cacheTime      = 20 * time.Second
+)
+
+// accept adds a stream. Shared parts that the engine has read lately need not
+// be read again.
+func (e *engineSim) accept(s *streamSim) (reread int) {
+	if len(e.streams) == 0 {
+		e.at = max(e.at, s.arrived)
+	}
+	s.unread = s.call.Tokens
+	shared := s.call.Tokens - s.call.Unshared
+	if at, ok := e.cached[s.call.Home]; ok && s.arrived-at < cacheTime {
+		s.unread -= shared
+	} else {
+		reread = shared
+	}
+	e.cached[s.call.Home] = s.arrived
+	e.streams = append(e.streams, s)
+	return reread
+}
+
+// step runs one step and returns the streams that ended.
+func (e *engineSim) step() (began, ended []*streamSim) {
+	took := float64(stepTime)
+	left := chunkTokens
+	var read []*streamSim
+	for _, s := range e.streams {
+		if s.unread == 0 || left == 0 {
+			continue
+		}
+		n := min(left, s.unread)
+		left -= n
+		s.unread -= n
+		s.context += n
+		took += float64(time.Millisecond) * (float64(n)/tokensPerMilli + float64(n)*float64(s.context)/pairsPerMilli)
+		if s.unread == 0 {
+			read = append(read, s)
+		}
+	}
+	e.at += time.Duration(took * e.slow)
+	kept := e.streams[:0]
+	for _, s := range e.streams {
+		if s.unread == 0 {
+			s.token(e.at)
+		}
+		if s.done {
+			ended = append(ended, s)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	e.streams = kept
+	return read, ended
+}
+
+func (s *streamSim) token(now time.Duration) {
+	s.tokens++
+	if s.tokens%tokensPerEvent != 1 && s.tokens != s.output {
+		return
+	}
+	if s.first == 0 {
+		s.first = now
+	} else {
+		gap := now - s.last
+		s.gaps = append(s.gaps, gap)
+		s.worstGap = max(s.worstGap, gap)
+	}
+	s.last = now
+	s.done = s.tokens >= s.output
+}
--- /dev/null
+++ b/core/balance/replay_test.go
@@ -0,0 +1,210 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"sort"
+	"testing"
+	"time"
+
+	"cardamomwick.example/core/fleet"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// arrival is one call of a replayed load.
+type arrival struct {
+	at     time.Duration
+	call   Call
+	output int
+}
+
+// eveningLoad is what twelve engines see at dusk: chats in a steady stream that
+// doubles for some seconds, checks, and long compositions that come in a burst
+// of their own.
+func eveningLoad(seed int64, length time.Duration) []arrival {
+	rnd := rand.New(rand.NewSource(seed))
+	size := func(mean, spread float64) int {
+		return max(1, int(mean*math.Exp(spread*rnd.NormFloat64()-spread*spread/2)))
+	}
+	var out []arrival
+	add := func(rate float64, burstAt, burstTo time.Duration, burst float64, make func() (Call, int)) {
+		for at := time.Duration(0); at < length; {
+			r := rate
+			if at >= burstAt && at < burstTo {
+				r *= burst
+			}
+			at += time.Duration(rnd.ExpFloat64() / r * float64(time.Second))
+			c, output := make()
+			out = append(out, arrival{at, c, output})
+		}
+	}
+	call := func(kind string, parts, shared, unshared int, target, gap time.Duration) Call {
+		return Call{Tokens: shared + unshared, Unshared: unshared, Target: target, Gap: gap, Home: fmt.Sprint(kind, rnd.Intn(parts))}
+	}
+	add(60, 10*time.Second, 15*time.Second, 2, func() (Call, int) {
+		return call("chat", 400, 198, size(628, 0.8), 300*time.Millisecond, 200*time.Millisecond), size(290, 0.6)
+	})
+	add(30, 0, 0, 1, func() (Call, int) {
+		return call("check", 250, 568, min(3900, size(1800, 0.8)), 400*time.Millisecond, 300*time.Millisecond), size(22, 0.8)
+	})
+	add(10, 2*time.Second, 9*time.Second, 2.2, func() (Call, int) {
+		return call("scene", 58, 5382, size(6610, 0.9), 2500*time.Millisecond, 800*time.Millisecond), size(380, 0.4)
+	})
+	sort.Slice(out, func(i, j int) bool { return out[i].at < out[j].at })
+	return out
+}
+
+// result is what callers got of a replay.
+type result struct {
+	chats, lateChats   int
+	scenes, lateScenes int
+	reread             int
+}
+
+func (r result) String() string {
+	return fmt.Sprintf("late chats %d of %d, late scenes %d of %d, %d shared tokens read again", r.lateChats, r.chats, r.lateScenes, r.scenes, r.reread)
+}
+
+// chooser places a call on one of the engines.
+type chooser interface {
+	choose(now time.Time, c Call) int
+	began(now time.Time, s *streamSim)
+	ended(now time.Time, engine int, s *streamSim)
+}
+
+// replay runs a load through engines, of which every third is slow.
+func replay(load []arrival, engines int, policy func([]fleet.Server) chooser) result {
+	sims := make([]*engineSim, engines)
+	list := make([]fleet.Server, engines)
+	for i := range sims {
+		id := fmt.Sprintf("engine-%02d", i)
+		sims[i] = &engineSim{id: id, slow: []float64{1, 1, 1.3}[i%3], cached: map[string]time.Duration{}}
+		list[i] = fleet.Server{ID: id, Pool: "p", Slots: 64}
+	}
+	p := policy(list)
+	var r result
+	run := func(until time.Duration) {
+		for {
+			next := -1
+			for i, e := range sims {
+				if len(e.streams) > 0 && e.at < until && (next < 0 || e.at < sims[next].at) {
+					next = i
+				}
+			}
+			if next < 0 {
+				return
+			}
+			began, ended := sims[next].step()
+			now := t0.Add(sims[next].at)
+			for _, s := range began {
+				p.began(now, s)
+			}
+			for _, s := range ended {
+				p.ended(now, next, s)
+				r.count(s)
+			}
+		}
+	}
+	for _, a := range load {
+		run(a.at)
+		s := &streamSim{call: a.call, arrived: a.at, output: a.output}
+		i := p.choose(t0.Add(a.at), a.call)
+		if b, ok := p.(*balanced); ok {
+			s.ticket = b.b.Start(t0.Add(a.at), sims[i].id, a.call)
+		}
+		r.reread += sims[i].accept(s)
+	}
+	run(time.Hour)
+	return r
+}
+
+func (r *result) count(s *streamSim) {
+	late := s.first-s.arrived > s.call.Target || s.worstGap > s.call.Gap
+	switch s.call.Target {
+	case 300 * time.Millisecond:
+		r.chats++
+		if late {
+			r.lateChats++
+		}
+	case 2500 * time.Millisecond:
+		r.scenes++
+		if late {
+			r.lateScenes++
+		}
+	}
+}
+
+// balanced is the product's placement.
+type balanced struct {
+	b    *Balancer
+	list []fleet.Server
+	rnd  *rand.Rand
+}
+
+func newBalanced(list []fleet.Server) chooser {
+	b := New("a")
+	b.SetFleet(list)
+	b.SetMemory("p", 547510)
+	return &balanced{b, list, rand.New(rand.NewSource(2))}
+}
+
+func (p *balanced) choose(now time.Time, c Call) int {
+	p.b.Arrive(now, "p", c)
+	s, _ := p.b.Choose(now, "p", c, nil, p.rnd.Float64)
+	for i := range p.list {
+		if p.list[i].ID == s.ID {
+			return i
+		}
+	}
+	return 0
+}
+
+func (p *balanced) began(now time.Time, s *streamSim) { p.b.Began(now, &s.ticket) }
+
+func (p *balanced) ended(now time.Time, engine int, s *streamSim) {
+	p.b.End(s.ticket)
+	p.b.Good(now, p.list[engine].ID)
+	p.b.Streamed(p.list[engine].ID, s.gaps)
+}
+
+// leastRunning is the usual policy: the engine with the fewest calls.
+type leastRunning struct{ running []int }
+
+func newLeastRunning(list []fleet.Server) chooser { return &leastRunning{make([]int, len(list))} }
+
+func (p *leastRunning) choose(time.Time, Call) int {
+	best := 0
+	for i, n := range p.running {
+		if n < p.running[best] {
+			best = i
+		}
+	}
+	p.running[best]++
+	return best
+}
+
+func (p *leastRunning) began(time.Time, *streamSim) {}
+
+func (p *leastRunning) ended(_ time.Time, engine int, _ *streamSim) { p.running[engine]-- }
+
+// At dusk chats must stay on time beside bursts of compositions. Counting calls
+// mixes the two on every engine.
+func TestEveningLoadKeepsChatsOnTime(t *testing.T) {
+	for seed := int64(1); seed <= 3; seed++ {
+		load := eveningLoad(seed, 20*time.Second)
+		got := replay(load, 12, newBalanced)
+		usual := replay(load, 12, newLeastRunning)
+		t.Logf("seed %d: %v; with the fewest calls: %v", seed, got, usual)
+		if 4*got.lateChats > usual.lateChats {
+			t.Errorf("seed %d: %d late chats, more than a quarter of the %d by the fewest calls", seed, got.lateChats, usual.lateChats)
+		}
+		if 5*got.reread > 3*usual.reread {
+			t.Errorf("seed %d: %d shared tokens read again, more than three fifths of %d", seed, got.reread, usual.reread)
+		}
+		if got.lateScenes > usual.lateScenes+got.scenes/10 {
+			t.Errorf("seed %d: %d late compositions against %d", seed, got.lateScenes, usual.lateScenes)
+		}
+	}
+}
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -299,3 +299,41 @@
 		t.Fatal("leadership did not move within three ticks")
 	}
 }
+
+// All replicas lose power and start again at the same time: they must have a
+// leader well before a usual election timeout.
+func TestGroupThatWasDownElectsEarly(t *testing.T) {
+	const electionTicks, voters = 20, 5
+	var members Membership
+	for id := uint64(1); id <= voters; id++ {
+		members = members.With(Member{ID: id, Address: "x", Voter: true})
+	}
+	snap := SnapshotMeta{Index: 1, Term: 1, Membership: members}
+	rnd := rand.New(rand.NewSource(3))
+	nodes := map[uint64]*Node{}
+	for id := uint64(1); id <= voters; id++ {
+		nodes[id] = New(Config{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: 2, Rand: rnd.Intn,
+			State: HardState{Term: 1, Commit: 1}, Snapshot: snap})
+	}
+	for tick := range electionTicks {
+		for id := uint64(1); id <= voters; id++ {
+			nodes[id].Tick()
+		}
+		for range 8 { // messages take less than a tick
+			for id := uint64(1); id <= voters; id++ {
+				rd := nodes[id].Ready()
+				nodes[id].Advance(rd)
+				for _, m := range rd.Messages {
+					nodes[m.To].Step(m)
+				}
+			}
+		}
+		for _, n := range nodes {
+			if lead, _ := n.Leading(); lead {
+				t.Logf("leader after %d ticks of an election timeout of %d", tick+1, electionTicks)
+				return
+			}
+		}
+	}
+	t.Fatal("no leader within a usual election timeout")
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,120 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func declaration() *Declaration {
+	return &Declaration{
+		Version: 3,
+		Routes: []Route{
+			{Name: "all", Host: "a.example", PathPrefix: "/", Timeout: time.Second, Targets: []Target{{"plain", 1}}},
+			{Name: "chat", Host: "a.example", PathPrefix: "/chat/", Timeout: time.Second, Targets: []Target{{"engines", 90}, {"plain", 10}}},
+			{Name: "deep", Host: "a.example", PathPrefix: "/chat/deep/", Timeout: time.Second, Targets: []Target{{"engines", 1}}},
+		},
+		Pools:     []Pool{{Name: "plain", MaxConnections: 10}, {Name: "engines", Engine: &Engine{Slots: 64}}},
+		Customers: []Customer{{Name: "x", Keys: []string{"k1", "k2"}, Rank: 1}, {Name: "y", Keys: []string{"k3"}}},
+	}
+}
+
+func TestCheckRefusesWhatCannotBeInForce(t *testing.T) {
+	cases := map[string]func(*Declaration){
+		"no version":      func(d *Declaration) { d.Version = 0 },
+		"unknown pool":    func(d *Declaration) { d.Routes[0].Targets[0].Pool = "none" },
+		"same place":      func(d *Declaration) { d.Routes[1].PathPrefix = "/" },
+		"no weight":       func(d *Declaration) { d.Routes[0].Targets[0].Weight = 0 },
+		"negative weight": func(d *Declaration) { d.Routes[1].Targets[1].Weight = -5 },
+		"no target":       func(d *Declaration) { d.Routes[0].Targets = nil },
+		"no timeout":      func(d *Declaration) { d.Routes[2].Timeout = 0 },
+		"shared key":      func(d *Declaration) { d.Customers[1].Keys = []string{"k1"} },
+	}
+	for name, spoil := range cases {
+		d := declaration()
+		if err := d.Check(); err != nil {
+			t.Fatalf("a good declaration is refused: %v", err)
+		}
+		spoil(d)
+		var invalid *InvalidError
+		if err := d.Check(); !errors.As(err, &invalid) {
+			t.Errorf("%s: got %v, want an InvalidError", name, err)
+		}
+	}
+}
+
+func TestRouteWithTheLongestPrefix(t *testing.T) {
+	table := NewTable(declaration())
+	for path, want := range map[string]string{"/": "all", "/x": "all", "/chat": "all", "/chat/": "chat", "/chat/1/2": "chat",
+		"/chat/deep/": "deep", "/chat/deep/x": "deep", "/chat/deepest": "chat"} {
+		if got := table.Route("a.example", path); got == nil || got.Name != want {
+			t.Errorf("%s: got %v, want %s", path, got, want)
+		}
+	}
+	if table.Route("b.example", "/") != nil || table.Route("a.example", "") != nil {
+		t.Error("a route was found where none is")
+	}
+}
+
+func TestCustomersByKey(t *testing.T) {
+	table := NewTable(declaration())
+	if c := table.Customer("k2"); c == nil || c.Name != "x" {
+		t.Errorf("k2 belongs to %v", c)
+	}
+	if table.Customer("") != nil || table.Customer("k") != nil {
+		t.Error("an unknown key has a customer")
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := declaration().Routes[1]
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	if counts["engines"] != 900 || counts["plain"] != 100 {
+		t.Errorf("picked %v, want 900 and 100", counts)
+	}
+}
+
+// A call of a higher tier must never be preempted for one of a lower tier,
+// whatever the ranks of their customers.
+func TestTierGoesBeforeRank(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("tier first", prop.ForAll(func(tierA, tierB, rankA, rankB int) bool {
+		a := (&Route{Tier: tierA}).Urgency(&Customer{Rank: rankA})
+		b := (&Route{Tier: tierB}).Urgency(&Customer{Rank: rankB})
+		return tierA >= tierB || a < b
+	}, gen.IntRange(0, 3), gen.IntRange(0, 3), gen.IntRange(0, 9), gen.IntRange(0, 9)))
+	p.TestingRun(t)
+}
+
+func TestEncodedDeclarationIsTheSame(t *testing.T) {
+	data, err := declaration().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := got.Encode()
+	if err != nil || string(again) != string(data) {
+		t.Errorf("decoded and encoded again, the declaration differs: %v", err)
+	}
+}
+
+func TestOnlySomeCallsMayBeRepeated(t *testing.T) {
+	for _, c := range []struct {
+		route Route
+		want  bool
+	}{{Route{}, false}, {Route{Semantics: Idempotent}, true}, {Route{Semantics: Stream}, false}, {Route{Semantics: Stream, Resumable: true}, true}, {Route{Resumable: true}, false}} {
+		if got := c.route.Repeatable(); got != c.want {
+			t.Errorf("%v resumable %v: repeatable %v", c.route.Semantics, c.route.Resumable, got)
+		}
+	}
+}
--- /dev/null
+++ b/core/state/routing_test.go
@@ -0,0 +1,56 @@
+package state
+
+import (
+	"testing"
+
+	"cardamomwick.example/core/fleet"
+)
+
+func declare(m *Machine, version uint64, content string) Result {
+	c := Command{Type: CommandDeclare, Declare: &DeclareCommand{Version: version, Declaration: []byte(content), Source: []byte(content)}}
+	return m.Apply(c.Encode())
+}
+
+func TestHighestDeclarationIsInForceAndStays(t *testing.T) {
+	m := New()
+	for _, step := range []struct {
+		version uint64
+		content string
+		want    string
+	}{{2, "two", "two"}, {1, "one", "two"}, {2, "other two", "two"}, {9, "nine", "nine"}, {2, "two", "nine"}} {
+		if r := declare(m, step.version, step.content); r.Code != CodeOK {
+			t.Fatalf("version %d was refused: %v", step.version, r)
+		}
+		if got := string(m.Routing().Held.Source); got != step.want {
+			t.Errorf("after version %d: %q is in force, want %q", step.version, got, step.want)
+		}
+	}
+}
+
+func TestRoutingSurvivesASnapshot(t *testing.T) {
+	m := New()
+	declare(m, 4, "four")
+	apply := func(c Command) { m.Apply(c.Encode()) }
+	apply(Command{Type: CommandRegister, Register: &fleet.Server{ID: "a", Pool: "p"}})
+	apply(Command{Type: CommandRegister, Register: &fleet.Server{ID: "b", Pool: "p"}})
+	apply(Command{Type: CommandWithdraw, Withdraw: &fleet.Withdrawal{ServerID: "a", Phase: fleet.Departed}})
+	apply(Command{Type: CommandRegister, Register: &fleet.Server{ID: "a", Pool: "p"}})
+	other := New()
+	if err := other.Restore(m.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	got := other.Routing()
+	if got.Held.Version != 4 || len(got.Servers) != 1 || got.Servers[0].ID != "b" || len(got.Withdrawals) != 1 || got.Revision != m.RoutingRevision() {
+		t.Errorf("after the snapshot: %+v", got)
+	}
+}
+
+func TestPhaseOfAServerNeverGoesBack(t *testing.T) {
+	m := New()
+	for _, p := range []fleet.Phase{fleet.Departed, fleet.Draining} {
+		m.Apply((&Command{Type: CommandWithdraw, Withdraw: &fleet.Withdrawal{ServerID: "a", Phase: p}}).Encode())
+	}
+	if got := m.Routing().Withdrawals; len(got) != 1 || got[0].Phase != fleet.Departed {
+		t.Errorf("withdrawals are %+v", got)
+	}
+}
