--- /dev/null
+++ b/daemon/upstream/upstream_test.go
@@ -0,0 +1,296 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// plainProtocol names the call in one header, as an adapter would.
+type plainProtocol struct{}
+
+func (plainProtocol) Call(h http.Header) Call                  { return Call{ID: h.Get("Call")} }
+func (plainProtocol) Strip(http.Header)                        {}
+func (plainProtocol) Stamp(http.Header, Stamp)                 {}
+func (plainProtocol) SetRetryAfter(http.Header, time.Duration) {}
+func (plainProtocol) Answer(_ int, h http.Header) Answer {
+	return Answer{CallID: h.Get("Call"), Signed: true}
+}
+
+// script is what a scripted server does with each connection.
+type script func(conn net.Conn, requests *bufio.Reader)
+
+func serve(t *testing.T, s script) Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				s(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return Target{ID: "s", Address: l.Addr().String()}
+}
+
+// readCall reads one request and returns its call ID; "" at the end.
+func readCall(r *bufio.Reader) string {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return ""
+	}
+	return req.Header.Get("Call")
+}
+
+func answer(w io.Writer, id, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nCall: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(t *testing.T, c *Client, target Target, id, body string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	resp, err := c.Send(ctx, target, &Request{CallID: id, Method: "POST", URI: "/x", Host: "h", Header: http.Header{"Call": {id}}, Body: []byte(body), HasBody: true})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for id := readCall(r); id != ""; id = readCall(r) {
+			answer(conn, id, "answer to "+id)
+		}
+	})
+	c := NewClient(plainProtocol{})
+	for i := range 5 {
+		id := fmt.Sprint("call", i)
+		if got, err := send(t, c, target, id, "x"); err != nil || got != "answer to "+id {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if c.Dialled() != 1 {
+		t.Errorf("%d connections for five calls", c.Dialled())
+	}
+}
+
+func TestNothingIsSentWhereNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	_, err = send(t, NewClient(plainProtocol{}), Target{ID: "s", Address: address}, "a", "x")
+	var e *Error
+	if !errors.As(err, &e) || e.Sent {
+		t.Errorf("got %v; want certainty that nothing was sent", err)
+	}
+}
+
+func TestBrokenConnectionLeavesOpenWhetherTheCallRan(t *testing.T) {
+	target := serve(t, func(_ net.Conn, r *bufio.Reader) { readCall(r) })
+	_, err := send(t, NewClient(plainProtocol{}), target, "a", "x")
+	var e *Error
+	if !errors.As(err, &e) || !e.Sent {
+		t.Errorf("got %v; the call may have run", err)
+	}
+}
+
+func TestAnswerOfAnotherCallIsSkipped(t *testing.T) {
+	connections := 0
+	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		connections++
+		id := readCall(r)
+		answer(conn, "someone else", "not yours")
+		answer(conn, id, "yours")
+		readCall(r)
+	})
+	c := NewClient(plainProtocol{})
+	for range 2 {
+		if got, err := send(t, c, target, "a", "x"); err != nil || got != "yours" {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if connections != 2 {
+		t.Error("a connection that carried another call's answer was used again")
+	}
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id := readCall(r)
+		answer(conn, id, "yours")
+		answer(conn, id, "again")
+		readCall(r)
+	})
+	c := NewClient(plainProtocol{})
+	for _, id := range []string{"a", "b"} {
+		if got, err := send(t, c, target, id, "x"); err != nil || got != "yours" {
+			t.Fatalf("%s got %q, %v", id, got, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if c.Dialled() != 2 {
+		t.Errorf("%d connections, want a new one for the second call", c.Dialled())
+	}
+}
+
+// A server may refuse a long call before it has read it, and reads on later.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(conn, req.Header.Get("Call"), "too long")
+		time.Sleep(300 * time.Millisecond)
+	})
+	c := NewClient(plainProtocol{})
+	for range 2 {
+		if got, err := send(t, c, target, "a", strings.Repeat("x", 16<<20)); err != nil || got != "too long" {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if c.Dialled() != 2 {
+		t.Error("a connection whose server still expects the rest of a call was used again")
+	}
+}
+
+func TestTruncatedAnswerIsAnError(t *testing.T) {
+	for name, head := range map[string]string{"length": "Content-Length: 100", "chunks": "Transfer-Encoding: chunked"} {
+		target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			id := readCall(r)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nCall: %s\r\n%s\r\n\r\n5\r\nshort\r\n", id, head)
+		})
+		if got, err := send(t, NewClient(plainProtocol{}), target, "a", "x"); err == nil {
+			t.Errorf("%s: the truncated answer %q passed for whole", name, got)
+		}
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id := readCall(r)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nCall: %s\r\n\r\nall of it", id)
+	})
+	if got, err := send(t, NewClient(plainProtocol{}), target, "a", "x"); err != nil || got != "all of it" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	reset := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id := readCall(r)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nCall: %s\r\n\r\npart of it", id)
+		time.Sleep(20 * time.Millisecond)
+		if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Error(err)
+		}
+	})
+	if got, err := send(t, NewClient(plainProtocol{}), reset, "a", "x"); err == nil {
+		t.Errorf("the answer %q, cut by a reset, passed for whole", got)
+	}
+}
+
+func TestIdleConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
+	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		answer(conn, readCall(r), "ok")
+	})
+	c := NewClient(plainProtocol{})
+	for range 3 {
+		if _, err := send(t, c, target, "a", "x"); err != nil {
+			t.Fatalf("a call was sent on a closed connection: %v", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestEndOfTheCallClosesTheConnection(t *testing.T) {
+	gone := make(chan struct{})
+	target := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		readCall(r)
+		if _, err := r.ReadByte(); err != nil {
+			close(gone)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := NewClient(plainProtocol{}).Send(ctx, target, &Request{CallID: "a", Method: "GET", URI: "/", Host: "h"})
+	if err == nil {
+		t.Fatal("a cancelled call was answered")
+	}
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		t.Error("the server did not see that the caller has left")
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id := readCall(r)
+		<-release
+		answer(conn, id, "ok")
+	})
+	target.MaxConnections = 1
+	c := NewClient(plainProtocol{})
+	done := make(chan error, 1)
+	go func() {
+		_, err := send(t, c, target, "a", "x")
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_, err := send(t, c, target, "b", "x")
+	var e *Error
+	if !errors.Is(err, ErrConnections) || !errors.As(err, &e) || e.Sent {
+		t.Errorf("got %v, want ErrConnections, not sent", err)
+	}
+	close(release)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// FuzzAnswer feeds a server's bytes to the reading side: whatever comes, there
+// is an end, and a call never gets another one's answer.
+func FuzzAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nCall: a\r\nContent-Length: 2\r\n\r\nok")
+	f.Add("HTTP/1.1 200 OK\r\nCall: b\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nCall: a\r\n\r\n")
+	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	f.Add("garbage")
+	f.Fuzz(func(t *testing.T, bytes string) {
+		near, far := net.Pipe()
+		defer near.Close()
+		go func() {
+			_, _ = io.WriteString(far, bytes)
+			far.Close()
+		}()
+		c := NewClient(plainProtocol{})
+		cn := &conn{Conn: near, reader: bufio.NewReader(near)}
+		resp, err := c.readHead(cn, Target{}, &Request{CallID: "a", Method: "GET"})
+		if err == nil && resp.Answer.CallID != "" && resp.Answer.CallID != "a" {
+			t.Errorf("call a got the answer of %q", resp.Answer.CallID)
+		}
+	})
+}
