--- a/Makefile
+++ b/Makefile
@@ -14,13 +14,15 @@
 
 demo: build
 	go build -o $(BIN)/demo ./ctl/internal/demo
+	go build -o $(BIN)/platform-demo ./platform/internal/demo
 	$(BIN)/demo $(BIN)
+	$(BIN)/platform-demo $(BIN)
 
 test: build
 	go test $(MODULES)
 
 race:
-	go test -race ./core/... ./daemon/...
+	go test -race ./core/... ./daemon/... ./platform/...
 
 vet:
 	go vet $(MODULES)
@@ -29,7 +31,7 @@
 	@test -z "$$(gofmt -l $(FOLDERS))" || { echo "not gofmt clean:"; gofmt -l $(FOLDERS); exit 1; }
 
 lint:
-	cd ctl && go tool staticcheck ../core/... && go tool staticcheck ./... && go tool staticcheck ../daemon/...
+	cd ctl && go tool staticcheck ../core/... && go tool staticcheck ./... && go tool staticcheck ../daemon/... && go tool staticcheck ../platform/... && go tool staticcheck ../cmd/...
 
 # Proofs with real processes, under failure; P=name runs one. They hang on
 # timing and are no part of CI.
--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -64,8 +64,9 @@
 // String names the service in the supervisor's log.
 func (l *httpListener) String() string { return l.name }
 
-// Serve listens until the context ends, then closes all connections: what is
-// in flight has ended before.
+// Serve listens until the context ends, then takes no connections any more,
+// gives those that carry a call a moment for its answer and closes the rest.
+// Long calls have ended before: the daemon drains first.
 func (l *httpListener) Serve(ctx context.Context) error {
 	stopped := make(chan struct{})
 	go func() {
@@ -79,11 +80,24 @@
 	}()
 	select {
 	case <-ctx.Done():
-		if s := l.server.Load(); s != nil {
-			_ = s.Close() // the process ends; nothing is left to serve
-		}
+		l.stop()
 		return ctx.Err()
 	case <-stopped:
 		return eris.Errorf("%s stopped", l.name)
 	}
 }
+
+// lastAnswers is how long calls that crossed the end of the drain may take.
+const lastAnswers = 200 * time.Millisecond
+
+func (l *httpListener) stop() {
+	s := l.server.Load()
+	if s == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		_ = s.Close() // what is left came too late; the process ends
+	}
+}
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -20,6 +20,7 @@
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/router"
 	"cardamomwick.example/daemon/settings"
+	"cardamomwick.example/daemon/telemetry"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -59,6 +60,7 @@
 	watch     *control.Watch
 	router    *router.Router
 	services  []suture.Service
+	metrics   *telemetry.Metrics
 	leaving   atomic.Bool
 }
 
@@ -68,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Routed{settings: s, transport: frame.NewTransport(s.Peers.Address, keys, newCutFilter(s.Faults.CutFile))}
+	d := &Routed{settings: s, transport: frame.NewTransport(s.Peers.Address, keys, newCutFilter(s.Faults.CutFile)), metrics: telemetry.New()}
 	self := membership.Instance{Name: s.Instance.Name, Process: uuid.NewString()[:8], PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	seeds := s.Peers.SeedAddresses()
@@ -86,7 +88,13 @@
 		}
 	}
 	if s.Routing.DirectoryAddress != "" {
-		err = d.listen("directory", s.Routing.DirectoryAddress, a.Directory(d))
+		if err := d.listen("directory", s.Routing.DirectoryAddress, a.Directory(d)); err != nil {
+			return nil, err
+		}
+	}
+	d.registerGauges()
+	if s.Metrics.Address != "" {
+		err = d.listen("metrics", s.Metrics.Address, http.HandlerFunc(d.metricsPage))
 	}
 	return d, err
 }
@@ -119,7 +127,7 @@
 	d.router = router.New(router.Options{Protocol: a, Name: d.settings.Instance.Name,
 		Table:   func() *routing.Table { return d.watch.Table() },
 		Entries: func() int { return len(d.entries()) },
-		Retry:   router.RetryLimits{Span: r.RetryWindow.D(), Ratio: r.RetryRatio, Slack: r.RetrySlack}})
+		Retry:   router.RetryLimits{Span: r.RetryWindow.D(), Ratio: r.RetryRatio, Slack: r.RetrySlack}, Metrics: d.metrics})
 	d.watch = control.NewWatch(d.transport, client, d.takeTable, d.router.SetFleet)
 	exchange := router.NewExchange(d.router, d.transport, d.otherEntries)
 	d.services = append(d.services, d.watch, exchange)
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -13,6 +13,7 @@
 	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/telemetry"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -46,7 +47,9 @@
 	route    *routing.Route
 	customer *routing.Customer
 	pool     *routing.Pool
-	until    time.Time
+	// version is that of the declaration that decided.
+	version uint64
+	until   time.Time
 
 	// runs counts the attempts that may have run, refusals those that certainly
 	// have not.
@@ -361,7 +364,7 @@
 // giveUp gives the final answer of a call that has none from a server.
 func (c *call) giveUp(reason string) {
 	if c.stream != nil && c.stream.started {
-		c.logEnd("stream broken: " + reason)
+		c.logFailure(0, "stream broken: "+reason)
 		panic(http.ErrAbortHandler) // the stream must not look complete
 	}
 	switch {
@@ -394,17 +397,39 @@
 		entry = entry.WithFields(log.Fields{"last_step": c.last.Step, "last_server": c.last.Server, "last_error": c.last.Err.Error()})
 	}
 	entry.Info("call failed")
+	c.count(status, reason, 0)
 }
 
 // logAnswer says how a call was answered by a server.
 func (c *call) logAnswer(s fleet.Server, status int) {
+	first := time.Since(c.arrived)
 	f := log.Fields{"status": status, "server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens}
 	if c.stream != nil && c.stream.events > 0 {
-		f["first_ms"] = c.stream.first.Sub(c.arrived).Milliseconds()
+		first = c.stream.first.Sub(c.arrived)
+		f["first_ms"] = first.Milliseconds()
 		f["gap_ms"] = c.stream.longestGap.Milliseconds()
 		f["events"] = c.stream.events
 	}
+	if status < http.StatusInternalServerError {
+		f[answeredField] = true
+	}
 	c.logEntry().WithFields(f).Info("call answered")
+	c.count(status, "", first)
+}
+
+// answeredField marks the lines that may be dropped first.
+const answeredField = "answered"
+
+// count adds the call to the metrics.
+func (c *call) count(status int, reason string, first time.Duration) {
+	m := telemetry.RoutedCall{Status: status, Reason: reason, Attempts: c.runs, First: first}
+	if c.route != nil {
+		m.Route = c.route.Name
+	}
+	if c.customer != nil {
+		m.Customer = c.customer.Name
+	}
+	c.router.opt.Metrics.Routed(m)
 }
 
 func (c *call) logCallerLeft(s fleet.Server) {
@@ -413,6 +438,7 @@
 		f["events"] = c.stream.events
 	}
 	c.logEntry().WithFields(f).Info("caller left")
+	c.count(0, "caller left", 0)
 }
 
 func (r *Router) streamed(id string, s *stream) {
@@ -424,9 +450,13 @@
 func (c *call) logEnd(what string) { c.logEntry().Info(what) }
 
 func (c *call) logEntry() *log.Entry {
-	f := log.Fields{"call": c.said.ID, "runs": c.runs, "refusals": c.refusals, "after_ms": time.Since(c.arrived).Milliseconds()}
+	f := log.Fields{"call": c.said.ID, "runs": c.runs, "refusals": c.refusals, "after_ms": time.Since(c.arrived).Milliseconds(), "tried": c.tried}
 	if c.route != nil {
 		f["route"] = c.route.Name
+		f["declaration"] = c.version
+	}
+	if c.customer != nil {
+		f["customer"] = c.customer.Name
 	}
 	return log.WithFields(f)
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -21,6 +21,7 @@
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/telemetry"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -37,6 +38,8 @@
 	// Name is this instance's.
 	Name  string
 	Retry RetryLimits
+	// Metrics counts calls; New makes a set of its own when it is nil.
+	Metrics *telemetry.Metrics
 }
 
 // RetryLimits are the limits of repeated attempts per pool; see retry.Window.
@@ -60,6 +63,9 @@
 
 // New returns a router that knows no servers yet.
 func New(o Options) *Router {
+	if o.Metrics == nil {
+		o.Metrics = telemetry.New()
+	}
 	return &Router{opt: o, upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Name), budgets: map[string]*retry.Window{}}
 }
 
@@ -95,6 +101,19 @@
 	r.cutOff = cutOff
 }
 
+// Beliefs lists what placement holds of each server.
+func (r *Router) Beliefs() map[string][]balance.Belief {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string][]balance.Belief{}
+	if t := r.opt.Table(); t != nil {
+		for _, p := range t.Pools() {
+			out[p.Name] = r.balancer.Beliefs(time.Now(), p.Name)
+		}
+	}
+	return out
+}
+
 // InFlight returns the calls that have no final answer yet.
 func (r *Router) InFlight() int { return r.inFlight.count() }
 
@@ -133,6 +152,7 @@
 	}
 	// The declaration is looked up after the body has come, which can take long.
 	table = c.router.opt.Table()
+	c.version = table.Version()
 	c.route = table.Route(hostOf(c.req), c.req.URL.EscapedPath())
 	if c.route == nil {
 		c.refuse(http.StatusNotFound, "no such route", 0)
--- a/daemon/settings/routing.go
+++ b/daemon/settings/routing.go
@@ -70,6 +70,7 @@
 	c.optionalAddress("routing.readiness_address", r.ReadinessAddress)
 	c.optionalAddress("routing.control_address", r.ControlAddress)
 	c.optionalAddress("routing.directory_address", r.DirectoryAddress)
+	c.optionalAddress("metrics.address", s.Metrics.Address)
 	c.require(r.ControlAddress == "" || s.Instance.DataFolder != "", "routing.control_address", "needs instance.data_folder")
 	c.require(r.RetryRatio >= 0 && r.RetryRatio <= 1, "routing.retry_ratio", "must be 0 to 1")
 	c.require(r.RetrySlack >= 0, "routing.retry_slack", "must be at least 0")
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -105,6 +105,9 @@
 type Metrics struct {
 	// Token is the bearer token for GET /metrics; empty closes the page.
 	Token string `toml:"token"`
+	// Address serves the page without a token, at any path; IP:port. With routing
+	// only. Empty for none.
+	Address string `toml:"address"`
 }
 
 // Faults is for failure tests only.
--- a/daemon/storage/storage_test.go
+++ b/daemon/storage/storage_test.go
@@ -153,3 +153,70 @@
 		}
 	})
 }
+
+// After a power loss the last write may have left a length without its bytes,
+// zeros, or anything else. It was never acknowledged.
+func TestTornEndOfAnyKindIsCutOff(t *testing.T) {
+	for name, rest := range map[string][]byte{"zeros": make([]byte, 40), "a huge length": {0xff, 0xff, 0xff, 0xff, 1, 2, 3, 4, 5},
+		"half a header": {0, 0, 0}, "a wrong checksum": {0, 0, 0, 2, 9, 9, 9, 9, 1, 2}, "a wrong checksum and zeros": append([]byte{0, 0, 0, 2, 9, 9, 9, 9, 1, 2}, make([]byte, 30)...)} {
+		dir := t.TempDir()
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Append(&raft.HardState{Term: 3}, []raft.Entry{{Index: 1, Term: 3, Data: []byte("x")}}); err != nil {
+			t.Fatal(err)
+		}
+		names, _ := s.segments()
+		s.Close()
+		f, err := os.OpenFile(names[len(names)-1], os.O_APPEND|os.O_WRONLY, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.Write(rest); err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
+		for range 2 { // the second start finds a clean log
+			s, l, err := Open(dir)
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if l.State.Term != 3 || len(l.Entries) != 1 {
+				t.Errorf("%s: loaded %+v", name, l)
+			}
+			s.Close()
+		}
+	}
+}
+
+// After a failed write the folder is opened again; what it holds is written
+// anew, since the failed sync left open what the disk has.
+func TestRewriteKeepsEverything(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := uint64(1); i <= 5; i++ {
+		if err := s.Append(&raft.HardState{Term: 1, Commit: i}, []raft.Entry{{Index: i, Term: 1}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	s, l, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Rewrite(l); err != nil {
+		t.Fatal(err)
+	}
+	if names, _ := s.segments(); len(names) != 1 {
+		t.Errorf("%d segments are left", len(names))
+	}
+	s.Close()
+	_, again, err := Open(dir)
+	if err != nil || len(again.Entries) != 5 || again.State.Commit != 5 {
+		t.Errorf("loaded %+v, %v", again, err)
+	}
+}
--- a/daemon/telemetry/metrics.go
+++ b/daemon/telemetry/metrics.go
@@ -63,3 +63,33 @@
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// RoutedCall is one finished call on a declared route.
+type RoutedCall struct {
+	Route, Customer string
+	// Status is what the caller got; zero when it left or the stream broke.
+	Status int
+	// Reason is empty for a server's answer.
+	Reason   string
+	Attempts int
+	// First is the time to the answer, or to a stream's first event; zero without
+	// one.
+	First time.Duration
+}
+
+// Routed counts a finished call on a declared route.
+func (m *Metrics) Routed(c RoutedCall) {
+	if c.Route == "" {
+		c.Route = "none"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomwick_routed_calls_total{route=%q,status=\"%d\",reason=%q}", c.Route, c.Status, c.Reason)).Inc()
+	if c.Customer != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf("cardamomwick_customer_calls_total{customer=%q,status=\"%d\"}", c.Customer, c.Status)).Inc()
+	}
+	if c.Attempts > 1 {
+		m.set.GetOrCreateCounter(fmt.Sprintf("cardamomwick_repeated_attempts_total{route=%q}", c.Route)).Add(c.Attempts - 1)
+	}
+	if c.First > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomwick_routed_first_seconds{route=%q}", c.Route)).Update(c.First.Seconds())
+	}
+}
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -120,9 +121,9 @@
 }
 
 func TestAnswerOfAnotherCallIsSkipped(t *testing.T) {
-	connections := 0
+	var connections atomic.Int64
 	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
-		connections++
+		connections.Add(1)
 		id := readCall(r)
 		answer(conn, "someone else", "not yours")
 		answer(conn, id, "yours")
@@ -134,7 +135,7 @@
 			t.Fatalf("got %q, %v", got, err)
 		}
 	}
-	if connections != 2 {
+	if connections.Load() != 2 {
 		t.Error("a connection that carried another call's answer was used again")
 	}
 }
