--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -233,7 +233,7 @@
 	staleTTLs = 3
 	// drainShare of the time that a shutdown may take is used; then what is in
 	// flight is cut off.
-	drainShare = 0.95
+	drainShare = 0.92
 	drainPoll  = 20 * time.Millisecond
 )
 
