--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -66,7 +66,7 @@
 	fullUntil time.Time
 	health    health
 	pace      pace
-	// slowness is the pace against the pool's best.
+	// slowness is the pace against the pool's middle one.
 	slowness float64
 	slow     bool
 }
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -95,10 +95,10 @@
 	}
 	for range 20 {
 		for _, s := range list {
-			b.Streamed(s.ID, append([]time.Duration(nil), usual...))
+			b.Streamed(t0, s.ID, append([]time.Duration(nil), usual...))
 		}
 	}
-	b.Streamed(list[3].ID, sudden)
+	b.Streamed(t0, list[3].ID, sudden)
 	b.refreshPaces(t0.Add(time.Hour))
 	for _, s := range b.servers {
 		if s.slowness > 1.2 {
@@ -124,7 +124,7 @@
 			if i%3 == 2 {
 				d = 26 * time.Millisecond
 			}
-			b.Streamed(s.ID, gaps(d))
+			b.Streamed(now, s.ID, gaps(d))
 		}
 		b.Arrive(now, "p", scene)
 		b.Choose(now, "p", scene, nil, middle)
--- a/core/balance/belief.go
+++ b/core/balance/belief.go
@@ -7,7 +7,7 @@
 	ID string `json:"id"`
 	// Long: the server takes long prompts.
 	Long bool `json:"long"`
-	// Slowness is its time per event against the best of its pool.
+	// Slowness is its time per event against the middle one of its pool.
 	Slowness float64 `json:"slowness"`
 	// Failures is the share of calls that failed lately.
 	Failures float64 `json:"failures"`
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -7,11 +7,10 @@
 
 // Limits of the learned pace.
 const (
-	// paceDown and paceUp are the weights of an observation below and above the
-	// value held: short times are what the engine can do, longer ones come from
-	// the prompts that it reads meanwhile.
-	paceDown = 0.1
-	paceUp   = 0.005
+	// paceBuckets of paceBucket each are looked back: longer than a burst, in which
+	// every stream is slowed by the prompts that its engine reads meanwhile.
+	paceBuckets = 4
+	paceBucket  = 8 * time.Second
 	// leastEvents is how many events a stream must have to tell the pace.
 	leastEvents = 8
 	// leastOfUsual bounds an observation against the pool's usual one: events that
@@ -23,7 +22,7 @@
 	slowest = 4.0
 	// pacePeriod is how often slowness is computed anew.
 	pacePeriod = 500 * time.Millisecond
-	// slowFrom is the pace, against the pool's best, from which an engine is slow,
+	// slowFrom is the pace, against the pool's middle one, from which an engine is slow,
 	// fastUpTo the one up to which it is so no more. Slow engines take long prompts
 	// first: where they read prompts without a pause, their events come too late
 	// for a chat.
@@ -32,24 +31,41 @@
 )
 
 // pace is the time from one event of a stream to the next at one engine that
-// reads few prompts meanwhile.
+// reads few prompts meanwhile: the least that its streams have shown lately.
 type pace struct {
 	perEvent time.Duration
-	streams  int
+	least    [paceBuckets]time.Duration
+	bucket   int64
 }
 
-func (p *pace) observe(seen time.Duration) {
-	p.streams++
-	weight := paceUp
-	if seen < p.perEvent || p.streams == 1 {
-		weight = max(paceDown, 1/float64(p.streams))
+func (p *pace) observe(now time.Time, seen time.Duration) {
+	p.advance(now)
+	at := &p.least[p.bucket%paceBuckets]
+	if *at == 0 || seen < *at {
+		*at = seen
+	}
+	p.perEvent = 0
+	for _, x := range p.least {
+		if x > 0 && (p.perEvent == 0 || x < p.perEvent) {
+			p.perEvent = x
+		}
+	}
+}
+
+func (p *pace) advance(now time.Time) {
+	bucket := now.UnixNano() / int64(paceBucket)
+	if bucket-p.bucket >= paceBuckets {
+		p.least = [paceBuckets]time.Duration{}
+		p.bucket = bucket
+	}
+	for ; p.bucket < bucket; p.bucket++ {
+		p.least[(p.bucket+1)%paceBuckets] = 0
 	}
-	p.perEvent += time.Duration(weight * float64(seen-p.perEvent))
 }
 
 // Streamed notes the times between the events of a stream that a server has
 // sent. It sorts them.
-func (b *Balancer) Streamed(id string, gaps []time.Duration) {
+func (b *Balancer) Streamed(now time.Time, id string, gaps []time.Duration) {
 	s := b.servers[id]
 	if s == nil || len(gaps) < leastEvents {
 		return
@@ -61,7 +77,7 @@
 		p.usual = seen
 	}
 	p.usual += time.Duration(usualWeight * float64(seen-p.usual))
-	s.pace.observe(max(seen, time.Duration(leastOfUsual*float64(p.usual))))
+	s.pace.observe(now, max(seen, time.Duration(leastOfUsual*float64(p.usual))))
 }
 
 // perEvent is an engine's pace as all instances know it; zero when unknown.
@@ -83,7 +99,8 @@
 }
 
 // refreshPaces computes each engine's slowness once for many placements: its
-// pace against the best of its pool, 1 when unknown.
+// pace against the middle one of its pool, 1 when unknown. The middle one is not
+// moved by a single odd measurement, as the best one is.
 func (b *Balancer) refreshPaces(now time.Time) {
 	if now.Sub(b.pacedAt) < pacePeriod {
 		return
@@ -96,18 +113,20 @@
 
 func (b *Balancer) comparePaces(p *pool) {
 	paces := make([]time.Duration, len(p.servers))
-	var best time.Duration
+	var known []time.Duration
 	for i, s := range p.servers {
 		paces[i] = b.perEvent(s)
-		if paces[i] > 0 && (best == 0 || paces[i] < best) {
-			best = paces[i]
+		if paces[i] > 0 {
+			known = append(known, paces[i])
 		}
 	}
+	if len(known) == 0 {
+		return
+	}
+	slices.Sort(known)
+	middle := known[(len(known)-1)/2]
 	for i, s := range p.servers {
-		s.slowness = 1
-		if paces[i] > 0 {
-			s.slowness = min(slowest, float64(paces[i])/float64(best))
-		}
+		s.slowness = max(1, min(slowest, float64(paces[i])/float64(middle)))
 		switch {
 		case s.slowness >= slowFrom:
 			s.slow = true
--- a/core/balance/replay_test.go
+++ b/core/balance/replay_test.go
@@ -166,7 +166,7 @@
 func (p *balanced) ended(now time.Time, engine int, s *streamSim) {
 	p.b.End(s.ticket)
 	p.b.Good(now, p.list[engine].ID)
-	p.b.Streamed(p.list[engine].ID, s.gaps)
+	p.b.Streamed(now, p.list[engine].ID, s.gaps)
 }
 
 // leastRunning is the usual policy: the engine with the fewest calls.
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -464,7 +464,7 @@
 func (r *Router) streamed(id string, s *stream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.Streamed(id, s.gaps)
+	r.balancer.Streamed(time.Now(), id, s.gaps)
 }
 
 func (c *call) logEnd(what string) { c.logEntry().Info(what) }
