--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -137,7 +137,8 @@
 
 // Arrive notes a call for a pool, placed or not.
 func (b *Balancer) Arrive(now time.Time, poolName string, c Call) {
-	b.pool(poolName).sides.arrive(now, c)
+	p := b.pool(poolName)
+	p.sides.arrive(now, c, c.long(&p.speed))
 }
 
 // Choose returns the server for a call, other than the excluded ones; ok is
@@ -149,11 +150,12 @@
 		return fleet.Server{}, false
 	}
 	b.refreshPaces(now)
+	onLong := c.long(&p.speed)
 	var long []string
 	if c.Tokens > 0 {
 		long = b.longSide(now, poolName)
 	}
-	ranks := rankByHome(c.Home, candidates, func(id string) bool { return c.Tokens == 0 || slices.Contains(long, id) == c.long() })
+	ranks := rankByHome(c.Home, candidates, func(id string) bool { return c.Tokens == 0 || slices.Contains(long, id) == onLong })
 	var best *server
 	least := math.Inf(1)
 	for i, s := range candidates {
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -30,7 +30,25 @@
 	Home string
 }
 
-func (c *Call) long() bool { return c.Tokens >= LongPrompt }
+// Limits for short calls beside long prompts.
+const (
+	// usualLong is the length of a long prompt that such a call may wait for.
+	usualLong = 3 * LongPrompt
+	// besideLong is the part of its target that this wait may take.
+	besideLong = 0.3
+)
+
+// long reports whether the call belongs to the long side. Beside long prompts go
+// also the short calls that bear it: whose events may pause for longer than a
+// chunk of reading takes, and whose target leaves time for a long prompt to be
+// read first. That keeps the reading of their own prompts away from chats, which
+// hold their slots for longer the more is read beside them.
+func (c *Call) long(s *speed) bool {
+	if c.Tokens >= LongPrompt {
+		return true
+	}
+	return c.Gap > 0 && !c.sensitive() && s.time(usualLong).Seconds() <= besideLong*c.target().Seconds()
+}
 
 func (c *Call) target() time.Duration {
 	if c.Target <= 0 {
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -81,7 +81,7 @@
 // stream. Other short calls only lose time.
 func (c *Call) offSideLoss(l Load) float64 {
 	switch {
-	case c.long():
+	case c.Tokens >= LongPrompt:
 		return offSideHard + min(mostSensitive, sensitiveLoss*float64(l.Sensitive))
 	case c.sensitive():
 		return offSideHard
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -19,7 +19,7 @@
 	// usualWeight is the weight of an observation in the pool's usual one.
 	usualWeight = 0.02
 	// slowest bounds the slowness.
-	slowest = 4.0
+	slowest = 1.5
 	// pacePeriod is how often slowness is computed anew.
 	pacePeriod = 500 * time.Millisecond
 	// slowFrom is the pace, against the pool's middle one, from which an engine is slow,
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -36,11 +36,11 @@
 
 func (s *sides) has(id string) bool { return slices.Contains(s.engines, id) }
 
-func (s *sides) arrive(now time.Time, c Call) {
+func (s *sides) arrive(now time.Time, c Call, long bool) {
 	if c.Tokens == 0 {
 		return
 	}
-	if c.long() {
+	if long {
 		s.long.add(now, c.unread())
 		return
 	}
