--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -141,13 +141,23 @@
 	p.sides.arrive(now, c, c.long(&p.speed))
 }
 
+// Choice is a server with what decided for it.
+type Choice struct {
+	fleet.Server
+	// Rank is the server's place in the ranking of the call's shared part: 0 is its
+	// home, -1 a server on the other side of the boundary.
+	Rank int
+	// Loss is the loss that was expected, the least of all servers.
+	Loss float64
+}
+
 // Choose returns the server for a call, other than the excluded ones; ok is
 // false when none can take it. random draws uniformly from [0, 1).
-func (b *Balancer) Choose(now time.Time, poolName string, c Call, exclude func(id string) bool, random func() float64) (fleet.Server, bool) {
+func (b *Balancer) Choose(now time.Time, poolName string, c Call, exclude func(id string) bool, random func() float64) (Choice, bool) {
 	p := b.pool(poolName)
 	candidates := usable(now, p.servers, exclude)
 	if len(candidates) == 0 {
-		return fleet.Server{}, false
+		return Choice{}, false
 	}
 	b.refreshPaces(now)
 	onLong := c.long(&p.speed)
@@ -156,7 +166,7 @@
 		long = b.longSide(now, poolName)
 	}
 	ranks := rankByHome(c.Home, candidates, func(id string) bool { return c.Tokens == 0 || slices.Contains(long, id) == onLong })
-	var best *server
+	best := 0
 	least := math.Inf(1)
 	for i, s := range candidates {
 		loss := b.loss(now, p, s, c, ranks[i])
@@ -164,10 +174,10 @@
 			loss += spreadLoss * random()
 		}
 		if loss < least {
-			best, least = s, loss
+			best, least = i, loss
 		}
 	}
-	return best.Server, true
+	return Choice{candidates[best].Server, ranks[best], least}, true
 }
 
 // load counts a server's calls over all instances.
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -57,6 +58,7 @@
 	refusals int
 	tried    []string
 	ticket   balance.Ticket
+	choice   balance.Choice
 	dog      *watchdog
 	// paid: the next attempt is already taken from the retry budget.
 	paid   bool
@@ -92,12 +94,12 @@
 			c.giveUp("no backend server")
 			return
 		}
-		v := c.attempt(ctx, server)
+		v := c.attempt(ctx, server.Server)
 		if v == answered {
 			return
 		}
 		if c.req.Context().Err() != nil {
-			c.logCallerLeft(server)
+			c.logCallerLeft(server.Server)
 			panic(http.ErrAbortHandler)
 		}
 		if !c.mayTryAgain(v) {
@@ -153,7 +155,7 @@
 }
 
 // choose returns the server for the call's next attempt and accounts for it.
-func (r *Router) choose(c *call) (fleet.Server, bool) {
+func (r *Router) choose(c *call) (balance.Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	exclude := func(id string) bool {
@@ -168,6 +170,7 @@
 	s, ok := r.balancer.Choose(now, c.pool.Name, c.load(), exclude, rand.Float64)
 	if ok {
 		c.ticket = r.balancer.Start(now, s.ID, c.load())
+		c.choice = s
 	}
 	return s, ok
 }
@@ -423,7 +426,8 @@
 // logAnswer says how a call was answered by a server.
 func (c *call) logAnswer(s fleet.Server, status int) {
 	first := time.Since(c.arrived)
-	f := log.Fields{"status": status, "server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens}
+	f := log.Fields{"status": status, "server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens,
+		"rank": c.choice.Rank, "loss": math.Round(c.choice.Loss*lossGrain) / lossGrain}
 	if c.stream != nil && c.stream.events > 0 {
 		first = c.stream.first.Sub(c.arrived)
 		f["first_ms"] = first.Milliseconds()
@@ -437,6 +441,9 @@
 	c.count(status, "", first)
 }
 
+// lossGrain keeps logged losses short.
+const lossGrain = 100
+
 // answeredField marks the lines that may be dropped first.
 const answeredField = "answered"
 
