Leases are read from a clock that counts suspension

Cause: Go's monotonic time stands still while a machine is suspended, so that a configuration lease, and the lease for engine orders, outlived their real end after a wake-up. Ruled out: the time of day, which jumps. Before: TestLeaseLapsesWhileTheMachineIsSuspended red (fresh after five seconds of suspension, passed on, stale for 0 s). After: green; go test ./daemon/lease ./daemon/boottime ok.

--- a/daemon/lease/lease.go
+++ b/daemon/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease keeps an instance's configuration fresh. A lease is a round
 // trip that a quorum of replicas stood behind, counted from the moment at which
-// the request was sent, on this instance's monotonic clock. A round trip begun
+// the request was sent, on a clock that goes on while the machine is suspended. A round trip begun
 // after a change was committed carries the change; one begun before has run
 // out one lease length later. So nothing older than that is ever acted on.
 package lease
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/boottime"
 	"cardamomwick.example/daemon/loop"
 	"cardamomwick.example/daemon/replica"
 )
@@ -46,6 +47,8 @@
 	mu     sync.Mutex
 	group  uint64
 	lapsed bool
+	// now is boottime.Now; tests suspend the machine with it.
+	now func() time.Time
 	// history is what this instance passes on to others.
 	history    state.History
 	config     atomic.Pointer[state.Config]
@@ -55,7 +58,7 @@
 // New returns a holder without a lease. isolated is told when the lease lapses
 // and when it is back.
 func New(source Source, isolated func(bool)) *Holder {
-	h := &Holder{source: source, isolated: isolated, lapsed: true, history: state.NewHistory()}
+	h := &Holder{source: source, isolated: isolated, lapsed: true, now: boottime.Now, history: state.NewHistory()}
 	h.publish()
 	return h
 }
@@ -100,7 +103,7 @@
 func (h *Holder) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := h.now()
 	l, err := h.ask(ctx, h.Config().Generation)
 	if err != nil {
 		log.WithError(eris.Cause(err)).WithField("step", "renew lease").Debug("no lease")
@@ -108,7 +111,7 @@
 	}
 	if err := h.accept(sent, l); err != nil {
 		log.WithError(err).WithField("step", "renew lease").Warn("update refused; asking for all")
-		sent = time.Now()
+		sent = h.now()
 		if l, err = h.ask(ctx, wholeUpdate); err == nil {
 			err = h.accept(sent, l)
 		}
@@ -165,7 +168,7 @@
 // Fresh reports whether the configuration may be acted on now.
 func (h *Holder) Fresh() bool {
 	until := h.validUntil.Load()
-	return until != nil && time.Now().Before(*until)
+	return until != nil && h.now().Before(*until)
 }
 
 // StaleFor returns for how long the lease has been lapsed; the largest
@@ -175,7 +178,7 @@
 	if until == nil {
 		return math.MaxInt64
 	}
-	return max(0, time.Since(*until))
+	return max(0, h.now().Sub(*until))
 }
 
 // PassOn returns this instance's lease for another one that holds an older
@@ -189,7 +192,7 @@
 	if until == nil {
 		return l, false
 	}
-	left := time.Until(*until)
+	left := until.Sub(h.now())
 	if left <= 0 {
 		return l, false
 	}
--- a/daemon/lease/lease_test.go
+++ b/daemon/lease/lease_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/boottime"
 	"cardamomwick.example/daemon/replica"
 )
 
@@ -31,7 +32,7 @@
 func TestLeaseCountsFromSending(t *testing.T) {
 	s := &source{delay: 300 * time.Millisecond, lease: full(1, 4)}
 	h := New(s, func(bool) {})
-	before := time.Now()
+	before := boottime.Now()
 	h.renew(context.Background())
 	until := *h.validUntil.Load()
 	if until.After(before.Add(replica.LeaseLength + 50*time.Millisecond)) {
@@ -83,7 +84,7 @@
 		}
 		last = child
 	}
-	past := time.Now().Add(-time.Millisecond)
+	past := boottime.Now().Add(-time.Millisecond)
 	top.validUntil.Store(&past)
 	if _, ok := top.PassOn(0); ok {
 		t.Fatal("a lapsed lease was passed on")
@@ -102,3 +103,25 @@
 	}
 	return l, nil
 }
+
+// A suspended machine's monotonic clock stands still. When it wakes up, its lease
+// must have run out by the clock of all others.
+func TestLeaseLapsesWhileTheMachineIsSuspended(t *testing.T) {
+	h := New(&source{lease: full(1, 4)}, func(bool) {})
+	suspended := time.Duration(0)
+	h.now = func() time.Time { return boottime.Now().Add(suspended) }
+	h.renew(context.Background())
+	if !h.Fresh() {
+		t.Fatal("no lease")
+	}
+	suspended = 5 * time.Second
+	if h.Fresh() {
+		t.Error("the lease is fresh after five seconds of suspension")
+	}
+	if _, ok := h.PassOn(0); ok {
+		t.Error("a lapsed lease was passed on")
+	}
+	if h.StaleFor() < 2*time.Second {
+		t.Errorf("stale for %v only", h.StaleFor())
+	}
+}
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -17,6 +17,7 @@
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/placement"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/boottime"
 	"cardamomwick.example/daemon/gossip"
 	"cardamomwick.example/daemon/lease"
 	"cardamomwick.example/daemon/loop"
@@ -86,27 +87,27 @@
 
 // hold renews the lease, or takes it over when it has been still long enough.
 func (s *Service) hold(ctx context.Context) bool {
-	sent := time.Now()
+	sent := boottime.Now()
 	owner := s.Owner
 	if s.seen.Owner != s.Owner && s.seen.Fence != 0 && sent.Sub(s.seenAt) < takeOverAfter {
 		owner = "" // only look
 	}
 	res, err := s.propose(ctx, &state.Command{Type: state.CommandOrderLease, Lease: &state.LeaseCommand{Owner: owner, Expected: s.seen}})
 	if err != nil || res.Lease == nil {
-		return time.Now().Before(s.validUntil)
+		return boottime.Now().Before(s.validUntil)
 	}
 	if *res.Lease != s.seen {
 		if res.Lease.Owner == s.Owner && s.seen.Owner != s.Owner {
-			s.heldSince = time.Now()
+			s.heldSince = boottime.Now()
 			s.planner = placement.NewPlanner()
 			log.WithFields(log.Fields{"step": "engine orders", "fence": res.Lease.Fence}).Info("order lease taken")
 		}
-		s.seen, s.seenAt = *res.Lease, time.Now()
+		s.seen, s.seenAt = *res.Lease, boottime.Now()
 	}
 	if res.Code == state.CodeOK && owner != "" && res.Lease.Owner == s.Owner {
 		s.validUntil = sent.Add(validity)
 	}
-	return s.seen.Owner == s.Owner && time.Now().Before(s.validUntil)
+	return s.seen.Owner == s.Owner && boottime.Now().Before(s.validUntil)
 }
 
 func (s *Service) propose(ctx context.Context, c *state.Command) (state.Result, error) {
@@ -124,7 +125,7 @@
 		addresses[x.ID] = x.Address
 	}
 	for _, o := range s.planner.Next(time.Now(), b, engines) {
-		if !b.Pools[o.Pool].ChecksFencing && time.Since(s.heldSince) < quiet {
+		if !b.Pools[o.Pool].ChecksFencing && boottime.Now().Sub(s.heldSince) < quiet {
 			continue
 		}
 		o.Fence = s.seen.Fence
@@ -157,7 +158,7 @@
 		return err
 	}
 	req.GetBody = nil
-	if !time.Now().Before(s.validUntil) {
+	if !boottime.Now().Before(s.validUntil) {
 		return eris.New("the order lease has run out")
 	}
 	resp, err := httpc.DoRequest(req)
