--- /dev/null
+++ b/ctl/explain/explain_test.go
@@ -0,0 +1,55 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+const entryLog = `{"fields":{"instance":"e1"},"level":"info","timestamp":"2026-12-02T10:00:00Z","message":"instance started"}
+{"fields":{"instance":"e1","version":3},"level":"info","timestamp":"2026-12-02T10:00:01Z","message":"declaration in force"}
+{"fields":{"instance":"e1","version":4},"level":"info","timestamp":"2026-12-02T10:00:05Z","message":"declaration in force"}
+{"fields":{"instance":"e1","call":"other","status":200},"level":"info","timestamp":"2026-12-02T10:00:05.5Z","message":"call answered"}
+12.3 e1 {"fields":{"instance":"e1","call":"c1","status":504,"runs":1,"tried":["s1"],"reason":"time is over"},"level":"info","timestamp":"2026-12-02T10:00:06Z","message":"call failed"}
+{"fields":{"instance":"e1","version":5},"level":"info","timestamp":"2026-12-02T10:00:09Z","message":"declaration in force"}
+`
+
+const replicaLog = `not JSON
+{"fields":{"instance":"r1","server":"s1","phase":"draining"},"level":"info","timestamp":"2026-12-02T10:00:04Z","message":"server leaves"}
+{"fields":{"instance":"r1","server":"s1","phase":"departed"},"level":"info","timestamp":"2026-12-02T10:01:04Z","message":"server leaves"}
+`
+
+func TestStoryHasTheCallItsBeliefsAndWhatHappenedNear(t *testing.T) {
+	s, err := Read("c1", strings.NewReader(replicaLog), strings.NewReader(entryLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Call) != 1 || len(s.Events) != 1 || s.Unreadable != 1 {
+		t.Fatalf("got %+v", s)
+	}
+	if n := len(s.Beliefs); n != 2 || s.Beliefs[1].text("version") != "4" {
+		t.Errorf("beliefs are %+v; the declaration in force at that time was 4", s.Beliefs)
+	}
+	var out strings.Builder
+	if err := s.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"e1: call failed", "reason=time is over", "r1: server leaves phase=draining", "version=4"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the story lacks %q:\n%s", want, out.String())
+		}
+	}
+	if strings.Contains(out.String(), "version=5") || strings.Contains(out.String(), "departed") {
+		t.Errorf("the story tells what came later:\n%s", out.String())
+	}
+}
+
+func TestUnknownCallIsSaidSo(t *testing.T) {
+	s, err := Read("nobody", strings.NewReader(entryLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := s.Write(&out); err != nil || !strings.Contains(out.String(), "no line names this call") {
+		t.Errorf("got %q, %v", out.String(), err)
+	}
+}
