A lost replica's place is taken within four seconds; tests of the routed group as a whole

Cause: a learner that caught up within 0.7 s of a voter's loss was made a voter beside it, and the group of four, one of them gone, bore no further loss for 12 s.

--- a/daemon/replica/upkeep.go
+++ b/daemon/replica/upkeep.go
@@ -11,9 +11,13 @@
 // Limits of the leader's upkeep of the membership.
 const (
 	// replaceAfter is how long a voter must be silent before a caught-up learner
-	// takes its place: three election timeouts, so that a restart in place is
+	// takes its place: three election timeouts at least, so that a restart in place is
 	// waited for.
-	replaceAfter = 3 * time.Second
+	replaceAfter = 2500 * time.Millisecond
+	// doubtAfter is the silence of a voter from which a learner is not made a voter
+	// beside it: it might have to take its place, and a group that counts both bears
+	// one loss less.
+	doubtAfter = 700 * time.Millisecond
 	// dropAfter is how long a voter must be silent before it is ended with no
 	// learner at hand, so that the quorum does not go on counting an instance
 	// that is gone. It rejoins as a learner should it return.
@@ -44,7 +48,7 @@
 func (r *Replica) nextMembership(st raft.Status) (next raft.Membership, reason string) {
 	learner, waiting := caughtUpLearner(st)
 	if !waiting {
-		gone, ok := r.silentVoter(st, dropAfter)
+		gone, ok := r.silentVoter(st, dropLimit(st.Membership))
 		if !ok || !r.dynamic() || st.Membership.Voters() <= leastVoters || r.liveVoters(st) <= st.Membership.Voters()/2 {
 			return next, ""
 		}
@@ -56,9 +60,22 @@
 	if gone, ok := r.silentVoter(st, replaceAfter); ok && r.dynamic() && st.Membership.Voters() >= leastVoters {
 		return st.Membership.Without(gone.ID), "a learner takes a silent voter's place"
 	}
+	if _, doubt := r.silentVoter(st, doubtAfter); doubt && r.dynamic() {
+		return next, ""
+	}
 	return st.Membership.With(raft.Member{ID: learner.ID, Address: learner.Address, Voter: true}), "a learner has caught up"
 }
 
+// dropLimit is how long a voter may be silent before it is ended with no learner
+// at hand. A group of an even size, as after a learner was made a voter just
+// before another voter was lost, bears no loss more than without the silent one.
+func dropLimit(m raft.Membership) time.Duration {
+	if m.Voters()%2 == 0 {
+		return replaceAfter
+	}
+	return dropAfter
+}
+
 // dynamic reports whether members come and go without the settings.
 func (r *Replica) dynamic() bool { return r.opt.Directory.open }
 
--- /dev/null
+++ b/daemon/routed_test.go
@@ -0,0 +1,252 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/control"
+	"cardamomwick.example/daemon/replica"
+	"cardamomwick.example/daemon/settings"
+	"cardamomwick.example/daemon/upstream"
+)
+
+// stubAdapter speaks no protocol: these tests call the instances directly.
+type stubAdapter struct{ control ControlAPI }
+
+func (*stubAdapter) Call(http.Header) upstream.Call           { return upstream.Call{} }
+func (*stubAdapter) Strip(http.Header)                        {}
+func (*stubAdapter) Stamp(http.Header, upstream.Stamp)        {}
+func (*stubAdapter) Answer(int, http.Header) upstream.Answer  { return upstream.Answer{} }
+func (*stubAdapter) SetRetryAfter(http.Header, time.Duration) {}
+func (*stubAdapter) Directory(Directory) http.Handler         { return http.NotFoundHandler() }
+func (*stubAdapter) Readiness(func() bool) http.Handler       { return http.NotFoundHandler() }
+func (a *stubAdapter) Control(c ControlAPI) http.Handler {
+	a.control = c
+	return http.NotFoundHandler()
+}
+
+// member is a running instance.
+type member struct {
+	*Routed
+	control ControlAPI
+	peer    string
+	folder  string
+	end     context.CancelFunc
+	done    chan error
+}
+
+// kill ends an instance without its drain.
+func (m *member) kill() {
+	m.end()
+	<-m.done
+}
+
+type cluster struct {
+	t     *testing.T
+	seeds []string
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	log.SetHandler(discard.New())
+	return &cluster{t: t, seeds: []string{freePort(t), freePort(t), freePort(t)}}
+}
+
+func (c *cluster) start(name, peer, folder string, bootstrap bool) *member {
+	c.t.Helper()
+	callers, controlAddress := "", ""
+	if folder == "" {
+		callers = freePort(c.t)
+	} else {
+		controlAddress = freePort(c.t)
+	}
+	text := fmt.Sprintf("[instance]\nname=%q\navailability_zone=\"z\"\ndata_folder=%q\n[callers]\naddress=%q\naddress_ttl=\"100ms\"\ndrain_timeout=\"1s\"\n"+
+		"[peers]\naddress=%q\nseeds=[\"%s\"]\n[[peers.keys]]\nid=\"k\"\nsecret=\"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\"\n"+
+		"[replicas]\nbootstrap=%v\n[routing]\nenabled=true\ncontrol_address=%q\n", name, folder, callers, peer, strings.Join(c.seeds, `","`), bootstrap, controlAddress)
+	s, err := settings.Parse("test", []byte(text))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	adapter := &stubAdapter{}
+	d, err := NewRouted(s, adapter)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	m := &member{Routed: d, control: adapter.control, peer: peer, folder: folder, end: end, done: make(chan error, 1)}
+	go func() { m.done <- d.Run(ctx) }()
+	c.t.Cleanup(end)
+	return m
+}
+
+func (c *cluster) founders() []*member {
+	var out []*member
+	for i, seed := range c.seeds {
+		out = append(out, c.start(fmt.Sprint("r", i), seed, c.t.TempDir(), true))
+	}
+	return out
+}
+
+func (c *cluster) until(what string, limit time.Duration, met func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(limit); !met(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func (c *cluster) declare(m *member, version uint64) {
+	c.t.Helper()
+	d := &routing.Declaration{Version: version, Pools: []routing.Pool{{Name: "p"}}}
+	c.until(fmt.Sprintf("version %d is acknowledged", version), 10*time.Second, func() bool {
+		return m.control.Declare(context.Background(), d, fmt.Appendf(nil, "source %d", version)) == nil
+	})
+}
+
+func (c *cluster) expectSource(m *member, version uint64) {
+	c.t.Helper()
+	want := fmt.Sprintf("source %d", version)
+	c.until(want+" is read back", 5*time.Second, func() bool {
+		got, err := m.control.Source(context.Background())
+		return err == nil && string(got) == want
+	})
+}
+
+func voters(m *member) int {
+	v, _ := m.replica.View()
+	return len(v.Members)
+}
+
+// inForce is within how long a declaration must be in force after its
+// acknowledgement.
+const inForce = 2 * time.Second
+
+func TestDeclarationIsInForceAtEntriesAndReadBackAnywhere(t *testing.T) {
+	c := newCluster(t)
+	group := c.founders()
+	entry := c.start("e0", freePort(t), "", false)
+	if entry.ready() {
+		t.Error("an entry without a declaration is ready")
+	}
+	for version := uint64(3); version < 9; version += 2 {
+		c.declare(group[version%3], version)
+		c.until("the declaration is in force", inForce, func() bool { tb := entry.watch.Table(); return tb != nil && tb.Version() == version })
+		for _, m := range group {
+			c.expectSource(m, version)
+		}
+	}
+	c.declare(group[0], 2) // an older one is acknowledged and changes nothing
+	c.expectSource(group[1], 7)
+	if !entry.ready() || entry.watch.Table().Version() != 7 {
+		t.Errorf("the entry has version %d, ready %v", entry.watch.Table().Version(), entry.ready())
+	}
+}
+
+func TestWithdrawnServerStaysAwayOverTheLeadersEnd(t *testing.T) {
+	c := newCluster(t)
+	group := c.founders()
+	c.declare(group[0], 1)
+	ctx := context.Background()
+	for _, id := range []string{"a", "b"} {
+		c.until("an announcement is acknowledged", 5*time.Second, func() bool {
+			return group[1].control.Announce(ctx, fleet.Server{ID: id, Pool: "p", Address: "10.0.0.1:1", Sequence: 1}) == nil
+		})
+	}
+	c.until("both servers are in the log", 5*time.Second, func() bool { v, _ := group[2].replica.View(); return len(v.Routing.Servers) == 2 })
+	c.until("a departure is acknowledged", 5*time.Second, func() bool { return group[1].control.Depart(ctx, "a") == nil })
+	var left []*member
+	for _, m := range group {
+		if v, _ := m.replica.View(); v.Leading {
+			m.kill()
+			continue
+		}
+		left = append(left, m)
+	}
+	// An entry that starts now knows only what the new leader has from the log.
+	got := make(chan []fleet.Server, 64)
+	w := control.NewWatch(left[0].transport, replica.NewClient(left[0].transport, left[0].directory), func(*routing.Table) {}, func(list []fleet.Server) {
+		select {
+		case got <- list:
+		default:
+		}
+	})
+	wctx, end := context.WithCancel(ctx)
+	defer end()
+	go func() { _ = w.Serve(wctx) }()
+	c.until("the new leader lists b and not a", 10*time.Second, func() bool {
+		list := <-got
+		return len(list) == 1 && list[0].ID == "b"
+	})
+}
+
+// replaceTime is within how long an empty replica must have taken the place of a
+// lost one; from then on the group must bear another loss.
+const replaceTime = 4 * time.Second
+
+// An empty replica at another address takes the place of one that is gone for
+// good, and the group then bears the loss of one more.
+func TestEmptyReplicaReplacesALostOne(t *testing.T) {
+	c := newCluster(t)
+	group := c.founders()
+	c.declare(group[0], 1)
+	group[2].kill()
+	fresh := c.start("r9", freePort(t), t.TempDir(), false)
+	c.declare(group[0], 2)
+	c.until("the new replica has the declaration", 15*time.Second, func() bool {
+		v, _ := fresh.replica.View()
+		return v.Routing.Held.Version == 2
+	})
+	c.until("the lost one is ended and the new one a member", replaceTime, func() bool {
+		v, _ := group[0].replica.View()
+		return len(v.Members) == 3 && !slices.Contains(v.Members, group[2].peer) && slices.Contains(v.Members, fresh.peer) && voters(fresh) == 3
+	})
+	time.Sleep(500 * time.Millisecond)
+	group[1].kill()
+	c.declare(fresh, 5)
+	c.expectSource(group[0], 5)
+}
+
+// A replica that lost its disk comes back empty at its old address. It must not
+// count as the member that it was.
+func TestReplicaThatLostItsDiskJoinsAnew(t *testing.T) {
+	c := newCluster(t)
+	group := c.founders()
+	c.declare(group[0], 1)
+	group[1].kill()
+	back := c.start("r1", group[1].peer, t.TempDir(), false)
+	c.until("the replica is a member again", 15*time.Second, func() bool {
+		v, _ := back.replica.View()
+		return v.Ready && len(v.Members) == 3 && v.Routing.Held.Version == 1
+	})
+	c.declare(back, 2)
+	c.expectSource(group[2], 2)
+}
+
+func TestWholeGroupComesBackWithWhatWasAcknowledged(t *testing.T) {
+	c := newCluster(t)
+	group := c.founders()
+	for version := uint64(1); version <= 40; version++ {
+		c.declare(group[version%3], version)
+	}
+	for _, m := range group {
+		m.kill()
+	}
+	var again []*member
+	for i, m := range group {
+		again = append(again, c.start(fmt.Sprint("r", i), m.peer, m.folder, false))
+	}
+	for _, m := range again {
+		c.expectSource(m, 40)
+	}
+}
