Read as a newcomer: one HTTP listener for both kinds of instance, files of one job

daemon/listener.go and httplisten.go had the same loop; replica.go and call.go each held a second job (reopening the folder, the log lines of a call).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -132,9 +132,6 @@
 	return p
 }
 
-// Known reports whether a server is in the fleet.
-func (b *Balancer) Known(id string) bool { return b.servers[id] != nil }
-
 // Arrive notes a call for a pool, placed or not.
 func (b *Balancer) Arrive(now time.Time, poolName string, c Call) {
 	p := b.pool(poolName)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,7 +51,7 @@
 	admin      *admin.Admin
 	placement  *placement.Service
 	metrics    *telemetry.Metrics
-	listener   *listener
+	listener   *httpListener
 }
 
 // New builds an instance from checked settings.
--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -19,11 +19,13 @@
 // connection that is just being closed.
 const idleTimeout = 2 * time.Minute
 
-// httpListener serves one handler at one address. It is a suture service.
+// httpListener serves HTTP at one address. It is a suture service.
 type httpListener struct {
-	name   string
-	rest   *rest.Server
-	server atomic.Pointer[http.Server]
+	name string
+	rest *rest.Server
+	// lastAnswers is how long calls that crossed the end of the drain may take.
+	lastAnswers time.Duration
+	server      atomic.Pointer[http.Server]
 }
 
 // direct is a go-zero router that hands every request to one handler. None of
@@ -58,7 +60,7 @@
 		return nil, eris.Wrapf(err, "make HTTP server of %s", name)
 	}
 	logx.Disable()
-	return &httpListener{name: name, rest: s}, nil
+	return &httpListener{name: name, rest: s, lastAnswers: crossedAnswers}, nil
 }
 
 // String names the service in the supervisor's log.
@@ -87,15 +89,15 @@
 	}
 }
 
-// lastAnswers is how long calls that crossed the end of the drain may take.
-const lastAnswers = 200 * time.Millisecond
+// crossedAnswers is enough for an instance that has drained before.
+const crossedAnswers = 200 * time.Millisecond
 
 func (l *httpListener) stop() {
 	s := l.server.Load()
 	if s == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	ctx, cancel := context.WithTimeout(context.Background(), l.lastAnswers)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
 		_ = s.Close() // what is left came too late; the process ends
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"context"
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,15 +25,9 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// listener serves HTTP. It is a suture service.
-type listener struct {
-	rest   *rest.Server
-	server atomic.Pointer[http.Server]
-}
-
 // newListener adds all routes. Of go-zero's middlewares only Recover is on:
 // its shedding, breaker, connection cap and timeout know no classes.
-func (d *Daemon) newListener() (*listener, error) {
+func (d *Daemon) newListener() (*httpListener, error) {
 	ap, err := netip.ParseAddrPort(d.settings.Callers.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "parse callers.address")
@@ -52,7 +44,7 @@
 	logx.Disable()
 	s.AddRoutes([]rest.Route{{Method: http.MethodPost, Path: api.PathChat, Handler: d.entry.Chat}}, rest.WithSSE())
 	s.AddRoutes(d.routes())
-	return &listener{rest: s}, nil
+	return &httpListener{name: "callers' listener", rest: s, lastAnswers: stopTimeout}, nil
 }
 
 func (d *Daemon) routes() []rest.Route {
@@ -81,38 +73,5 @@
 	http.Error(w, `{"error":{"type":"invalid_request","message":"no such path","outcome":"not_run"}}`, http.StatusNotFound)
 }
 
-// String names the service in the supervisor's log.
-func (l *listener) String() string { return "callers' listener" }
-
-// Serve listens until the context ends. What is in flight has ended before:
-// the daemon drains first.
-func (l *listener) Serve(ctx context.Context) error {
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		l.rest.StartWithOpts(func(s *http.Server) {
-			s.ReadHeaderTimeout = headerTimeout
-			s.MaxHeaderBytes = maxHeaderBytes
-			l.server.Store(s)
-		})
-	}()
-	select {
-	case <-ctx.Done():
-		l.stop()
-		return ctx.Err()
-	case <-stopped:
-		return eris.New("HTTP listener stopped")
-	}
-}
-
+// stopTimeout is how long the listener may take to stop.
 const stopTimeout = 5 * time.Second
-
-func (l *listener) stop() {
-	s := l.server.Load()
-	if s == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	_ = s.Shutdown(ctx)
-}
--- /dev/null
+++ b/daemon/replica/reopen.go
@@ -0,0 +1,71 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/storage"
+)
+
+// reopenPause is the wait before a failed data folder is tried again.
+const reopenPause = 500 * time.Millisecond
+
+// reopen loads the data folder anew after a failed write, until that works. The
+// process stays: its other parts don't need the disk. What was not persisted
+// was not promised to anyone.
+func (r *Replica) reopen(ctx context.Context) error {
+	r.failWaiters()
+	r.failReads()
+	r.board.put(View{})
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(reopenPause):
+		}
+		err := r.tryReopen()
+		if err == nil {
+			log.WithField("step", "reopen storage").Info("storage is back")
+			return nil
+		}
+		if errors.Is(err, storage.ErrCorrupt) {
+			return eris.Wrap(suture.ErrTerminateSupervisorTree, err.Error())
+		}
+		log.WithError(err).WithField("step", "reopen storage").Warn("storage still fails")
+	}
+}
+
+func (r *Replica) tryReopen() error {
+	r.audit.close()
+	r.store.Close()
+	store, loaded, err := storage.Open(r.opt.Folder)
+	if err != nil {
+		return err
+	}
+	if err := store.Rewrite(loaded); err != nil {
+		store.Close()
+		return err
+	}
+	r.store = store
+	r.machine = state.New()
+	r.leading, r.incoming = false, map[uint64][]byte{}
+	return r.restore(loaded)
+}
+
+// failReads answers reads that can't be confirmed any more.
+func (r *Replica) failReads() {
+	for context, done := range r.reads {
+		delete(r.reads, context)
+		done(errRetry)
+	}
+	for _, d := range r.due {
+		d.done(errRetry)
+	}
+	r.due = nil
+}
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"path/filepath"
 	"sync/atomic"
@@ -10,7 +9,6 @@
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
-	"github.com/thejerf/suture/v4"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/raft"
@@ -30,9 +28,7 @@
 	maintainPeriod = 200 * time.Millisecond
 	// leaderlessAfter is two of the longest election timeouts.
 	leaderlessAfter = 2 * time.Second
-	// reopenPause is the wait before a failed data folder is tried again.
-	reopenPause   = 500 * time.Millisecond
-	transferLimit = 2 * time.Second
+	transferLimit   = 2 * time.Second
 )
 
 // Bounds of the replica.
@@ -183,60 +179,6 @@
 	}
 }
 
-// reopen loads the data folder anew after a failed write, until that works. The
-// process stays: its other parts don't need the disk. What was not persisted
-// was not promised to anyone.
-func (r *Replica) reopen(ctx context.Context) error {
-	r.failWaiters()
-	r.failReads()
-	r.board.put(View{})
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(reopenPause):
-		}
-		err := r.tryReopen()
-		if err == nil {
-			log.WithField("step", "reopen storage").Info("storage is back")
-			return nil
-		}
-		if errors.Is(err, storage.ErrCorrupt) {
-			return eris.Wrap(suture.ErrTerminateSupervisorTree, err.Error())
-		}
-		log.WithError(err).WithField("step", "reopen storage").Warn("storage still fails")
-	}
-}
-
-func (r *Replica) tryReopen() error {
-	r.audit.close()
-	r.store.Close()
-	store, loaded, err := storage.Open(r.opt.Folder)
-	if err != nil {
-		return err
-	}
-	if err := store.Rewrite(loaded); err != nil {
-		store.Close()
-		return err
-	}
-	r.store = store
-	r.machine = state.New()
-	r.leading, r.incoming = false, map[uint64][]byte{}
-	return r.restore(loaded)
-}
-
-// failReads answers reads that can't be confirmed any more.
-func (r *Replica) failReads() {
-	for context, done := range r.reads {
-		delete(r.reads, context)
-		done(errRetry)
-	}
-	for _, d := range r.due {
-		d.done(errRetry)
-	}
-	r.due = nil
-}
-
 func (r *Replica) noteLeaderless() {
 	if r.node.LeaderID() != raft.None || r.store.Identity().Group == 0 {
 		r.leaderSeen = time.Now()
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -4,17 +4,13 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
-
 	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
-	"cardamomwick.example/daemon/telemetry"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -413,77 +409,3 @@
 		c.logEnd("caller left during the answer")
 	}
 }
-
-func (c *call) logFailure(status int, reason string) {
-	entry := c.logEntry().WithFields(log.Fields{"status": status, "reason": reason})
-	if c.last != nil {
-		entry = entry.WithFields(log.Fields{"last_step": c.last.Step, "last_server": c.last.Server, "last_error": c.last.Err.Error()})
-	}
-	entry.Info("call failed")
-	c.count(status, reason, 0)
-}
-
-// logAnswer says how a call was answered by a server.
-func (c *call) logAnswer(s fleet.Server, status int) {
-	first := time.Since(c.arrived)
-	f := log.Fields{"status": status, "server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens,
-		"rank": c.choice.Rank, "loss": math.Round(c.choice.Loss*lossGrain) / lossGrain}
-	if c.stream != nil && c.stream.events > 0 {
-		first = c.stream.first.Sub(c.arrived)
-		f["first_ms"] = first.Milliseconds()
-		f["gap_ms"] = c.stream.longestGap.Milliseconds()
-		f["events"] = c.stream.events
-	}
-	if status < http.StatusInternalServerError {
-		f[answeredField] = true
-	}
-	c.logEntry().WithFields(f).Info("call answered")
-	c.count(status, "", first)
-}
-
-// lossGrain keeps logged losses short.
-const lossGrain = 100
-
-// answeredField marks the lines that may be dropped first.
-const answeredField = "answered"
-
-// count adds the call to the metrics.
-func (c *call) count(status int, reason string, first time.Duration) {
-	m := telemetry.RoutedCall{Status: status, Reason: reason, Attempts: c.runs, First: first}
-	if c.route != nil {
-		m.Route = c.route.Name
-	}
-	if c.customer != nil {
-		m.Customer = c.customer.Name
-	}
-	c.router.opt.Metrics.Routed(m)
-}
-
-func (c *call) logCallerLeft(s fleet.Server) {
-	f := log.Fields{"server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens}
-	if c.stream != nil {
-		f["events"] = c.stream.events
-	}
-	c.logEntry().WithFields(f).Info("caller left")
-	c.count(0, "caller left", 0)
-}
-
-func (r *Router) streamed(id string, s *stream) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.balancer.Streamed(time.Now(), id, s.gaps)
-}
-
-func (c *call) logEnd(what string) { c.logEntry().Info(what) }
-
-func (c *call) logEntry() *log.Entry {
-	f := log.Fields{"call": c.said.ID, "runs": c.runs, "refusals": c.refusals, "after_ms": time.Since(c.arrived).Milliseconds(), "tried": c.tried}
-	if c.route != nil {
-		f["route"] = c.route.Name
-		f["declaration"] = c.version
-	}
-	if c.customer != nil {
-		f["customer"] = c.customer.Name
-	}
-	return log.WithFields(f)
-}
