--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -42,13 +42,13 @@
 	peer    string
 	folder  string
 	end     context.CancelFunc
-	done    chan error
+	exited  chan struct{}
 }
 
 // kill ends an instance without its drain.
 func (m *member) kill() {
 	m.end()
-	<-m.done
+	<-m.exited
 }
 
 type cluster struct {
@@ -83,9 +83,14 @@
 		c.t.Fatal(err)
 	}
 	ctx, end := context.WithCancel(context.Background())
-	m := &member{Routed: d, control: adapter.control, peer: peer, folder: folder, end: end, done: make(chan error, 1)}
-	go func() { m.done <- d.Run(ctx) }()
-	c.t.Cleanup(end)
+	m := &member{Routed: d, control: adapter.control, peer: peer, folder: folder, end: end, exited: make(chan struct{})}
+	go func() {
+		defer close(m.exited)
+		if err := d.Run(ctx); err != nil {
+			c.t.Errorf("instance %s ended: %v", name, err)
+		}
+	}()
+	c.t.Cleanup(m.kill)
 	return m
 }
 
