--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -57,14 +57,6 @@
 	return c.Target
 }
 
-// patience is the delay that counts as missing the target.
-func (c *Call) patience() time.Duration {
-	if c.Gap > 0 {
-		return min(c.target(), gapsOfDelay*c.Gap)
-	}
-	return c.target()
-}
-
 // unread estimates the tokens that an engine must read.
 func (c *Call) unread() float64 {
 	return float64(c.Unshared) + sharedUnread*float64(c.Tokens-c.Unshared)
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -30,7 +30,7 @@
 	// as another one has room.
 	fullLoss = 5
 	// slowLoss is the loss of a sensitive stream on an engine that takes twice as
-	// long as the best one.
+	// long as the middle one of its pool.
 	slowLoss = 2
 	// sensitiveLoss is the loss that a long prompt brings to each sensitive stream
 	// at its engine.
@@ -44,10 +44,6 @@
 	// crowdTime is the time of other calls' streams that weighs as one missed call:
 	// while an engine reads a prompt, each stream that it runs hardly moves.
 	crowdTime = 10 * time.Second
-	// gapsOfDelay is how many of a stream's longest pauses its delay is measured
-	// against at most: an engine with seconds of prompts ahead also slows all
-	// that it runs, until streams end at their time limit.
-	gapsOfDelay = 100
 	// defaultTarget is taken where the operator declares none.
 	defaultTarget = time.Second
 )
@@ -67,7 +63,7 @@
 		loss += c.offSideLoss(l)
 	}
 	delay := time.Duration(s.slowness * float64(p.speed.time(unread)))
-	loss += delayLoss(delay, c.patience())
+	loss += delayLoss(delay, c.target())
 	own := unread - float64(l.Unread)
 	loss += float64(l.Running) * s.slowness * p.speed.time(own).Seconds() / crowdTime.Seconds()
 	if c.sensitive() {
