Read once more: one run loop for both kinds of instance, less work per call

Daemon.Run and Routed.Run held the same start, drain and stop order; runTree serves both. What placement knows of a call was worked out three times per call, now once. The comment on DeclareCommand said encoded where the bytes are also compressed.

--- a/core/state/routing.go
+++ b/core/state/routing.go
@@ -15,7 +15,8 @@
 // the one held. It has been checked before it is proposed.
 type DeclareCommand struct {
 	Version uint64 `msgpack:"v"`
-	// Declaration is an encoded routing.Declaration.
+	// Declaration is an encoded routing.Declaration. It and Source are opaque here:
+	// the proposer has compressed both.
 	Declaration []byte `msgpack:"d"`
 	// Source is what the operator sent, for reading back.
 	Source []byte `msgpack:"s"`
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -153,30 +153,8 @@
 // Run serves until stop ends, then drains and shuts down. It returns nil after
 // a graceful shutdown.
 func (d *Daemon) Run(stop context.Context) error {
-	base, endBase := context.WithCancel(context.Background())
-	defer endBase()
-	below := supervisor("transport")
-	below.Add(d.transport)
-	baseErr := below.ServeBackground(base)
-	ctx, end := context.WithCancel(context.Background())
-	defer end()
-	treeErr := d.tree().ServeBackground(ctx)
-	log.WithFields(log.Fields{"callers": d.settings.Callers.Address, "peers": d.settings.Peers.Address,
-		"zone": d.settings.Instance.AvailabilityZone, "replica": d.replica != nil}).Info("instance started")
-	select {
-	case err := <-treeErr:
-		endBase()
-		<-baseErr
-		return eris.Wrap(err, "instance failed")
-	case <-stop.Done():
-	}
-	err := d.drain()
-	end()
-	<-treeErr
-	endBase()
-	<-baseErr
-	log.Info("instance stopped")
-	return err
+	return runTree(stop, d.transport, d.tree(), log.Fields{"callers": d.settings.Callers.Address, "peers": d.settings.Peers.Address,
+		"zone": d.settings.Instance.AvailabilityZone, "replica": d.replica != nil}, d.drain)
 }
 
 // drain leaves the address list, serves on while callers may still hold it,
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -198,33 +198,13 @@
 
 // Run serves until stop ends, then drains and shuts down.
 func (d *Routed) Run(stop context.Context) error {
-	base, endBase := context.WithCancel(context.Background())
-	defer endBase()
-	below := supervisor("transport")
-	below.Add(d.transport)
-	baseErr := below.ServeBackground(base)
 	root := supervisor("instance")
 	root.Add(d.gossip)
 	for _, s := range d.services {
 		root.Add(s)
 	}
-	ctx, end := context.WithCancel(context.Background())
-	defer end()
-	treeErr := root.ServeBackground(ctx)
-	log.WithFields(log.Fields{"peers": d.settings.Peers.Address, "callers": d.settings.Callers.Address,
-		"replica": d.replica != nil, "zone": d.settings.Instance.AvailabilityZone}).Info("instance started")
-	select {
-	case err := <-treeErr:
-		return eris.Wrap(err, "instance failed")
-	case <-stop.Done():
-	}
-	d.drain()
-	end()
-	<-treeErr
-	endBase()
-	<-baseErr
-	log.Info("instance stopped")
-	return nil
+	return runTree(stop, d.transport, root, log.Fields{"peers": d.settings.Peers.Address, "callers": d.settings.Callers.Address,
+		"replica": d.replica != nil, "zone": d.settings.Instance.AvailabilityZone}, d.drain)
 }
 
 const (
@@ -240,11 +220,11 @@
 // drain leaves the address list and serves on while callers may still hold the
 // address. After that it takes only calls that are certainly done in time, and
 // waits until no call is in flight or the time is over.
-func (d *Routed) drain() {
+func (d *Routed) drain() error {
 	d.leaving.Store(true)
 	d.gossip.SetDraining()
 	if d.router == nil {
-		return
+		return nil
 	}
 	began := time.Now()
 	cutOff := began.Add(time.Duration(drainShare * float64(d.settings.Callers.DrainTimeout.D())))
@@ -256,4 +236,5 @@
 		time.Sleep(drainPoll)
 	}
 	log.WithField("in_flight", d.router.InFlight()).Info("drained")
+	return nil
 }
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"cardamomwick.example/core/balance"
@@ -47,6 +49,8 @@
 	// version is that of the declaration that decided.
 	version uint64
 	until   time.Time
+	// size is what placement knows of the call, the same for all attempts.
+	size balance.Call
 
 	// runs counts the attempts that may have run, refusals those that certainly
 	// have not.
@@ -83,6 +87,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.req.Context(), c.until)
 	defer cancel()
+	c.size = c.placement()
 	c.router.arrive(c)
 	for {
 		server, ok := c.router.choose(c)
@@ -129,8 +134,8 @@
 	return b
 }
 
-// load is what placement needs to know of the call.
-func (c *call) load() balance.Call {
+// placement returns what placement needs to know of the call.
+func (c *call) placement() balance.Call {
 	p := &c.said.Prompt
 	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens, MaxOutput: p.MaxOutput, Target: c.route.TargetLatency, Gap: c.route.TargetGap}
 	if n := len(p.Parts); n > 0 {
@@ -146,7 +151,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.Arrive(now, c.pool.Name, c.load())
+	r.balancer.Arrive(now, c.pool.Name, c.size)
 	r.budget(c.pool.Name).Call(now)
 }
 
@@ -154,18 +159,11 @@
 func (r *Router) choose(c *call) (balance.Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	exclude := func(id string) bool {
-		for _, t := range c.tried {
-			if t == id {
-				return true
-			}
-		}
-		return false
-	}
+	tried := func(id string) bool { return slices.Contains(c.tried, id) }
 	now := time.Now()
-	s, ok := r.balancer.Choose(now, c.pool.Name, c.load(), exclude, rand.Float64)
+	s, ok := r.balancer.Choose(now, c.pool.Name, c.size, tried, rand.Float64)
 	if ok {
-		c.ticket = r.balancer.Start(now, s.ID, c.load())
+		c.ticket = r.balancer.Start(now, s.ID, c.size)
 		c.choice = s
 	}
 	return s, ok
@@ -338,7 +336,7 @@
 		return failed
 	}
 	copyHeader(c.w.Header(), resp.Header)
-	c.w.Header()["Content-Length"] = []string{itoa(len(body))}
+	c.w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
 	c.w.WriteHeader(resp.Status)
 	if _, err := c.w.Write(body); err != nil {
 		c.logEnd("caller left during the answer")
--- a/daemon/router/headers.go
+++ b/daemon/router/headers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 )
 
@@ -35,5 +34,3 @@
 		to["Content-Type"] = nil
 	}
 }
-
-func itoa(n int) string { return strconv.Itoa(n) }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -52,7 +53,7 @@
 type Router struct {
 	opt      Options
 	upstream *upstream.Client
-	inFlight inFlight
+	inFlight atomic.Int64
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -115,12 +116,12 @@
 }
 
 // InFlight returns the calls that have no final answer yet.
-func (r *Router) InFlight() int { return r.inFlight.count() }
+func (r *Router) InFlight() int { return int(r.inFlight.Load()) }
 
 // ServeHTTP serves one call of a caller.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	r.inFlight.add(1)
-	defer r.inFlight.add(-1)
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
 	c := &call{router: r, w: w, req: req, arrived: time.Now()}
 	if !r.closing().IsZero() {
 		w.Header().Set("Connection", "close")
