--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, metrics: telemetry.New()}
-	d.transport = frame.NewTransport(s.Peers.Address, keys, newCutFilter(s.Faults.CutFile))
+	d.transport = newTransport(s, keys)
 	self := membership.Instance{Name: s.Instance.Name, Process: process, PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	d.gossip = gossip.New(d.transport, self, s.Peers.Seeds)
@@ -96,6 +96,14 @@
 	return d, err
 }
 
+func newTransport(s *settings.Settings, keys []frame.Key) *frame.Transport {
+	t := frame.NewTransport(s.Peers.Address, keys, newCutFilter(s.Faults.CutFile))
+	if s.Peers.Listen != "" {
+		t.SetListen(s.Peers.Listen)
+	}
+	return t
+}
+
 func frameKeys(list []settings.FrameKey) ([]frame.Key, error) {
 	var out []frame.Key
 	for _, k := range list {
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -65,6 +65,7 @@
 // before Serve.
 type Transport struct {
 	self     string
+	listen   string
 	keys     atomic.Pointer[[]Key]
 	filter   Filter
 	requests map[string]RequestHandler
@@ -88,7 +89,7 @@
 		filter = func(string, bool) bool { return false }
 	}
 	others := func(peer string, incoming bool) bool { return peer != self && filter(peer, incoming) }
-	t := &Transport{self: self, idle: idleTimeout, filter: others, links: map[string]*link{},
+	t := &Transport{self: self, listen: self, idle: idleTimeout, filter: others, links: map[string]*link{},
 		requests: map[string]RequestHandler{}, oneWays: map[string]OneWayHandler{}}
 	t.SetKeys(keys)
 	return t
@@ -103,6 +104,10 @@
 // HandleOneWay registers the handler of a one-way method.
 func (t *Transport) HandleOneWay(method string, h OneWayHandler) { t.oneWays[method] = h }
 
+// SetListen makes Serve listen elsewhere than at the instance's own address, for
+// an address that is forwarded. Call it before Serve.
+func (t *Transport) SetListen(address string) { t.listen = address }
+
 // OnDown registers a function that is told of broken outgoing connections.
 func (t *Transport) OnDown(f func(address string)) { t.onDown = append(t.onDown, f) }
 
@@ -111,9 +116,9 @@
 
 // Serve accepts connections until the context ends.
 func (t *Transport) Serve(ctx context.Context) error {
-	l, err := net.Listen("tcp", t.self)
+	l, err := net.Listen("tcp", t.listen)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", t.self)
+		return eris.Wrapf(err, "listen on %s", t.listen)
 	}
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -62,6 +62,9 @@
 type Peers struct {
 	// Address is IP:port. Required.
 	Address string `toml:"address"`
+	// Listen is where frames are taken, IP:port, where that differs from Address:
+	// behind a port mapping. Default: Address.
+	Listen string `toml:"listen"`
 	// Seeds are peer addresses through which the others are found. Required.
 	Seeds []string `toml:"seeds"`
 	// SeedPort replaces the port of all seeds, where these are known by another
@@ -270,6 +273,9 @@
 
 func (s *Settings) checkFrames(c *checker) {
 	c.address("peers.address", s.Peers.Address)
+	if s.Peers.Listen != "" {
+		c.address("peers.listen", s.Peers.Listen)
+	}
 	c.require(len(s.Peers.Seeds) > 0, "peers.seeds", "needs at least one peer address")
 	for _, a := range s.Peers.Seeds {
 		c.address("peers.seeds", a)
