--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -18,7 +18,6 @@
 
 import (
 	"math"
-	"slices"
 	"sort"
 	"time"
 
@@ -37,13 +36,13 @@
 // Load is what runs at one server.
 type Load struct {
 	// Running counts calls.
-	Running int `msgpack:"r"`
+	Running int
 	// Unread counts prompt tokens of calls that have no answer yet.
-	Unread int `msgpack:"u,omitempty"`
+	Unread int
 	// Memory counts the tokens that running calls may fill.
-	Memory int `msgpack:"m,omitempty"`
+	Memory int
 	// Sensitive counts streams whose events must come in a short time.
-	Sensitive int `msgpack:"s,omitempty"`
+	Sensitive int
 }
 
 func (l *Load) add(x Load) {
@@ -62,13 +61,17 @@
 
 type server struct {
 	fleet.Server
-	own       Load
+	own Load
+	// others is what the other instances have there, as they last said.
+	others    Load
 	fullUntil time.Time
 	health    health
 	pace      pace
 	// slowness is the pace against the pool's middle one.
 	slowness float64
 	slow     bool
+	// long: the server is on the long side.
+	long bool
 }
 
 type pool struct {
@@ -76,6 +79,8 @@
 	memory  int
 	sides   sides
 	speed   speed
+	// lowestTier is the rank of the least urgent prompts that have arrived.
+	lowestTier int
 	// usual is the usual time between two events.
 	usual time.Duration
 }
@@ -102,6 +107,7 @@
 	next := make(map[string]*server, len(list))
 	for _, p := range b.pools {
 		p.servers = p.servers[:0]
+		p.sides.marked = nil
 	}
 	for _, f := range list {
 		s := b.servers[f.ID]
@@ -114,6 +120,7 @@
 		p.servers = append(p.servers, s)
 	}
 	b.servers = next
+	b.countOthers(b.pacedAt)
 	for _, p := range b.pools {
 		sort.Slice(p.servers, func(i, j int) bool { return score("", p.servers[i].ID) < score("", p.servers[j].ID) })
 	}
@@ -136,6 +143,9 @@
 func (b *Balancer) Arrive(now time.Time, poolName string, c Call) {
 	p := b.pool(poolName)
 	p.sides.arrive(now, c, c.long(&p.speed))
+	if c.Tokens > 0 {
+		p.lowestTier = max(p.lowestTier, c.Tier)
+	}
 }
 
 // Choice is a server with what decided for it.
@@ -152,21 +162,23 @@
 // false when none can take it. random draws uniformly from [0, 1).
 func (b *Balancer) Choose(now time.Time, poolName string, c Call, exclude func(id string) bool, random func() float64) (Choice, bool) {
 	p := b.pool(poolName)
-	candidates := usable(now, p.servers, exclude)
+	b.refreshPaces(now)
+	if c.Tokens > 0 {
+		b.longSide(now, poolName)
+	}
+	candidates := c.keepToSide(usable(now, p.servers, exclude))
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	b.refreshPaces(now)
-	onLong := c.long(&p.speed)
-	var long []string
-	if c.Tokens > 0 {
-		long = b.longSide(now, poolName)
+	if c.Tokens == 0 {
+		candidates = twoOf(candidates, random)
 	}
-	ranks := rankByHome(c.Home, candidates, func(id string) bool { return c.Tokens == 0 || slices.Contains(long, id) == onLong })
+	onLong := c.long(&p.speed)
+	ranks := rankByHome(c.Home, candidates, func(s *server) bool { return c.Tokens == 0 || s.long == onLong })
 	best := 0
 	least := math.Inf(1)
 	for i, s := range candidates {
-		loss := b.loss(now, p, s, c, ranks[i])
+		loss := p.loss(now, s, c, ranks[i])
 		if ranks[i] != 0 || c.Home == "" {
 			loss += spreadLoss * random()
 		}
@@ -177,14 +189,25 @@
 	return Choice{candidates[best].Server, ranks[best], least}, true
 }
 
-// load counts a server's calls over all instances.
-func (b *Balancer) load(now time.Time, s *server) Load {
-	l := s.own
-	for _, p := range b.peers {
-		if p.fresh(now) {
-			l.add(p.loads[s.ID])
-		}
+// twoOf draws two servers. The counts of other instances are older than a plain
+// call takes: the server with the fewest calls got the next ones of all instances,
+// and its answers came half as late again as with two drawn by lot.
+func twoOf(list []*server, random func() float64) []*server {
+	if len(list) <= 2 {
+		return list
+	}
+	i := int(random() * float64(len(list)))
+	j := int(random() * float64(len(list)-1))
+	if j >= i {
+		j++
 	}
+	return []*server{list[i], list[j]}
+}
+
+// load counts the server's calls over all instances.
+func (s *server) load() Load {
+	l := s.own
+	l.add(s.others)
 	return l
 }
 
@@ -224,6 +247,8 @@
 	sent   time.Time
 	// ahead is what the engine had to read up to the end of this call's prompt.
 	ahead float64
+	// tells: the time to the first event tells the engine's reading speed.
+	tells bool
 }
 
 // Ahead is how many prompt tokens the server had to read up to the end of the
@@ -238,10 +263,10 @@
 
 // Start notes that a call was sent to a server.
 func (b *Balancer) Start(now time.Time, id string, c Call) Ticket {
-	t := Ticket{server: id, sent: now, load: c.load()}
+	t := Ticket{server: id, sent: now, load: c.load(), tells: float64(c.Unshared) >= leastUnshared*c.unread()}
 	if s := b.servers[id]; s != nil {
 		s.own.add(t.load)
-		t.ahead = float64(b.load(now, s).Unread)
+		t.ahead = float64(s.load().Unread)
 	}
 	return t
 }
@@ -250,7 +275,7 @@
 func (b *Balancer) Began(now time.Time, t *Ticket) {
 	if s := b.servers[t.server]; s != nil {
 		s.own.Unread -= t.load.Unread
-		if t.ahead <= float64(t.load.Unread) {
+		if t.ahead <= float64(t.load.Unread) && t.tells {
 			b.pool(s.Pool).speed.observe(t.ahead, now.Sub(t.sent))
 		}
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -167,7 +167,7 @@
 		a.Arrive(t0, "p", chat)
 		a.Arrive(t0, "p", chat)
 	}
-	z.TakeReport(t0, a.Report(t0))
+	z.TakeSum(t0, a.Sum(t0))
 	if fmt.Sprint(a.longSide(t0, "p")) != fmt.Sprint(z.longSide(t0, "p")) {
 		t.Errorf("a has %v, z has %v", a.longSide(t0, "p"), z.longSide(t0, "p"))
 	}
--- a/core/balance/belief.go
+++ b/core/balance/belief.go
@@ -1,7 +1,5 @@
 package balance
 
-import "time"
-
 // Belief is what placement holds of one server, for logs and metrics.
 type Belief struct {
 	ID string `json:"id"`
@@ -15,11 +13,11 @@
 }
 
 // Beliefs lists what is held of a pool's servers.
-func (b *Balancer) Beliefs(now time.Time, poolName string) []Belief {
+func (b *Balancer) Beliefs(poolName string) []Belief {
 	p := b.pool(poolName)
 	out := make([]Belief, 0, len(p.servers))
 	for _, s := range p.servers {
-		out = append(out, Belief{ID: s.ID, Long: p.sides.has(s.ID), Slowness: s.slowness, Failures: s.health.failures, Load: b.load(now, s)})
+		out = append(out, Belief{ID: s.ID, Long: s.long, Slowness: s.slowness, Failures: s.health.failures, Load: s.load()})
 	}
 	return out
 }
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -26,6 +26,8 @@
 	// Gap is the longest pause between two events that is on time; zero where none
 	// is declared.
 	Gap time.Duration
+	// Tier is the rank of the call's route; 0 is the highest.
+	Tier int
 	// Home names the last shared part, "" for none.
 	Home string
 }
@@ -50,6 +52,24 @@
 	return c.Gap > 0 && !c.sensitive() && s.time(usualLong).Seconds() <= besideLong*c.target().Seconds()
 }
 
+// keepToSide leaves a long prompt the engines of its side, as long as there are
+// any: on the other side one of them makes every chat of its engine late.
+func (c *Call) keepToSide(list []*server) []*server {
+	if c.Tokens < LongPrompt {
+		return list
+	}
+	var long []*server
+	for _, s := range list {
+		if s.long {
+			long = append(long, s)
+		}
+	}
+	if len(long) == 0 {
+		return list
+	}
+	return long
+}
+
 func (c *Call) target() time.Duration {
 	if c.Target <= 0 {
 		return defaultTarget
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -50,8 +50,8 @@
 
 // loss estimates what is lost by placing a call on a server that has the given
 // place in the ranking of the call's shared part.
-func (b *Balancer) loss(now time.Time, p *pool, s *server, c Call, rank int) float64 {
-	l := b.load(now, s)
+func (p *pool) loss(now time.Time, s *server, c Call, rank int) float64 {
+	l := s.load()
 	loss := s.health.loss(now)
 	shared := float64(c.Tokens - c.Unshared)
 	unread := float64(l.Unread) + float64(c.Unshared)
@@ -91,20 +91,18 @@
 	if s.Slots > 0 {
 		used := float64(l.Running) / float64(s.Slots)
 		loss += runningWeight * used * used
-		if l.Running >= s.Slots {
-			loss += fullLoss
-		}
 	}
-	if p.memory > 0 && float64(l.Memory+c.memory()) > memoryShare*float64(p.memory) {
-		loss += fullLoss
-	}
-	if now.Before(s.fullUntil) {
+	if s.isFull(now, p, c, l) {
 		loss += fullLoss
 	}
 	return loss
 }
 
+// delayLoss is at most a missed call, and a little more for each further target
+// of delay. Where all engines are behind, a call must not leave the home of its
+// shared part for one that is behind a little less: reading the part again costs
+// all of them more than that gains.
 func delayLoss(delay, target time.Duration) float64 {
 	x := delay.Seconds() / target.Seconds()
-	return idleSlope*x + delaySlope*max(0, x-safeDelay)
+	return idleSlope*x + min(1, delaySlope*max(0, x-safeDelay))
 }
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -82,20 +82,17 @@
 
 // perEvent is an engine's pace as all instances know it; zero when unknown.
 func (b *Balancer) perEvent(s *server) time.Duration {
-	sum, n := s.pace.perEvent, time.Duration(1)
-	if sum == 0 {
-		n = 0
+	var sum Pace
+	if s.pace.perEvent > 0 {
+		sum.add(Pace{uint32(s.pace.perEvent.Microseconds()), 1})
 	}
 	for _, p := range b.peers {
-		if x := p.paces[s.ID]; x > 0 {
-			sum += time.Duration(x) * time.Microsecond
-			n++
-		}
+		sum.add(p.Paces[s.ID])
 	}
-	if n == 0 {
+	if sum.Instances == 0 {
 		return 0
 	}
-	return sum / n
+	return time.Duration(sum.Microseconds/sum.Instances) * time.Microsecond
 }
 
 // refreshPaces computes each engine's slowness once for many placements: its
--- a/core/balance/rank.go
+++ b/core/balance/rank.go
@@ -14,12 +14,12 @@
 // rankByHome returns each server's place in the rendezvous ranking of a shared
 // part among the servers on the call's side; all zero without a part. Servers
 // on the other side have the rank offSide.
-func rankByHome(home string, list []*server, onSide func(id string) bool) []int {
+func rankByHome(home string, list []*server, onSide func(*server) bool) []int {
 	ranks := make([]int, len(list))
 	var order []int
 	scores := make([]uint64, len(list))
 	for i, s := range list {
-		if !onSide(s.ID) {
+		if !onSide(s) {
 			ranks[i] = offSide
 			continue
 		}
@@ -35,3 +35,14 @@
 	}
 	return ranks
 }
+
+// home returns the first server in the ranking of a shared part.
+func home(part string, list []*server) *server {
+	best := list[0]
+	for _, s := range list[1:] {
+		if score(part, s.ID) > score(part, best.ID) {
+			best = s
+		}
+	}
+	return best
+}
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -1,33 +1,94 @@
 package balance
 
-import "time"
+import (
+	"fmt"
+	"time"
 
-// Report is what an instance tells the others.
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Report is what one instance, or several together, tell others: counts that
+// placement adds to its own.
 type Report struct {
-	// Name is the sender's; the one with the first name moves the boundaries.
-	Name  string          `msgpack:"n"`
-	Loads map[string]Load `msgpack:"l,omitempty"`
-	Sides map[string]Side `msgpack:"s,omitempty"`
-	// Paces are the times between two events by engine, in microseconds;
-	// left out in most reports.
-	Paces map[string]uint32 `msgpack:"p,omitempty"`
-}
-
-// Side is a pool's arriving work at one instance, in prompt tokens per second,
-// and where the sender has the boundary.
-type Side struct {
+	// Name is the sender's.
+	Name string `msgpack:"n"`
+	// Answer: the report holds all that the receiver does not know by itself, and
+	// replaces whatever it had from others.
+	Answer bool             `msgpack:"a,omitempty"`
+	Loads  map[string]Load  `msgpack:"l,omitempty"`
+	Rates  map[string]Rates `msgpack:"r,omitempty"`
+	// Boundaries are the decisions on each pool's sides: the sender's own, or in an
+	// answer those that the sender goes by.
+	Boundaries map[string]Boundary `msgpack:"b,omitempty"`
+	// Paces are the times between two events by engine; left out in most reports.
+	Paces map[string]Pace `msgpack:"p,omitempty"`
+}
+
+// loadCounts is how many counts a Load has on the wire.
+const loadCounts = 4
+
+// EncodeMsgpack writes the four counts without names: reports of many servers
+// go out ten times a second.
+func (l Load) EncodeMsgpack(e *msgpack.Encoder) error {
+	if err := e.EncodeArrayLen(loadCounts); err != nil {
+		return err
+	}
+	return e.EncodeMulti(l.Running, l.Unread, l.Memory, l.Sensitive)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack writes.
+func (l *Load) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n != loadCounts {
+		return fmt.Errorf("a load has %d counts, not %d", n, loadCounts)
+	}
+	return d.DecodeMulti(&l.Running, &l.Unread, &l.Memory, &l.Sensitive)
+}
+
+// Rates is the work that arrives for a pool, in prompt tokens per second.
+type Rates struct {
 	Long  float64 `msgpack:"l"`
 	Short float64 `msgpack:"s"`
+	// Reading is the speed at which the pool's engines were seen to read.
+	Reading Reading `msgpack:"r"`
+}
+
+func (r *Rates) add(x Rates) {
+	r.Long += x.Long
+	r.Short += x.Short
+	r.Reading.add(x.Reading)
+}
+
+// Boundary is a decision on the sides of a pool.
+type Boundary struct {
 	// Share is the part of the engines that long prompts get, Engines are these.
-	Share   float64  `msgpack:"b"`
-	Engines []string `msgpack:"e,omitempty"`
+	Share   float64  `msgpack:"s"`
+	Engines []string `msgpack:"e"`
+}
+
+// Pace is the sum of the times between two events that Instances have measured
+// at one engine.
+type Pace struct {
+	Microseconds uint32 `msgpack:"u"`
+	Instances    uint32 `msgpack:"i"`
+}
+
+func (p *Pace) add(x Pace) {
+	p.Microseconds += x.Microseconds
+	p.Instances += x.Instances
 }
 
+// peer is what was last heard of another instance.
 type peer struct {
-	at    time.Time
-	loads map[string]Load
-	sides map[string]Side
-	paces map[string]uint32
+	Report
+	at time.Time
+	// member: the peer reports to this instance, which answers for it.
+	member bool
+	// answeredPaces is when the member was last told the paces.
+	answeredPaces time.Time
 }
 
 func (p *peer) fresh(now time.Time) bool { return now.Sub(p.at) < peerTime }
@@ -35,61 +96,193 @@
 // pacesPeriod is how often paces are reported: they hardly change.
 const pacesPeriod = 2 * time.Second
 
-// Report returns this instance's counts for the others.
-func (b *Balancer) Report(now time.Time) Report {
-	r := Report{Name: b.name, Loads: map[string]Load{}, Sides: map[string]Side{}}
+// Own returns this instance's counts, for its collector.
+func (b *Balancer) Own(now time.Time) Report {
+	r := b.newReport(due(&b.reportedPaces, now))
+	b.addOwn(now, &r)
+	return r
+}
+
+// Sum returns the counts of this instance and of those that report to it, for
+// other collectors.
+func (b *Balancer) Sum(now time.Time) Report {
+	r := b.newReport(due(&b.reportedPaces, now))
+	b.addOwn(now, &r)
+	for _, p := range b.peers {
+		if p.member && p.fresh(now) {
+			r.add(&p.Report)
+		}
+	}
+	if b.decider(now) == nil {
+		r.Boundaries = b.boundaries(now)
+	}
+	return r
+}
+
+// AnswerTo returns what everyone but the named member has, and the boundaries
+// that this instance goes by. Call it after TakeMember.
+func (b *Balancer) AnswerTo(now time.Time, member string) Report {
+	r := b.newReport(due(&b.peers[member].answeredPaces, now))
+	r.Answer = true
+	b.addOwn(now, &r)
+	for name, p := range b.peers {
+		if name != member && p.fresh(now) {
+			r.add(&p.Report)
+		}
+	}
+	r.Boundaries = b.boundaries(now)
+	return r
+}
+
+// due reports whether paces are to be told again, and notes it.
+func due(last *time.Time, now time.Time) bool {
+	if now.Sub(*last) < pacesPeriod {
+		return false
+	}
+	*last = now
+	return true
+}
+
+func (b *Balancer) newReport(withPaces bool) Report {
+	r := Report{Name: b.name, Loads: map[string]Load{}, Rates: map[string]Rates{}}
+	if withPaces {
+		r.Paces = map[string]Pace{}
+	}
+	return r
+}
+
+func (b *Balancer) addOwn(now time.Time, r *Report) {
 	for id, s := range b.servers {
 		if s.own != (Load{}) {
-			r.Loads[id] = s.own
+			r.addLoad(id, s.own)
+		}
+		if s.pace.perEvent > 0 {
+			r.addPace(id, Pace{uint32(s.pace.perEvent.Microseconds()), 1})
 		}
 	}
 	for name, p := range b.pools {
-		if p.memory == 0 {
-			continue
+		if p.memory > 0 {
+			r.addRates(name, Rates{Long: p.sides.long.rate(now), Short: p.sides.short.rate(now), Reading: p.speed.own})
 		}
-		engines := b.longSide(now, name)
-		side := Side{Long: p.sides.long.rate(now), Short: p.sides.short.rate(now), Share: p.sides.share}
-		if b.first(now) {
-			side.Engines = engines
+	}
+}
+
+func (r *Report) add(x *Report) {
+	for id, l := range x.Loads {
+		r.addLoad(id, l)
+	}
+	for pool, rates := range x.Rates {
+		r.addRates(pool, rates)
+	}
+	for id, pace := range x.Paces {
+		r.addPace(id, pace)
+	}
+}
+
+func (r *Report) addLoad(id string, x Load) {
+	sum := r.Loads[id]
+	sum.add(x)
+	r.Loads[id] = sum
+}
+
+func (r *Report) addRates(pool string, x Rates) {
+	sum := r.Rates[pool]
+	sum.add(x)
+	r.Rates[pool] = sum
+}
+
+// addPace does nothing in a report without paces.
+func (r *Report) addPace(id string, x Pace) {
+	if r.Paces == nil {
+		return
+	}
+	sum := r.Paces[id]
+	sum.add(x)
+	r.Paces[id] = sum
+}
+
+func (b *Balancer) boundaries(now time.Time) map[string]Boundary {
+	out := map[string]Boundary{}
+	for name, p := range b.pools {
+		if p.memory > 0 {
+			out[name] = Boundary{Engines: b.longSide(now, name), Share: p.sides.share}
 		}
-		r.Sides[name] = side
-	}
-	if now.Sub(b.reportedPaces) >= pacesPeriod {
-		b.reportedPaces = now
-		r.Paces = map[string]uint32{}
-		for id, s := range b.servers {
-			if s.pace.perEvent > 0 {
-				r.Paces[id] = uint32(s.pace.perEvent.Microseconds())
+	}
+	return out
+}
+
+// TakeMember takes the counts of an instance that this one answers.
+func (b *Balancer) TakeMember(now time.Time, r Report) { b.take(now, r, true) }
+
+// TakeSum takes a collector's sum, or its answer.
+func (b *Balancer) TakeSum(now time.Time, r Report) {
+	if r.Answer {
+		for name := range b.peers {
+			if name != r.Name {
+				delete(b.peers, name)
 			}
 		}
 	}
-	return r
+	b.take(now, r, false)
 }
 
-// first reports whether this instance moves the boundaries.
-func (b *Balancer) first(now time.Time) bool {
-	for name, p := range b.peers {
-		if p.fresh(now) && name < b.name {
-			return false
+func (b *Balancer) take(now time.Time, r Report, member bool) {
+	p := &peer{Report: r, at: now, member: member}
+	if old := b.peers[r.Name]; old != nil {
+		p.answeredPaces = old.answeredPaces
+		if r.Paces == nil {
+			p.Paces = old.Paces
 		}
 	}
-	return true
+	b.peers[r.Name] = p
+	b.countOthers(now)
 }
 
-// TakeReport takes another instance's counts.
-func (b *Balancer) TakeReport(now time.Time, r Report) {
-	p := &peer{at: now, loads: r.Loads, sides: r.Sides, paces: r.Paces}
-	if old := b.peers[r.Name]; old != nil && p.paces == nil {
-		p.paces = old.paces
+// Collects reports whether other instances report to this one.
+func (b *Balancer) Collects(now time.Time) bool {
+	for _, p := range b.peers {
+		if p.member && p.fresh(now) {
+			return true
+		}
 	}
-	b.peers[r.Name] = p
+	return false
 }
 
 // Forget drops counts of instances that are silent.
 func (b *Balancer) Forget(now time.Time) {
+	before := len(b.peers)
 	for name, p := range b.peers {
 		if !p.fresh(now) {
 			delete(b.peers, name)
 		}
 	}
+	if len(b.peers) != before {
+		b.countOthers(now)
+	}
+}
+
+// countOthers adds up what all others have at each server and have seen of each
+// pool, once for many placements.
+func (b *Balancer) countOthers(now time.Time) {
+	for _, s := range b.servers {
+		s.others = Load{}
+	}
+	for _, p := range b.pools {
+		p.speed.others = Reading{}
+	}
+	for _, p := range b.peers {
+		if !p.fresh(now) {
+			continue
+		}
+		for id, l := range p.Loads {
+			if s := b.servers[id]; s != nil {
+				s.others.add(l)
+			}
+		}
+		for name, rates := range p.Rates {
+			if pool := b.pools[name]; pool != nil {
+				pool.speed.others.add(rates.Reading)
+			}
+		}
+	}
 }
--- /dev/null
+++ b/core/balance/report_test.go
@@ -0,0 +1,173 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/fleet"
+)
+
+// group is two collectors and the members of the first.
+type group struct {
+	collector, other *Balancer
+	members          []*Balancer
+	servers          []fleet.Server
+}
+
+func newGroup() *group {
+	g := &group{}
+	instance := func(name string) *Balancer {
+		b, list := pool12()
+		b.name = name
+		g.servers = list
+		return b
+	}
+	g.collector, g.other = instance("b"), instance("a")
+	for i := range 3 {
+		g.members = append(g.members, instance(fmt.Sprint("m", i)))
+	}
+	return g
+}
+
+// exchange lets all counts go once all the way round.
+func (g *group) exchange(now time.Time) {
+	for _, m := range g.members {
+		g.collector.TakeMember(now, m.Own(now))
+	}
+	g.other.TakeSum(now, g.collector.Sum(now))
+	g.collector.TakeSum(now, g.other.Sum(now))
+	for _, m := range g.members {
+		own := m.Own(now)
+		g.collector.TakeMember(now, own)
+		m.TakeSum(now, g.collector.AnswerTo(now, own.Name))
+	}
+}
+
+func (g *group) all() []*Balancer { return append([]*Balancer{g.collector, g.other}, g.members...) }
+
+// Through collectors every instance must know what all have placed, each call
+// counted once.
+func TestCountsComeRoundOnce(t *testing.T) {
+	g := newGroup()
+	for i, b := range g.all() {
+		for range i + 1 {
+			b.Start(t0, g.servers[4].ID, chat)
+		}
+	}
+	g.exchange(t0)
+	g.exchange(t0.Add(100 * time.Millisecond))
+	for _, b := range g.all() {
+		if got := b.servers[g.servers[4].ID].load().Running; got != 15 {
+			t.Errorf("instance %s counts %d of 15 calls", b.name, got)
+		}
+	}
+}
+
+func TestMembersGoByTheFirstCollectorsBoundary(t *testing.T) {
+	g := newGroup()
+	for range 300 {
+		g.members[1].Arrive(t0, "p", chat)
+		g.members[2].Arrive(t0, "p", scene)
+	}
+	g.exchange(t0)
+	g.exchange(t0.Add(100 * time.Millisecond))
+	now := t0.Add(200 * time.Millisecond)
+	g.exchange(now)
+	want := fmt.Sprint(g.other.longSide(now, "p"))
+	for _, b := range g.all() {
+		if got := fmt.Sprint(b.longSide(now, "p")); got != want {
+			t.Errorf("instance %s has %s on the long side, the first collector %s", b.name, got, want)
+		}
+	}
+}
+
+// A member that has lost its collector decides by itself again, and forgets
+// counts that nobody confirms.
+func TestCountsOfASilentCollectorFade(t *testing.T) {
+	g := newGroup()
+	g.collector.Start(t0, g.servers[4].ID, chat)
+	g.exchange(t0)
+	m := g.members[0]
+	later := t0.Add(peerTime)
+	m.Forget(later)
+	if got := m.servers[g.servers[4].ID].load().Running; got != 0 {
+		t.Errorf("%d calls are still counted", got)
+	}
+	if m.decider(later) != nil {
+		t.Error("a silent collector still decides")
+	}
+}
+
+func TestPacesOfAllInstancesAreAveraged(t *testing.T) {
+	g := newGroup()
+	gaps := make([]time.Duration, 20)
+	for i, b := range []*Balancer{g.members[0], g.other} {
+		for k := range gaps {
+			gaps[k] = time.Duration(20+10*i) * time.Millisecond
+		}
+		b.Streamed(t0, g.servers[4].ID, gaps)
+	}
+	g.exchange(t0)
+	g.exchange(t0.Add(pacesPeriod))
+	for _, b := range []*Balancer{g.members[1], g.collector} {
+		if got := b.perEvent(b.servers[g.servers[4].ID]); got != 25*time.Millisecond {
+			t.Errorf("instance %s takes %v for the pace, want 25ms", b.name, got)
+		}
+	}
+}
+
+// Sixty engines' counts, as a collector tells them ten times a second.
+func TestReportsAreSmall(t *testing.T) {
+	r := Report{Name: "front-waitemata-1", Loads: map[string]Load{}}
+	for i := range 60 {
+		r.Loads[fmt.Sprintf("i-%010d", i)] = Load{Running: 12, Unread: 9000, Memory: 90000, Sensitive: 3}
+	}
+	data, err := msgpack.Marshal(&r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(data))
+	if len(data) > 1500 {
+		t.Errorf("%d bytes for 60 engines", len(data))
+	}
+	// Transports skip over a report as a whole.
+	var raw msgpack.RawMessage
+	if err := msgpack.Unmarshal(data, &raw); err != nil || len(raw) != len(data) {
+		t.Fatalf("%d of %d bytes pass as one value, %v", len(raw), len(data), err)
+	}
+	var back Report
+	if err := msgpack.Unmarshal(raw, &back); err != nil {
+		t.Fatal(err)
+	}
+	if back.Loads["i-0000000007"] != r.Loads["i-0000000007"] {
+		t.Errorf("came back as %+v", back.Loads["i-0000000007"])
+	}
+}
+
+// Sixty instances see an idle engine read a long prompt once each. By itself
+// each of them took the engines for half as fast as they were all through a
+// burst, and gave half of the engines to the chats, which needed a quarter.
+func TestReadingSpeedIsLearnedTogether(t *testing.T) {
+	const tokensPerSecond = 120_000
+	g := newGroup()
+	took := func(tokens float64) time.Duration {
+		return 50*time.Millisecond + time.Duration(tokens/tokensPerSecond*float64(time.Second))
+	}
+	for i, b := range g.all() {
+		for _, c := range []Call{{Tokens: 10, Unshared: 10}, {Tokens: 9000, Unshared: 9000}} {
+			ticket := b.Start(t0, g.servers[i].ID, c)
+			b.Began(t0.Add(took(ticket.Ahead())), &ticket)
+			b.End(ticket)
+		}
+	}
+	g.exchange(t0)
+	g.exchange(t0.Add(100 * time.Millisecond))
+	for _, b := range g.all() {
+		if got := b.pool("p").speed.value(); got < 0.75*tokensPerSecond {
+			t.Errorf("instance %s takes %.0f tokens/s for the reading speed of %d", b.name, got, tokensPerSecond)
+		}
+	}
+}
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -13,10 +13,15 @@
 	// reading prompts on each side. Short calls have targets of some hundred
 	// milliseconds, so that little may queue; on the long side streams still have
 	// to end within their time while prompts are read between their tokens.
-	shortDuty = 0.45
+	shortDuty = 0.6
 	longDuty  = 0.7
-	// shortSlots is the part of the slots that short calls may fill.
+	// shortSlots and longSlots are the parts of the slots that the calls of each
+	// side may fill.
 	shortSlots = 0.6
+	longSlots  = 0.75
+	// mostPiled bounds what running calls make a side need against what its
+	// reading does.
+	mostPiled = 1.5
 	// leastLong is the part of the engines that long prompts keep when there are
 	// too few for all.
 	leastLong = 0.2
@@ -30,12 +35,16 @@
 	share       float64
 	// engines are the IDs on the long side.
 	engines []string
+	// marked are the engines that were last noted as such.
+	marked []string
+	// movedAt is when the boundary last moved.
+	movedAt time.Time
+	// moved is the last move of the boundary that was not asked for yet.
+	moved *Move
 	// swappedAt is when engines last changed sides for their pace.
 	swappedAt time.Time
 }
 
-func (s *sides) has(id string) bool { return slices.Contains(s.engines, id) }
-
 func (s *sides) arrive(now time.Time, c Call, long bool) {
 	if c.Tokens == 0 {
 		return
@@ -48,21 +57,45 @@
 }
 
 // longSide returns the engines for long prompts. One instance decides for all,
-// the one with the first name, so that an engine is on the same side for
-// everyone.
+// so that an engine is on the same side for everyone.
 func (b *Balancer) longSide(now time.Time, poolName string) []string {
 	p := b.pool(poolName)
+	if decider := b.decider(now); decider == nil {
+		b.decide(now, p, poolName)
+	} else if x, ok := decider.Boundaries[poolName]; ok {
+		p.sides.share, p.sides.engines = x.Share, x.Engines
+	}
+	p.markLong()
+	return p.sides.engines
+}
+
+// decider returns the peer whose boundaries hold, nil for this instance: a
+// member goes by its collector's answer, a collector by the one with the first
+// name.
+func (b *Balancer) decider(now time.Time) *peer {
+	var found *peer
 	first := b.name
-	for name, x := range b.peers {
-		if side, ok := x.sides[poolName]; ok && x.fresh(now) && name < first {
-			first = name
-			p.sides.share, p.sides.engines = side.Share, side.Engines
+	for name, p := range b.peers {
+		switch {
+		case p.member || !p.fresh(now) || len(p.Boundaries) == 0:
+		case p.Answer:
+			return p
+		case name < first:
+			found, first = p, name
 		}
 	}
-	if first == b.name {
-		b.decide(now, p, poolName)
+	return found
+}
+
+// markLong notes at each engine which side it is on.
+func (p *pool) markLong() {
+	if slices.Equal(p.sides.marked, p.sides.engines) {
+		return
+	}
+	p.sides.marked = p.sides.engines
+	for _, e := range p.servers {
+		e.long = slices.Contains(p.sides.engines, e.ID)
 	}
-	return p.sides.engines
 }
 
 // decide moves the boundary where the arriving work asks for it. Engines stay
@@ -73,7 +106,7 @@
 	for _, e := range p.servers {
 		switch {
 		case e.down(now):
-		case slices.Contains(s.engines, e.ID):
+		case e.long:
 			long = append(long, e)
 		default:
 			others = append(others, e)
@@ -81,8 +114,8 @@
 	}
 	b.decideShare(now, p, poolName, len(long)+len(others))
 	want := longCount(s.share, len(long)+len(others))
-	bySlowness(long)
-	bySlowness(others)
+	keepLast(long)
+	moveFirst(others)
 	for len(long) < want {
 		long = append(long, others[0])
 		others = others[1:]
@@ -112,9 +145,28 @@
 	return true
 }
 
-// bySlowness sorts slow engines first, in the pool's order otherwise.
-func bySlowness(list []*server) {
-	sort.SliceStable(list, func(i, j int) bool { return list[i].slow && !list[j].slow })
+// moveFirst sorts the engines that should go to the long side first to the
+// front: slow ones, then those with the fewest streams that long prompts would
+// make late.
+func moveFirst(others []*server) {
+	sort.SliceStable(others, func(i, j int) bool {
+		if others[i].slow != others[j].slow {
+			return others[i].slow
+		}
+		return others[i].load().Sensitive < others[j].load().Sensitive
+	})
+}
+
+// keepLast sorts the engines that should leave the long side first to the back:
+// fast ones, of these the ones with the least to read, since a chat that comes
+// there waits for it.
+func keepLast(long []*server) {
+	sort.SliceStable(long, func(i, j int) bool {
+		if long[i].slow != long[j].slow {
+			return long[i].slow
+		}
+		return long[i].load().Unread > long[j].load().Unread
+	})
 }
 
 func longCount(share float64, n int) int {
@@ -124,6 +176,30 @@
 	return max(1, min(n-1, int(math.Round(share*float64(n)))))
 }
 
+// Move is a move of a pool's boundary, with what decided it.
+type Move struct {
+	Pool string
+	// From and To are the parts of the engines that long prompts get.
+	From, To float64
+	// Engines were usable; Short and Long are how many each side needed.
+	Engines     int
+	Short, Long float64
+	// TokensPerSecond is the speed at which an engine reads.
+	TokensPerSecond float64
+}
+
+// Moves returns the moves of boundaries since the last call.
+func (b *Balancer) Moves() []Move {
+	var out []Move
+	for _, p := range b.pools {
+		if p.sides.moved != nil {
+			out = append(out, *p.sides.moved)
+			p.sides.moved = nil
+		}
+	}
+	return out
+}
+
 // decideShare moves the boundary when one side needs more engines than it has.
 // When there are too few for all, the short side comes first: its calls are
 // worth most for an engine's time.
@@ -141,35 +217,71 @@
 	if short <= all-onLong && long <= onLong {
 		return
 	}
-	s.share = long / (short + long)
+	from := s.share
+	to := long / (short + long)
 	if short+long > all {
-		s.share = max(leastLong, 1-short/all)
+		to = max(leastLong, 1-short/all)
+	}
+	if math.Abs(to-from) < leastMove && now.Sub(s.movedAt) < movePeriod && short < all-onLong+1 {
+		return
 	}
+	s.share, s.movedAt = to, now
+	s.moved = &Move{Pool: poolName, From: from, To: s.share, Engines: engines, Short: short, Long: long, TokensPerSecond: p.speed.value()}
 }
 
+// leastMove is the part of the engines from which the boundary moves at once;
+// smaller moves wait for movePeriod after the last one, unless the short side,
+// whose calls rank higher, lacks an engine. While there are too few
+// engines for all, needs change with every call, and each engine that changes
+// sides takes the shared parts of its prompts away from those that come.
+const (
+	leastMove  = 0.1
+	movePeriod = 2 * time.Second
+)
+
 // leastNeed is the need, in engines, from which the boundary is moved at all.
 const leastNeed = 0.05
 
 // needs returns how many engines each side needs for what arrives and runs.
 func (b *Balancer) needs(now time.Time, p *pool, poolName string) (short, long float64) {
-	shortRate, longRate := p.sides.short.rate(now), p.sides.long.rate(now)
-	for _, x := range b.peers {
-		if x.fresh(now) {
-			shortRate += x.sides[poolName].Short
-			longRate += x.sides[poolName].Long
-		}
-	}
-	short = shortRate / (p.speed.value() * shortDuty)
-	long = longRate / (p.speed.value() * longDuty)
-	running, slots := 0, 0
+	shortRunning, longRunning, slots := 0, 0, 0
 	for _, e := range p.servers {
 		slots = max(slots, e.Slots)
-		if !p.sides.has(e.ID) {
-			running += b.load(now, e).Running
+		if e.long {
+			longRunning += e.load().Running
+		} else {
+			shortRunning += e.load().Running
 		}
 	}
-	if slots > 0 {
-		short = max(short, float64(running)/(shortSlots*float64(slots)))
-	}
+	rates := b.rates(now, p, poolName)
+	short = sideNeed(rates.Short/(p.speed.value()*shortDuty), float64(shortRunning), shortSlots*float64(slots))
+	long = sideNeed(rates.Long/(p.speed.value()*longDuty), float64(longRunning), longSlots*float64(slots))
 	return short, long
 }
+
+// longNeed returns how many engines the reading of the long prompts that arrive
+// needs.
+func (b *Balancer) longNeed(now time.Time, p *pool, poolName string) float64 {
+	return b.rates(now, p, poolName).Long / (p.speed.value() * longDuty)
+}
+
+// rates is what arrives for a pool at all instances.
+func (b *Balancer) rates(now time.Time, p *pool, poolName string) Rates {
+	sum := Rates{Short: p.sides.short.rate(now), Long: p.sides.long.rate(now)}
+	for _, x := range b.peers {
+		if x.fresh(now) {
+			sum.add(x.Rates[poolName])
+		}
+	}
+	return sum
+}
+
+// sideNeed is the larger of what a side needs for reading and for its running
+// calls. Calls that pile up on a side that is behind must not make it look ever
+// more needy: that took all engines away from the other side.
+func sideNeed(reading, running, slots float64) float64 {
+	if slots == 0 {
+		return reading
+	}
+	return max(reading, min(running/slots, mostPiled*reading+1))
+}
--- a/core/balance/speed.go
+++ b/core/balance/speed.go
@@ -17,25 +17,49 @@
 	baseDown, baseUp = 0.2, 0.02
 	// leastTook keeps the clock's grain out of the quotient.
 	leastTook = 5 * time.Millisecond
-	// speedWeight is the weight of the newest observation.
-	speedWeight = 0.05
+	// speedUp and speedDown are the weights of an observation above and below the
+	// value held. An engine that was busy with calls that are not known here yet
+	// looks slow; nothing makes it look fast. Even weights came down to a third of
+	// the speed in a burst, and the boundary stood where nobody needed it.
+	speedUp, speedDown = 0.3, 0.03
+	// mostCalls bounds the weight of one instance's value among all.
+	mostCalls = 20
+	// leastUnshared is the part of what is taken to be read that must be the call's
+	// own: whether shared parts are read is not known.
+	leastUnshared = 0.8
 	// mostOfHeld and leastOfHeld bound an observation against the value held.
 	mostOfHeld, leastOfHeld = 2.0, 0.5
 )
 
+// Reading is the sum of the speeds, in prompt tokens per second, that were
+// observed in so many calls.
+type Reading struct {
+	Sum   float64 `msgpack:"s"`
+	Calls float64 `msgpack:"c"`
+}
+
+func (r *Reading) add(x Reading) {
+	r.Sum += x.Sum
+	r.Calls += x.Calls
+}
+
 // speed is how fast the engines of a pool read prompts, among all else that
-// they do.
+// they do. It is taken from what all instances observe: one of many sees an idle
+// engine read a long prompt too seldom to know it within a burst, and what one
+// believes of the boundary all have to believe.
 type speed struct {
-	perSecond float64
+	own, others Reading
 	// base is the time to the first event of a call with next to nothing to read.
 	base time.Duration
 }
 
 func (s *speed) value() float64 {
-	if s.perSecond == 0 {
+	all := s.own
+	all.add(s.others)
+	if all.Calls == 0 {
 		return startSpeed
 	}
-	return s.perSecond
+	return all.Sum / all.Calls
 }
 
 // observe takes the time in which an engine that had nothing else to read read
@@ -45,13 +69,22 @@
 		s.observeBase(took)
 		return
 	}
-	took -= s.base
-	if tokens < leastRead || took < leastTook {
+	if tokens < leastRead || s.base == 0 || took-s.base < leastTook {
 		return
 	}
 	v := s.value()
-	seen := min(mostOfHeld*v, max(leastOfHeld*v, tokens/took.Seconds()))
-	s.perSecond = v + speedWeight*(seen-v)
+	seen := min(mostOfHeld*v, max(leastOfHeld*v, tokens/(took-s.base).Seconds()))
+	own := seen
+	if s.own.Calls > 0 {
+		own = s.own.Sum / s.own.Calls
+		weight := speedDown
+		if seen > own {
+			weight = speedUp
+		}
+		own += weight * (seen - own)
+	}
+	calls := min(mostCalls, s.own.Calls+1)
+	s.own = Reading{Sum: own * calls, Calls: calls}
 }
 
 func (s *speed) observeBase(took time.Duration) {
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"cardamomwick.example/core/collect"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/core/routing"
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Routed{settings: s, transport: frame.NewTransport(s.Peers.Address, keys, newCutFilter(s.Faults.CutFile)), metrics: telemetry.New()}
+	d := &Routed{settings: s, transport: newTransport(s, keys), metrics: telemetry.New()}
 	self := membership.Instance{Name: s.Instance.Name, Process: uuid.NewString()[:8], PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	seeds := s.Peers.SeedAddresses()
@@ -129,7 +130,8 @@
 		Entries: func() int { return len(d.entries()) },
 		Retry:   router.RetryLimits{Span: r.RetryWindow.D(), Ratio: r.RetryRatio, Slack: r.RetrySlack}, Metrics: d.metrics})
 	d.watch = control.NewWatch(d.transport, client, d.takeTable, d.router.SetFleet)
-	exchange := router.NewExchange(d.router, d.transport, d.otherEntries)
+	self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
+	exchange := router.NewExchange(d.router, d.transport, self, d.collectMembers)
 	d.services = append(d.services, d.watch, exchange)
 	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router); err != nil {
 		return err
@@ -160,12 +162,10 @@
 	return out
 }
 
-func (d *Routed) otherEntries() []string {
-	var out []string
+func (d *Routed) collectMembers() []collect.Member {
+	var out []collect.Member
 	for _, i := range d.entries() {
-		if i.Name != d.settings.Instance.Name {
-			out = append(out, i.PeerAddress)
-		}
+		out = append(out, collect.Member{Name: i.Name, Zone: i.Zone, Address: i.PeerAddress})
 	}
 	return out
 }
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -60,6 +60,9 @@
 	ticket   balance.Ticket
 	choice   balance.Choice
 	dog      *watchdog
+	// comeBack is when the caller may come back after a refusal; zero for the
+	// usual pause.
+	comeBack time.Duration
 	// paid: the next attempt is already taken from the retry budget.
 	paid   bool
 	stream *stream
@@ -89,6 +92,10 @@
 	defer cancel()
 	c.size = c.placement()
 	c.router.arrive(c)
+	if !c.admitted(ctx) {
+		c.giveUp("no room for long prompts")
+		return
+	}
 	for {
 		server, ok := c.router.choose(c)
 		if !ok {
@@ -114,6 +121,43 @@
 	}
 }
 
+// Limits of the wait for room.
+const (
+	// roomShare of the target may pass before a call is refused for want of room:
+	// enough for a stream to end somewhere, and too little to matter to a caller
+	// that comes back.
+	roomShare = 0.1
+	roomPoll  = 20 * time.Millisecond
+	// crowdedPause and crowdedSpread are when a caller that found no room may come
+	// back: bursts last seconds, streams of long prompts about two.
+	crowdedPause  = 1500 * time.Millisecond
+	crowdedSpread = 2500 * time.Millisecond
+)
+
+// admitted reports whether the call is taken. It waits a little for room.
+func (c *call) admitted(ctx context.Context) bool {
+	until := c.arrived.Add(time.Duration(roomShare * float64(c.route.TargetLatency)))
+	draw := rand.Float64()
+	for {
+		admission := c.router.admit(c, draw)
+		if admission == balance.Admitted {
+			return true
+		}
+		if admission == balance.Overloaded || time.Now().After(until) || ctx.Err() != nil {
+			c.comeBack = crowdedPause + time.Duration(rand.Float64()*float64(crowdedSpread))
+			return false
+		}
+		time.Sleep(roomPoll)
+	}
+}
+
+// admit asks for a call's admission, with the one lot that it has drawn.
+func (r *Router) admit(c *call, draw float64) balance.Admission {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Admit(time.Now(), c.pool.Name, c.size, func() float64 { return draw })
+}
+
 // pause waits a little before a second attempt. When a server dies, all its
 // calls come back at once, and every instance would place them by the same
 // counts.
@@ -137,7 +181,7 @@
 // placement returns what placement needs to know of the call.
 func (c *call) placement() balance.Call {
 	p := &c.said.Prompt
-	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens, MaxOutput: p.MaxOutput, Target: c.route.TargetLatency, Gap: c.route.TargetGap}
+	out := balance.Call{Tokens: p.Tokens, Unshared: p.Tokens, MaxOutput: p.MaxOutput, Target: c.route.TargetLatency, Gap: c.route.TargetGap, Tier: c.route.Tier}
 	if n := len(p.Parts); n > 0 {
 		out.Unshared = p.Parts[n-1].Tokens
 		if n > 1 {
@@ -386,7 +430,10 @@
 	}
 	switch {
 	case c.runs == 0:
-		c.refuse(http.StatusServiceUnavailable, reason, refusalPause+time.Duration(rand.Float64()*float64(refusalSpread)))
+		if c.comeBack == 0 {
+			c.comeBack = refusalPause + time.Duration(rand.Float64()*float64(refusalSpread))
+		}
+		c.refuse(http.StatusServiceUnavailable, reason, c.comeBack)
 	case !time.Now().Before(c.until):
 		c.refuse(http.StatusGatewayTimeout, "time is over", 0)
 	default:
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -24,7 +24,7 @@
 func (c *call) logAnswer(s fleet.Server, status int) {
 	first := time.Since(c.arrived)
 	f := log.Fields{"status": status, "server": s.ID, "ahead_tokens": int(c.ticket.Ahead()), "tokens": c.said.Prompt.Tokens,
-		"rank": c.choice.Rank, "loss": math.Round(c.choice.Loss*lossGrain) / lossGrain}
+		"rank": c.choice.Rank, "loss": rounded(c.choice.Loss)}
 	if c.stream != nil && c.stream.events > 0 {
 		first = c.stream.first.Sub(c.arrived)
 		f["first_ms"] = first.Milliseconds()
@@ -38,8 +38,8 @@
 	c.count(status, "", first)
 }
 
-// lossGrain keeps logged losses short.
-const lossGrain = 100
+// rounded keeps logged fractions short.
+func rounded(x float64) float64 { return math.Round(x*100) / 100 }
 
 // answeredField marks the lines that may be dropped first.
 const answeredField = "answered"
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -109,7 +109,7 @@
 	out := map[string][]balance.Belief{}
 	if t := r.opt.Table(); t != nil {
 		for _, p := range t.Pools() {
-			out[p.Name] = r.balancer.Beliefs(time.Now(), p.Name)
+			out[p.Name] = r.balancer.Beliefs(p.Name)
 		}
 	}
 	return out
