--- a/core/balance/admit.go
+++ b/core/balance/admit.go
@@ -10,7 +10,7 @@
 	fullShare = 1.1
 	// mostBehind is the part of a call's target that its engine may need for what
 	// it has to read before.
-	mostBehind = 0.5
+	mostBehind = 0.4
 	// busyUse is the use of the side from which a call is taken only at the home of
 	// its shared part. Elsewhere its engine would have to read the part again, which
 	// is about as much work as another call.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -245,3 +245,68 @@
 		t.Error("a server that has just answered is passed over after one reset")
 	}
 }
+
+// Sixty instances whose counts of each other are a quarter of a second old send
+// plain calls to six servers of six slots. If each takes the server that looked
+// emptiest, all take the same one.
+func TestOldCountsDoNotHerdPlainCalls(t *testing.T) {
+	const (
+		instances = 60
+		servers   = 6
+		work      = 60 * time.Millisecond
+		staleness = 250 * time.Millisecond
+	)
+	var list []fleet.Server
+	for i := range servers {
+		list = append(list, fleet.Server{ID: fmt.Sprintf("s%d", i), Pool: "p", Slots: 6})
+	}
+	all := make([]*Balancer, instances)
+	for i := range all {
+		all[i] = New(fmt.Sprintf("i%02d", i))
+		all[i].SetFleet(list)
+	}
+	rnd := rand.New(rand.NewSource(5))
+	type running struct {
+		ticket Ticket
+		by     *Balancer
+		until  time.Time
+	}
+	var open []running
+	count := map[string]int{}
+	full, calls := 0, 0
+	tell := t0
+	for now := t0; now.Before(t0.Add(10 * time.Second)); now = now.Add(4 * time.Millisecond) {
+		kept := open[:0]
+		for _, r := range open {
+			if now.Before(r.until) {
+				kept = append(kept, r)
+				continue
+			}
+			r.by.End(r.ticket)
+			count[r.ticket.server]--
+		}
+		open = kept
+		if now.Sub(tell) >= staleness {
+			tell = now
+			for _, b := range all {
+				sum := b.Sum(now)
+				for _, other := range all {
+					if other != b {
+						other.TakeSum(now, sum)
+					}
+				}
+			}
+		}
+		b := all[rnd.Intn(instances)]
+		s, _ := b.Choose(now, "p", Call{Target: 300 * time.Millisecond}, nil, rnd.Float64)
+		open = append(open, running{b.Start(now, s.ID, Call{}), b, now.Add(work)})
+		calls++
+		if count[s.ID]++; count[s.ID] > 6 {
+			full++
+		}
+	}
+	t.Logf("%d of %d calls found the slots of their server full", full, calls)
+	if 10*full > calls {
+		t.Errorf("%d of %d calls found the slots of their server full", full, calls)
+	}
+}
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -37,7 +37,7 @@
 	// usualLong is the length of a long prompt that such a call may wait for.
 	usualLong = 3 * LongPrompt
 	// besideLong is the part of its target that this wait may take.
-	besideLong = 0.3
+	besideLong = 0.45
 )
 
 // long reports whether the call belongs to the long side. Beside long prompts go
--- a/core/balance/engine_test.go
+++ b/core/balance/engine_test.go
@@ -13,6 +13,9 @@
 	at      time.Duration
 	streams []*streamSim
 	cached  map[string]time.Duration
+	// slots bounds the streams that are worked on; the others wait. Zero for no
+	// bound.
+	slots int
 }
 
 type streamSim struct {
@@ -28,6 +31,8 @@
 	gaps     []time.Duration
 	ticket   Ticket
 	done     bool
+	// cut: the stream ran into callTimeout.
+	cut bool
 }
 
 const (
@@ -37,6 +42,7 @@
 	pairsPerMilli  = 1e6 / 0.647
 	tokensPerEvent = 5
 	cacheTime      = 20 * time.Second
+	callTimeout    = 15 * time.Second
 )
 
 // accept adds a stream. Shared parts that the engine has read lately need not
@@ -62,7 +68,11 @@
 	took := float64(stepTime)
 	left := chunkTokens
 	var read []*streamSim
-	for _, s := range e.streams {
+	working := e.streams
+	if e.slots > 0 {
+		working = working[:min(e.slots, len(working))]
+	}
+	for _, s := range working {
 		if s.unread == 0 || left == 0 {
 			continue
 		}
@@ -77,11 +87,12 @@
 	}
 	e.at += time.Duration(took * e.slow)
 	kept := e.streams[:0]
-	for _, s := range e.streams {
-		if s.unread == 0 {
+	for i, s := range e.streams {
+		if s.unread == 0 && i < len(working) {
 			s.token(e.at)
 		}
-		if s.done {
+		s.cut = !s.done && e.at-s.arrived > callTimeout
+		if s.done || s.cut {
 			ended = append(ended, s)
 			continue
 		}
--- a/core/balance/replay_test.go
+++ b/core/balance/replay_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -18,12 +19,14 @@
 	at     time.Duration
 	call   Call
 	output int
+	// again: the call was refused before.
+	again bool
 }
 
 // eveningLoad is what twelve engines see at dusk: chats in a steady stream that
 // doubles for some seconds, checks, and long compositions that come in a burst
 // of their own.
-func eveningLoad(seed int64, length time.Duration) []arrival {
+func eveningLoad(seed int64, length time.Duration, scenes float64) []arrival {
 	rnd := rand.New(rand.NewSource(seed))
 	size := func(mean, spread float64) int {
 		return max(1, int(mean*math.Exp(spread*rnd.NormFloat64()-spread*spread/2)))
@@ -37,7 +40,7 @@
 			}
 			at += time.Duration(rnd.ExpFloat64() / r * float64(time.Second))
 			c, output := make()
-			out = append(out, arrival{at, c, output})
+			out = append(out, arrival{at: at, call: c, output: output})
 		}
 	}
 	call := func(kind string, parts, shared, unshared int, target, gap time.Duration) Call {
@@ -49,7 +52,7 @@
 	add(30, 0, 0, 1, func() (Call, int) {
 		return call("check", 250, 568, min(3900, size(1800, 0.8)), 400*time.Millisecond, 300*time.Millisecond), size(22, 0.8)
 	})
-	add(10, 2*time.Second, 9*time.Second, 2.2, func() (Call, int) {
+	add(scenes, 2*time.Second, 9*time.Second, 2.2, func() (Call, int) {
 		return call("scene", 58, 5382, size(6610, 0.9), 2500*time.Millisecond, 800*time.Millisecond), size(380, 0.4)
 	})
 	sort.Slice(out, func(i, j int) bool { return out[i].at < out[j].at })
@@ -60,14 +63,17 @@
 type result struct {
 	chats, lateChats   int
 	scenes, lateScenes int
+	// cutScenes were read and generated in vain, refused ones did not run.
+	cutScenes, refused int
 	reread             int
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("late chats %d of %d, late scenes %d of %d, %d shared tokens read again", r.lateChats, r.chats, r.lateScenes, r.scenes, r.reread)
+	return fmt.Sprintf("late chats %d of %d, late scenes %d of %d, %d cut, %d refused, %d shared tokens read again",
+		r.lateChats, r.chats, r.lateScenes, r.scenes, r.cutScenes, r.refused, r.reread)
 }
 
-// chooser places a call on one of the engines.
+// chooser places a call on one of the engines, or on none with -1.
 type chooser interface {
 	choose(now time.Time, c Call) int
 	began(now time.Time, s *streamSim)
@@ -75,13 +81,13 @@
 }
 
 // replay runs a load through engines, of which every third is slow.
-func replay(load []arrival, engines int, policy func([]fleet.Server) chooser) result {
+func replay(load []arrival, engines, slots int, policy func([]fleet.Server) chooser) result {
 	sims := make([]*engineSim, engines)
 	list := make([]fleet.Server, engines)
 	for i := range sims {
 		id := fmt.Sprintf("engine-%02d", i)
-		sims[i] = &engineSim{id: id, slow: []float64{1, 1, 1.3}[i%3], cached: map[string]time.Duration{}}
-		list[i] = fleet.Server{ID: id, Pool: "p", Slots: 64}
+		sims[i] = &engineSim{id: id, slow: []float64{1, 1, 1.3}[i%3], cached: map[string]time.Duration{}, slots: slots}
+		list[i] = fleet.Server{ID: id, Pool: "p", Slots: slots}
 	}
 	p := policy(list)
 	var r result
@@ -107,10 +113,17 @@
 			}
 		}
 	}
-	for _, a := range load {
+	for len(load) > 0 {
+		a := load[0]
+		load = load[1:]
 		run(a.at)
 		s := &streamSim{call: a.call, arrived: a.at, output: a.output}
 		i := p.choose(t0.Add(a.at), a.call)
+		if i < 0 {
+			r.refused++
+			load = comeBack(load, a)
+			continue
+		}
 		if b, ok := p.(*balanced); ok {
 			s.ticket = b.b.Start(t0.Add(a.at), sims[i].id, a.call)
 		}
@@ -120,8 +133,19 @@
 	return r
 }
 
+// comeBack adds a refused call once more, some seconds later.
+func comeBack(load []arrival, a arrival) []arrival {
+	if a.again {
+		return load
+	}
+	a.again = true
+	a.at += 3 * time.Second
+	i := sort.Search(len(load), func(i int) bool { return load[i].at > a.at })
+	return slices.Insert(slices.Clone(load), i, a)
+}
+
 func (r *result) count(s *streamSim) {
-	late := s.first-s.arrived > s.call.Target || s.worstGap > s.call.Gap
+	late := s.cut || s.first-s.arrived > s.call.Target || s.worstGap > s.call.Gap
 	switch s.call.Target {
 	case 300 * time.Millisecond:
 		r.chats++
@@ -130,6 +154,9 @@
 		}
 	case 2500 * time.Millisecond:
 		r.scenes++
+		if s.cut {
+			r.cutScenes++
+		}
 		if late {
 			r.lateScenes++
 		}
@@ -141,17 +168,22 @@
 	b    *Balancer
 	list []fleet.Server
 	rnd  *rand.Rand
+	// admitAll leaves admission out.
+	admitAll bool
 }
 
 func newBalanced(list []fleet.Server) chooser {
 	b := New("a")
 	b.SetFleet(list)
 	b.SetMemory("p", 547510)
-	return &balanced{b, list, rand.New(rand.NewSource(2))}
+	return &balanced{b: b, list: list, rnd: rand.New(rand.NewSource(2))}
 }
 
 func (p *balanced) choose(now time.Time, c Call) int {
 	p.b.Arrive(now, "p", c)
+	if !p.admitAll && p.b.Admit(now, "p", c, p.rnd.Float64) != Admitted {
+		return -1
+	}
 	s, _ := p.b.Choose(now, "p", c, nil, p.rnd.Float64)
 	for i := range p.list {
 		if p.list[i].ID == s.ID {
@@ -165,6 +197,9 @@
 
 func (p *balanced) ended(now time.Time, engine int, s *streamSim) {
 	p.b.End(s.ticket)
+	if s.cut {
+		return
+	}
 	p.b.Good(now, p.list[engine].ID)
 	p.b.Streamed(now, p.list[engine].ID, s.gaps)
 }
@@ -193,9 +228,9 @@
 // mixes the two on every engine.
 func TestEveningLoadKeepsChatsOnTime(t *testing.T) {
 	for seed := int64(1); seed <= 3; seed++ {
-		load := eveningLoad(seed, 20*time.Second)
-		got := replay(load, 12, newBalanced)
-		usual := replay(load, 12, newLeastRunning)
+		load := eveningLoad(seed, 20*time.Second, 10)
+		got := replay(load, 12, 64, newBalanced)
+		usual := replay(load, 12, 64, newLeastRunning)
 		t.Logf("seed %d: %v; with the fewest calls: %v", seed, got, usual)
 		if 4*got.lateChats > usual.lateChats {
 			t.Errorf("seed %d: %d late chats, more than a quarter of the %d by the fewest calls", seed, got.lateChats, usual.lateChats)
@@ -208,3 +243,28 @@
 		}
 	}
 }
+
+// Three times as many long prompts as all engines can read: taken all, nearly
+// all are late, most are cut at their timeout after the work was done, and half of
+// the chats are late too. Refused callers come back once.
+func TestTooManyLongPromptsAreRefusedInTime(t *testing.T) {
+	for seed := int64(1); seed <= 3; seed++ {
+		load := eveningLoad(seed, 20*time.Second, 45)
+		got := replay(load, 12, 32, newBalanced)
+		all := replay(load, 12, 32, func(list []fleet.Server) chooser {
+			p := newBalanced(list).(*balanced)
+			p.admitAll = true
+			return p
+		})
+		t.Logf("seed %d: %v; all admitted: %v", seed, got, all)
+		if inTime, usual := got.scenes-got.lateScenes, all.scenes-all.lateScenes; inTime < 2*usual {
+			t.Errorf("seed %d: %d scenes in time, less than twice the %d when all are admitted", seed, inTime, usual)
+		}
+		if 8*got.lateChats > got.chats {
+			t.Errorf("seed %d: %d of %d chats are late beside them", seed, got.lateChats, got.chats)
+		}
+		if 20*got.cutScenes > got.scenes {
+			t.Errorf("seed %d: %d of %d scenes were taken in vain", seed, got.cutScenes, got.scenes)
+		}
+	}
+}
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -13,7 +13,7 @@
 	// reading prompts on each side. Short calls have targets of some hundred
 	// milliseconds, so that little may queue; on the long side streams still have
 	// to end within their time while prompts are read between their tokens.
-	shortDuty = 0.6
+	shortDuty = 0.45
 	longDuty  = 0.7
 	// shortSlots and longSlots are the parts of the slots that the calls of each
 	// side may fill.
