--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -24,6 +24,11 @@
 	// idleShare of the time that the server says is used, so that a call never
 	// crosses the server's close.
 	idleShare = 0.75
+	// leastRest is the rest from which a reset tells that the server forgets idle
+	// connections, restShare of it is used from then on, for restMemory.
+	leastRest  = 100 * time.Millisecond
+	restShare  = 0.5
+	restMemory = 15 * time.Second
 	// readBuffer holds an answer's headers and some events.
 	readBuffer = 8 << 10
 )
@@ -37,8 +42,9 @@
 	reader *bufio.Reader
 	// usableUntil bounds the idle time.
 	usableUntil time.Time
-	// reused: the connection has carried a call before.
-	reused bool
+	// restedSince is when the last call on the connection ended; zero before its
+	// first.
+	restedSince time.Time
 }
 
 func dial(address string, timeout time.Duration) (*conn, error) {
@@ -85,3 +91,28 @@
 	})
 	return err == nil && quiet
 }
+
+// rest is how long connections may rest. It answers servers, or what stands
+// before them, that forget idle connections without a word: the next call on such
+// a connection is lost, and may not be sent again where it might have run.
+type rest struct {
+	most  time.Duration
+	until time.Time
+}
+
+// note takes the failure of a call on a connection that had rested.
+func (r *rest) note(now time.Time, rested time.Duration) {
+	if rested < leastRest {
+		return
+	}
+	most := time.Duration(restShare * float64(rested))
+	if r.most == 0 || now.After(r.until) || most < r.most {
+		r.most = most
+	}
+	r.until = now.Add(restMemory)
+}
+
+// allows reports whether a connection that has rested so long may be used.
+func (r *rest) allows(now time.Time, rested time.Duration) bool {
+	return r.most == 0 || now.After(r.until) || rested <= r.most
+}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -14,7 +14,10 @@
 	"sort"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/apex/log"
 )
 
 // Request is one attempt of one call.
@@ -77,6 +80,9 @@
 	servers  map[string]*server
 	// dialled counts new connections.
 	dialled int64
+	// rest is learned at one server and holds for all: servers behind the same
+	// network lose their connections alike.
+	rest rest
 }
 
 type server struct {
@@ -123,15 +129,18 @@
 		return nil, &Error{Step: "connect", Server: t.ID, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	sent := time.Now()
 	written := make(chan error, 1)
 	if err := c.write(cn, r, written); err != nil {
 		stop()
+		c.noteRest(cn, sent, err)
 		c.drop(t, cn)
 		return nil, &Error{Sent: !errors.Is(err, errNothingWritten), Step: "send", Server: t.ID, Err: err}
 	}
 	resp, err := c.readHead(cn, t, r)
 	if err != nil {
 		stop()
+		c.noteRest(cn, sent, err)
 		c.drop(t, cn)
 		return nil, &Error{Sent: true, Step: "await answer", Server: t.ID, Err: err}
 	}
@@ -139,6 +148,21 @@
 	return resp, nil
 }
 
+// noteRest learns from a reset in answer to a call on a connection that had
+// rested.
+func (c *Client) noteRest(cn *conn, sent time.Time, err error) {
+	if cn.restedSince.IsZero() || !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		return
+	}
+	rested := sent.Sub(cn.restedSince)
+	c.mu.Lock()
+	c.rest.note(time.Now(), rested)
+	most := c.rest.most
+	c.mu.Unlock()
+	log.WithFields(log.Fields{"step": "reuse connection", "peer": cn.RemoteAddr().String(), "rested_ms": rested.Milliseconds(), "most_ms": most.Milliseconds()}).
+		Info("connection was reset after a rest; shorter rests from now on")
+}
+
 // errNothingWritten: the connection took no byte of the call.
 var errNothingWritten = errors.New("no byte was written")
 
@@ -238,7 +262,7 @@
 		idle = r.Answer.KeepAlive
 	}
 	r.conn.usableUntil = time.Now().Add(time.Duration(float64(idle) * idleShare))
-	r.conn.reused = true
+	r.conn.restedSince = time.Now()
 	r.client.put(r.target, r.conn)
 }
 
@@ -260,7 +284,8 @@
 	for len(s.idle) > 0 {
 		cn := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
-		if time.Now().Before(cn.usableUntil) && cn.quiet() {
+		now := time.Now()
+		if now.Before(cn.usableUntil) && c.rest.allows(now, now.Sub(cn.restedSince)) && cn.quiet() {
 			c.mu.Unlock()
 			return cn, nil
 		}
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -226,6 +226,39 @@
 	}
 }
 
+// A server that forgets connections which rest, and resets what comes on them:
+// one call is lost, and from then on connections that have rested are not used.
+func TestForgottenConnectionsAreUsedOnce(t *testing.T) {
+	forgets := leastRest + 50*time.Millisecond
+	target := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		id := readCall(requests)
+		answer(conn, id, "x")
+		answered := time.Now()
+		for {
+			if _, err := requests.Peek(1); err != nil {
+				return
+			}
+			if time.Since(answered) >= forgets {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			answer(conn, readCall(requests), "x")
+			answered = time.Now()
+		}
+	})
+	c := NewClient(plainProtocol{})
+	lost := 0
+	for i := range 6 {
+		if _, err := send(t, c, target, fmt.Sprint("call-", i), ""); err != nil {
+			lost++
+		}
+		time.Sleep(forgets)
+	}
+	if lost != 1 {
+		t.Errorf("%d of 6 calls were lost, want the first one on a forgotten connection", lost)
+	}
+}
+
 func TestEndOfTheCallClosesTheConnection(t *testing.T) {
 	gone := make(chan struct{})
 	target := serve(t, func(_ net.Conn, r *bufio.Reader) {
