--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -247,8 +247,8 @@
 	sent   time.Time
 	// ahead is what the engine had to read up to the end of this call's prompt.
 	ahead float64
-	// tells: the time to the first event tells the engine's reading speed.
-	tells bool
+	// tokens is the prompt's length, unshared the part of it that no other call has.
+	tokens, unshared int
 }
 
 // Ahead is how many prompt tokens the server had to read up to the end of the
@@ -263,7 +263,7 @@
 
 // Start notes that a call was sent to a server.
 func (b *Balancer) Start(now time.Time, id string, c Call) Ticket {
-	t := Ticket{server: id, sent: now, load: c.load(), tells: float64(c.Unshared) >= leastUnshared*c.unread()}
+	t := Ticket{server: id, sent: now, load: c.load(), tokens: c.Tokens, unshared: c.Unshared}
 	if s := b.servers[id]; s != nil {
 		s.own.add(t.load)
 		t.ahead = float64(s.load().Unread)
@@ -275,8 +275,8 @@
 func (b *Balancer) Began(now time.Time, t *Ticket) {
 	if s := b.servers[t.server]; s != nil {
 		s.own.Unread -= t.load.Unread
-		if t.ahead <= float64(t.load.Unread) && t.tells {
-			b.pool(s.Pool).speed.observe(t.ahead, now.Sub(t.sent))
+		if t.ahead <= float64(t.load.Unread) {
+			b.pool(s.Pool).speed.observe(float64(t.unshared), float64(t.tokens), now.Sub(t.sent))
 		}
 	}
 	t.load.Unread = 0
--- a/core/balance/speed.go
+++ b/core/balance/speed.go
@@ -24,9 +24,6 @@
 	speedUp, speedDown = 0.3, 0.03
 	// mostCalls bounds the weight of one instance's value among all.
 	mostCalls = 20
-	// leastUnshared is the part of what is taken to be read that must be the call's
-	// own: whether shared parts are read is not known.
-	leastUnshared = 0.8
 	// mostOfHeld and leastOfHeld bound an observation against the value held.
 	mostOfHeld, leastOfHeld = 2.0, 0.5
 )
@@ -63,17 +60,21 @@
 }
 
 // observe takes the time in which an engine that had nothing else to read read
-// a prompt.
-func (s *speed) observe(tokens float64, took time.Duration) {
-	if tokens <= smallRead {
+// between least and most tokens of a prompt: whether it had the shared parts
+// already is not known. Only what can't be so moves the value held; with the
+// least alone it began at half the speed, while nothing was cached yet.
+func (s *speed) observe(least, most float64, took time.Duration) {
+	if most <= smallRead {
 		s.observeBase(took)
 		return
 	}
-	if tokens < leastRead || s.base == 0 || took-s.base < leastTook {
+	if least < leastRead || s.base == 0 || took-s.base < leastTook {
 		return
 	}
 	v := s.value()
-	seen := min(mostOfHeld*v, max(leastOfHeld*v, tokens/(took-s.base).Seconds()))
+	read := (took - s.base).Seconds()
+	seen := min(max(v, least/read), most/read)
+	seen = min(mostOfHeld*v, max(leastOfHeld*v, seen))
 	own := seen
 	if s.own.Calls > 0 {
 		own = s.own.Sum / s.own.Calls
