--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,14 @@
 lint:
 	cd ctl && go tool staticcheck ../core/... && go tool staticcheck ./... && go tool staticcheck ../daemon/... && go tool staticcheck ../platform/... && go tool staticcheck ../cmd/...
 
+# Real processes with faults from outside; SOAK sets seeds and size, see
+# bin/soak -h. The default is the short run of CI; fresh seeds are for developers.
+.PHONY: soak
+SOAK := -seed 1 -seeds 2 -rounds 1
+soak: build
+	go build -o $(BIN)/soak ./platform/internal/soak
+	$(BIN)/soak -bin $(BIN) $(SOAK)
+
 # Proofs with real processes, under failure; P=name runs one. They hang on
 # timing and are no part of CI.
 .PHONY: prove
