--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -18,6 +18,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -79,7 +80,7 @@
 	memory  int
 	sides   sides
 	speed   speed
-	// lowestTier is the rank of the least urgent prompts that have arrived.
+	// lowestTier is the rank of the pool's least urgent prompts.
 	lowestTier int
 	// usual is the usual time between two events.
 	usual time.Duration
@@ -91,6 +92,8 @@
 	servers map[string]*server
 	pools   map[string]*pool
 	peers   map[string]*peer
+	// listed is the fleet as it was last set.
+	listed []fleet.Server
 
 	pacedAt       time.Time
 	reportedPaces time.Time
@@ -104,6 +107,10 @@
 // SetFleet takes the servers that are there. What is known of those that stay
 // is kept.
 func (b *Balancer) SetFleet(list []fleet.Server) {
+	if slices.Equal(list, b.listed) {
+		return
+	}
+	b.listed = slices.Clone(list)
 	next := make(map[string]*server, len(list))
 	for _, p := range b.pools {
 		p.servers = p.servers[:0]
@@ -126,9 +133,12 @@
 	}
 }
 
-// SetMemory tells how many tokens one engine of a pool keeps; zero for plain
-// services.
-func (b *Balancer) SetMemory(poolName string, tokens int) { b.pool(poolName).memory = tokens }
+// SetEngines tells of a pool of model engines how many tokens one of them keeps,
+// and the rank of its least urgent prompts.
+func (b *Balancer) SetEngines(poolName string, memory, lowestTier int) {
+	p := b.pool(poolName)
+	p.memory, p.lowestTier = memory, lowestTier
+}
 
 func (b *Balancer) pool(name string) *pool {
 	p := b.pools[name]
@@ -143,9 +153,6 @@
 func (b *Balancer) Arrive(now time.Time, poolName string, c Call) {
 	p := b.pool(poolName)
 	p.sides.arrive(now, c, c.long(&p.speed))
-	if c.Tokens > 0 {
-		p.lowestTier = max(p.lowestTier, c.Tier)
-	}
 }
 
 // Choice is a server with what decided for it.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -20,7 +20,7 @@
 		list = append(list, fleet.Server{ID: fmt.Sprintf("e%02d", i), Pool: "p", Slots: 64})
 	}
 	b.SetFleet(list)
-	b.SetMemory("p", 500_000)
+	b.SetEngines("p", 500_000, 0)
 	return b, list
 }
 
@@ -310,3 +310,23 @@
 		t.Errorf("%d of %d calls found the slots of their server full", full, calls)
 	}
 }
+
+// Where there is no room, only the least urgent prompts are refused.
+func TestUrgentPromptsAreAdmittedWithoutRoom(t *testing.T) {
+	b, list := pool12()
+	b.SetEngines("p", 500_000, 2)
+	for _, s := range list {
+		for range 80 {
+			b.Start(t0, s.ID, scene)
+		}
+	}
+	c := scene
+	c.Tier = 2
+	if got := b.Admit(t0, "p", c, middle); got == Admitted {
+		t.Error("a prompt of the lowest tier was admitted though every engine is full")
+	}
+	c.Tier = 1
+	if got := b.Admit(t0, "p", c, middle); got != Admitted {
+		t.Error("a prompt of a higher tier was refused for want of room")
+	}
+}
--- a/core/balance/replay_test.go
+++ b/core/balance/replay_test.go
@@ -175,7 +175,7 @@
 func newBalanced(list []fleet.Server) chooser {
 	b := New("a")
 	b.SetFleet(list)
-	b.SetMemory("p", 547510)
+	b.SetEngines("p", 547510, 0)
 	return &balanced{b: b, list: list, rnd: rand.New(rand.NewSource(2))}
 }
 
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -118,3 +118,17 @@
 		}
 	}
 }
+
+// Only prompts count: plain calls of the same pool may rank below them.
+func TestLowestTierOfAPoolsPrompts(t *testing.T) {
+	to := func(pool string) []Target { return []Target{{Pool: pool, Weight: 1}} }
+	table := NewTable(&Declaration{Routes: []Route{
+		{Name: "chat", PathPrefix: "/a/", Tier: 0, PromptAware: true, Targets: to("llm")},
+		{Name: "digest", PathPrefix: "/b/", Tier: 2, PromptAware: true, Targets: to("llm")},
+		{Name: "probe", PathPrefix: "/c/", Tier: 7, Targets: to("llm")},
+		{Name: "elsewhere", PathPrefix: "/d/", Tier: 5, PromptAware: true, Targets: to("other")},
+	}})
+	if got := table.LowestTier("llm"); got != 2 {
+		t.Errorf("got tier %d, want 2", got)
+	}
+}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -1,6 +1,9 @@
 package routing
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Table answers look-ups in one declaration. It is immutable and safe for
 // concurrent use.
@@ -68,6 +71,18 @@
 // Pool returns a pool by name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
+// LowestTier returns the rank of the least urgent prompts that a pool gets.
+func (t *Table) LowestTier(pool string) int {
+	lowest := 0
+	for _, r := range t.declaration.Routes {
+		gets := slices.ContainsFunc(r.Targets, func(x Target) bool { return x.Pool == pool })
+		if r.PromptAware && gets {
+			lowest = max(lowest, r.Tier)
+		}
+	}
+	return lowest
+}
+
 // Pick returns the pool for one call; random is uniform in [0, 1).
 func (r *Route) Pick(random float64) string {
 	total := 0
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -89,7 +89,7 @@
 	defer r.mu.Unlock()
 	for _, p := range t.Pools() {
 		if p.Engine != nil {
-			r.balancer.SetMemory(p.Name, p.Engine.KVTokens)
+			r.balancer.SetEngines(p.Name, p.Engine.KVTokens, t.LowestTier(p.Name))
 		}
 	}
 }
