--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -17,8 +17,10 @@
 	Answer bool             `msgpack:"a,omitempty"`
 	Loads  map[string]Load  `msgpack:"l,omitempty"`
 	Rates  map[string]Rates `msgpack:"r,omitempty"`
-	// Boundaries are the decisions on each pool's sides: the sender's own, or in an
-	// answer those that the sender goes by.
+	// Decides: the sender moves the boundaries.
+	Decides bool `msgpack:"d,omitempty"`
+	// Boundaries are where the sender has each pool's sides; left out by members and
+	// by those that have just started.
 	Boundaries map[string]Boundary `msgpack:"b,omitempty"`
 	// Paces are the times between two events by engine; left out in most reports.
 	Paces map[string]Pace `msgpack:"p,omitempty"`
@@ -113,9 +115,8 @@
 			r.add(&p.Report)
 		}
 	}
-	if b.decider(now) == nil {
-		r.Boundaries = b.boundaries(now)
-	}
+	r.Boundaries = b.boundaries(now)
+	r.Decides = b.decider(now) == nil && len(r.Boundaries) > 0
 	return r
 }
 
@@ -204,8 +205,11 @@
 func (b *Balancer) boundaries(now time.Time) map[string]Boundary {
 	out := map[string]Boundary{}
 	for name, p := range b.pools {
-		if p.memory > 0 {
-			out[name] = Boundary{Engines: b.longSide(now, name), Share: p.sides.share}
+		if p.memory == 0 {
+			continue
+		}
+		if engines := b.longSide(now, name); p.sides.settled(now) {
+			out[name] = Boundary{Engines: engines, Share: p.sides.share}
 		}
 	}
 	return out
@@ -236,6 +240,17 @@
 	}
 	b.peers[r.Name] = p
 	b.countOthers(now)
+	b.begin(now, r.Boundaries)
+}
+
+// begin takes over the boundaries of others while this instance has only its
+// own usual beginning.
+func (b *Balancer) begin(now time.Time, held map[string]Boundary) {
+	for name, x := range held {
+		if p := b.pool(name); !p.sides.settled(now) {
+			p.sides.take(x)
+		}
+	}
 }
 
 // Collects reports whether other instances report to this one.
--- a/core/balance/report_test.go
+++ b/core/balance/report_test.go
@@ -73,8 +73,9 @@
 		g.members[2].Arrive(t0, "p", scene)
 	}
 	g.exchange(t0)
-	g.exchange(t0.Add(100 * time.Millisecond))
-	now := t0.Add(200 * time.Millisecond)
+	now := t0.Add(settleTime)
+	g.exchange(now)
+	now = now.Add(100 * time.Millisecond)
 	g.exchange(now)
 	want := fmt.Sprint(g.other.longSide(now, "p"))
 	for _, b := range g.all() {
@@ -171,3 +172,39 @@
 		}
 	}
 }
+
+// The instance that decides is killed and starts again. It must go on from where
+// the others have the boundary, not from its usual beginning.
+func TestRestartedDeciderTakesTheBoundaryOver(t *testing.T) {
+	g := newGroup()
+	g.exchange(t0)
+	burst := t0.Add(2 * time.Second)
+	for i := range 100 {
+		g.collector.Arrive(burst, "p", scene)
+		if i%10 == 0 {
+			g.members[1].Arrive(burst, "p", chat)
+		}
+	}
+	g.exchange(burst)
+	g.exchange(burst.Add(100 * time.Millisecond))
+	want := fmt.Sprint(g.collector.longSide(burst.Add(100*time.Millisecond), "p"))
+	if before := g.collector.pool("p").sides.share; before == startShare {
+		t.Fatal("the burst has not moved the boundary")
+	}
+	later := t0.Add(10 * time.Second) // the burst is over, and nothing asks for a move
+	g.exchange(later)
+	if got := fmt.Sprint(g.other.longSide(later, "p")); got != want {
+		t.Fatalf("the boundary moved from %s to %s by itself", want, got)
+	}
+	again, _ := pool12()
+	again.name = g.other.name
+	g.other = again
+	g.collector.Forget(later.Add(peerTime))
+	g.exchange(later.Add(peerTime))
+	g.exchange(later.Add(peerTime + 100*time.Millisecond))
+	for _, b := range g.all() {
+		if got := fmt.Sprint(b.longSide(later.Add(peerTime+100*time.Millisecond), "p")); got != want {
+			t.Errorf("instance %s has %s on the long side, %s before the restart", b.name, got, want)
+		}
+	}
+}
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -37,6 +37,10 @@
 	engines []string
 	// marked are the engines that were last noted as such.
 	marked []string
+	// since is when this instance first asked for the boundary; taken: it has had
+	// one from others.
+	since time.Time
+	taken bool
 	// movedAt is when the boundary last moved.
 	movedAt time.Time
 	// moved is the last move of the boundary that was not asked for yet.
@@ -60,15 +64,34 @@
 // so that an engine is on the same side for everyone.
 func (b *Balancer) longSide(now time.Time, poolName string) []string {
 	p := b.pool(poolName)
+	if p.sides.since.IsZero() {
+		p.sides.since = now
+	}
 	if decider := b.decider(now); decider == nil {
+		p.markLong()
 		b.decide(now, p, poolName)
 	} else if x, ok := decider.Boundaries[poolName]; ok {
-		p.sides.share, p.sides.engines = x.Share, x.Engines
+		p.sides.take(x)
 	}
 	p.markLong()
 	return p.sides.engines
 }
 
+// settleTime is how long an instance that has just started keeps its boundaries to
+// itself, unless it hears of others: it may be the one that decides, and its usual
+// beginning would move every second engine. The others notice a new instance, and
+// tell it theirs, within a second.
+const settleTime = 1500 * time.Millisecond
+
+// settled reports whether others may go by this instance's boundary.
+func (s *sides) settled(now time.Time) bool {
+	return s.taken || !s.since.IsZero() && now.Sub(s.since) >= settleTime
+}
+
+func (s *sides) take(x Boundary) {
+	s.share, s.engines, s.taken = x.Share, x.Engines, true
+}
+
 // decider returns the peer whose boundaries hold, nil for this instance: a
 // member goes by its collector's answer, a collector by the one with the first
 // name.
@@ -77,10 +100,10 @@
 	first := b.name
 	for name, p := range b.peers {
 		switch {
-		case p.member || !p.fresh(now) || len(p.Boundaries) == 0:
-		case p.Answer:
+		case p.member || !p.fresh(now):
+		case p.Answer && len(p.Boundaries) > 0:
 			return p
-		case name < first:
+		case p.Decides && name < first:
 			found, first = p, name
 		}
 	}
@@ -112,6 +135,9 @@
 			others = append(others, e)
 		}
 	}
+	if len(long)+len(others) == 0 {
+		return
+	}
 	b.decideShare(now, p, poolName, len(long)+len(others))
 	want := longCount(s.share, len(long)+len(others))
 	keepLast(long)
@@ -209,7 +235,7 @@
 		s.share = startShare
 	}
 	short, long := b.needs(now, p, poolName)
-	if short+long < leastNeed || engines == 0 {
+	if short+long < leastNeed {
 		return
 	}
 	all := float64(engines)
