Engines by their start: a restart under the same name ends all that was believed

Cause: a backend server was known by its ID alone, so that a restart under the ID it had would inherit counts, health, kept parts and the drain state of the former start, and its announcements, numbered anew, passed for late ones. A start's ID now joins name and start time; registry, log and mirror keep the newest start of each name. Calls in flight at a former start end at once.

Heartbeats with missing or mistyped fields, unknown states or numbers out of range name no server any more: an unknown state passed for ready. They are counted, and logged once a minute and source.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -2,8 +2,9 @@
 // announcements. It is pure: the clock is passed in.
 //
 // Announcements arrive late, out of order and through different instances;
-// each start of a server has its own ID and numbers its announcements. A server
-// that has said that it leaves never counts as ready again.
+// each start of a server numbers its announcements. A start that has said that it
+// leaves never counts as ready again, and one that a newer start of the same
+// server has followed never comes back.
 package fleet
 
 import (
@@ -26,6 +27,7 @@
 
 // Server is one start of a backend server.
 type Server struct {
+	// ID identifies the start; see StartID.
 	ID      string `msgpack:"i"`
 	Pool    string `msgpack:"p"`
 	Address string `msgpack:"a"`
@@ -37,6 +39,20 @@
 	// Overdue: no announcement for longer than OverdueAfter. It may be cut off
 	// from those that take announcements, and still serve.
 	Overdue bool `msgpack:"o"`
+	// Name is the server's own, the same over its starts; empty where each start
+	// has an ID of its own.
+	Name string `msgpack:"n,omitempty"`
+	// Born is when the server started, in Unix milliseconds by its own clock; zero
+	// where it does not say.
+	Born int64 `msgpack:"b,omitempty"`
+}
+
+// OwnName is what the server calls itself.
+func (s *Server) OwnName() string {
+	if s.Name == "" {
+		return s.ID
+	}
+	return s.Name
 }
 
 // Timing of the registry, from a heartbeat every 1.2 s on the deployments
@@ -51,6 +67,9 @@
 	// keptDepartures bounds the IDs remembered as departed, against late
 	// announcements.
 	keptDepartures = 1024
+	// maxServers bounds what a faulty writer can make an instance remember: twice
+	// the servers of the largest deployment aimed at.
+	maxServers = 4096
 )
 
 type record struct {
@@ -64,25 +83,31 @@
 	servers  map[string]*record
 	departed map[string]bool
 	order    []string
+	starts   *Starts
 	version  uint64
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{servers: map[string]*record{}, departed: map[string]bool{}}
+	return &Registry{servers: map[string]*record{}, departed: map[string]bool{}, starts: NewStarts()}
 }
 
 // Version rises whenever Servers returns something else.
 func (r *Registry) Version() uint64 { return r.version }
 
 // Announce takes an announcement. Older news about a server changes nothing,
-// and a newer start at the same address ends the one before.
+// and a newer start of the same server, or at the same address, ends the one
+// before.
 func (r *Registry) Announce(now time.Time, s Server) {
-	if r.departed[s.ID] {
+	if r.departed[s.ID] || r.starts.Stale(s.Start()) {
 		return
 	}
+	r.noteStart(s.Start())
 	old := r.servers[s.ID]
 	if old == nil {
+		if len(r.servers) >= maxServers {
+			return
+		}
 		r.replaceAt(s)
 		s.Overdue = false
 		r.servers[s.ID] = &record{s, now}
@@ -118,9 +143,10 @@
 // with it, and then waits for their announcements.
 func (r *Registry) Remember(now time.Time, list []Server) {
 	for _, s := range list {
-		if r.departed[s.ID] {
+		if r.departed[s.ID] || r.starts.Stale(s.Start()) {
 			continue
 		}
+		r.noteStart(s.Start())
 		old := r.servers[s.ID]
 		if old == nil {
 			r.servers[s.ID] = &record{s, now}
@@ -135,6 +161,30 @@
 	}
 }
 
+// NoteStarts takes starts that are known from elsewhere: what older ones of the
+// same servers say comes late.
+func (r *Registry) NoteStarts(list []Start) {
+	for _, s := range list {
+		r.noteStart(s)
+	}
+}
+
+// noteStart ends the older starts of a server.
+func (r *Registry) noteStart(start Start) {
+	if !r.starts.Note(start) {
+		return
+	}
+	for id, old := range r.servers {
+		if old.OwnName() == start.Name && r.starts.Stale(old.Start()) {
+			r.Depart(id)
+		}
+	}
+}
+
+// Newest returns the ID of the newest start of a server that is known by its own
+// name.
+func (r *Registry) Newest(name string) string { return r.starts.Newest(name) }
+
 // Silent lists the servers that would be forgotten.
 func (r *Registry) Silent(now time.Time) []string {
 	var out []string
--- a/core/fleet/mirror.go
+++ b/core/fleet/mirror.go
@@ -37,11 +37,14 @@
 	adoptedUntil time.Time
 	// phases never go back, whatever a leader that knows less lists.
 	phases map[string]Phase
+	// starts: a leader that was not told of a server's newest start may list an
+	// older one.
+	starts *Starts
 }
 
 // NewMirror returns an empty mirror.
 func NewMirror() *Mirror {
-	return &Mirror{listed: map[string]Server{}, adopted: map[string]Server{}, phases: map[string]Phase{}}
+	return &Mirror{listed: map[string]Server{}, adopted: map[string]Server{}, phases: map[string]Phase{}, starts: NewStarts()}
 }
 
 // At returns the term and version last taken.
@@ -59,6 +62,7 @@
 	m.term, m.version = l.Term, l.Version
 	m.listed = make(map[string]Server, len(l.Servers))
 	for _, s := range l.Servers {
+		m.starts.Note(s.Start())
 		s.Phase = max(s.Phase, m.phases[s.ID])
 		if s.Phase != Ready {
 			m.phases[s.ID] = s.Phase
@@ -93,13 +97,15 @@
 func (m *Mirror) Servers(now time.Time) []Server {
 	var out []Server
 	for _, s := range m.listed {
-		if s.Phase != Departed {
+		if s.Phase != Departed && !m.starts.Stale(s.Start()) {
 			out = append(out, s)
 		}
 	}
 	if now.Before(m.adoptedUntil) {
 		for _, s := range m.adopted {
-			out = append(out, s)
+			if !m.starts.Stale(s.Start()) {
+				out = append(out, s)
+			}
 		}
 	} else {
 		clear(m.adopted)
--- a/core/state/routing.go
+++ b/core/state/routing.go
@@ -29,6 +29,9 @@
 	// Servers are the backend servers that have announced themselves and not
 	// departed, so that a new leader, and a group that was down, know them at once.
 	Servers []fleet.Server `msgpack:"f,omitempty"`
+	// Starts are the newest starts of servers that keep their name, also of those
+	// that have departed: a new leader must not take back an older one.
+	Starts []fleet.Start `msgpack:"s,omitempty"`
 	// Revision rises with every change of the above.
 	Revision uint64 `msgpack:"r"`
 }
@@ -47,8 +50,12 @@
 // keptServers bounds the servers remembered; the oldest go first.
 const keptServers = 4096
 
-// register remembers a server. One that has said that it leaves stays so.
+// register remembers a server, and forgets its older starts. One that has said
+// that it leaves stays so.
 func (s *routingState) register(server fleet.Server) Result {
+	if !s.noteStart(server.Start()) {
+		return Result{Code: CodeOK}
+	}
 	for _, w := range s.Withdrawals {
 		if w.ServerID == server.ID {
 			return Result{Code: CodeOK}
@@ -68,6 +75,27 @@
 	return Result{Code: CodeOK}
 }
 
+// noteStart keeps the newest start of a server and reports whether the given one
+// is it.
+func (s *routingState) noteStart(start fleet.Start) bool {
+	i := slices.IndexFunc(s.Starts, func(x fleet.Start) bool { return x.Name == start.Name })
+	switch {
+	case i >= 0 && start.Born < s.Starts[i].Born:
+		return false
+	case i >= 0 && start.Born == s.Starts[i].Born || start.Born == 0:
+		return true
+	case i >= 0:
+		s.Starts = slices.Delete(s.Starts, i, i+1)
+	}
+	s.Starts = append(s.Starts, start)
+	if extra := len(s.Starts) - keptServers; extra > 0 {
+		s.Starts = slices.Clone(s.Starts[extra:])
+	}
+	s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.OwnName() == start.Name && x.Born < start.Born })
+	s.Revision++
+	return true
+}
+
 // settle applies a withdrawal to the servers remembered.
 func (s *routingState) settle(w fleet.Withdrawal) {
 	s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.ID == w.ServerID && w.Phase == fleet.Departed })
@@ -104,14 +132,15 @@
 	Held        DeclareCommand
 	Withdrawals []fleet.Withdrawal
 	Servers     []fleet.Server
+	Starts      []fleet.Start
 	Revision    uint64
 }
 
 // Routing returns what is committed about routing.
 func (m *Machine) Routing() Routing {
 	s := &m.routing
-	return Routing{Held: s.Held, Withdrawals: append([]fleet.Withdrawal(nil), s.Withdrawals...),
-		Servers: append([]fleet.Server(nil), s.Servers...), Revision: s.Revision}
+	return Routing{Held: s.Held, Withdrawals: slices.Clone(s.Withdrawals),
+		Servers: slices.Clone(s.Servers), Starts: slices.Clone(s.Starts), Revision: s.Revision}
 }
 
 // RoutingRevision returns the revision of what Routing would return.
--- a/core/state/routing_test.go
+++ b/core/state/routing_test.go
@@ -54,3 +54,35 @@
 		t.Errorf("withdrawals are %+v", got)
 	}
 }
+
+// The newest start of a server outlives its departure, a snapshot and the words of
+// former starts.
+func TestNewestStartIsRemembered(t *testing.T) {
+	m := New()
+	register := func(born int64) {
+		s := fleet.Server{ID: fleet.StartID(fleet.Start{Name: "a", Born: born}), Name: "a", Born: born, Pool: "p"}
+		m.Apply((&Command{Type: CommandRegister, Register: &s}).Encode())
+	}
+	register(100)
+	register(200)
+	register(100)
+	if got := m.Routing(); len(got.Servers) != 1 || got.Servers[0].Born != 200 {
+		t.Fatalf("registered are %+v", got.Servers)
+	}
+	m.Apply((&Command{Type: CommandWithdraw, Withdraw: &fleet.Withdrawal{ServerID: "a@200", Phase: fleet.Departed}}).Encode())
+	other := New()
+	if err := other.Restore(m.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	m = other
+	register(100)
+	register(200)
+	got := m.Routing()
+	if len(got.Servers) != 0 || len(got.Starts) != 1 || got.Starts[0] != (fleet.Start{Name: "a", Born: 200}) {
+		t.Errorf("after its departure: servers %+v, starts %+v", got.Servers, got.Starts)
+	}
+	register(300)
+	if got := m.Routing(); len(got.Servers) != 1 || got.Servers[0].Born != 300 {
+		t.Errorf("the next start is not registered: %+v", got.Servers)
+	}
+}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -51,12 +51,14 @@
 	ledTerm uint64
 	// registering are the servers whose registration is under way.
 	registering map[string]bool
+	foreign     foreign
 }
 
 // New registers the frame handlers.
 func New(t *frame.Transport, r *replica.Replica, c *replica.Client) *Service {
 	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{}), registering: map[string]bool{}}
 	t.HandleRequest(methodAnnounce, s.handleAnnounce)
+	t.HandleRequest(methodNewest, s.handleNewest)
 	t.HandleRequest(methodWatch, s.handleWatch)
 	return s
 }
@@ -84,12 +86,19 @@
 	silent := s.registry.Silent(now)
 	s.mu.Unlock()
 	for _, id := range silent {
-		if err := s.Depart(ctx, id); err != nil {
+		if err := s.departStart(ctx, id); err != nil {
 			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "depart silent server", "server": id}).Warn("will be tried again")
 		}
 	}
 }
 
+// departStart ends one start of a server.
+func (s *Service) departStart(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	return s.withdraw(ctx, fleet.Withdrawal{ServerID: id, Phase: fleet.Departed}, nil)
+}
+
 // update changes the registry and wakes the watchers if that mattered.
 func (s *Service) update(change func()) {
 	s.mu.Lock()
@@ -156,11 +165,44 @@
 	return err
 }
 
-// Depart notes that a server has gone; nil acknowledges it.
-func (s *Service) Depart(ctx context.Context, id string) error {
+// Depart notes that a server has gone; nil acknowledges it. Where the start has no
+// time, the newest one that is known is meant.
+func (s *Service) Depart(ctx context.Context, start fleet.Start) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	return s.withdraw(ctx, fleet.Withdrawal{ServerID: id, Phase: fleet.Departed}, nil)
+	id := fleet.StartID(start)
+	if start.Born == 0 {
+		var err error
+		if id, err = s.newestStart(ctx, start.Name); err != nil {
+			return err
+		}
+	}
+	return s.departStart(ctx, id)
+}
+
+// newestStart returns the ID of a server's newest start. The leader knows of
+// starts that the log does not have yet.
+func (s *Service) newestStart(ctx context.Context, name string) (string, error) {
+	if v, _ := s.replica.View(); slices.ContainsFunc(v.Routing.Servers, func(x fleet.Server) bool { return x.ID == name }) {
+		return name, nil
+	}
+	reply, err := replica.CallLeader[newestReply](ctx, s.client, methodNewest, name)
+	return reply.ID, err
+}
+
+func (s *Service) handleNewest(_ context.Context, _ string, body []byte) (any, error) {
+	var name string
+	if err := msgpack.Unmarshal(body, &name); err != nil {
+		return nil, eris.Wrap(err, "decode name of server")
+	}
+	v, _ := s.replica.View()
+	if !v.Leading {
+		return newestReply{Redirect: replica.NotLeaderReply(v)}, nil
+	}
+	s.follow(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return newestReply{ID: s.registry.Newest(name)}, nil
 }
 
 func (s *Service) withdraw(ctx context.Context, w fleet.Withdrawal, server *fleet.Server) error {
@@ -235,6 +277,7 @@
 			return
 		}
 		s.revision = v.Routing.Revision
+		s.registry.NoteStarts(v.Routing.Starts)
 		for _, w := range v.Routing.Withdrawals {
 			s.registry.Withdraw(w.ServerID, w.Phase)
 		}
--- a/daemon/control/wire.go
+++ b/daemon/control/wire.go
@@ -10,6 +10,7 @@
 // Frame methods of this package.
 const (
 	methodAnnounce = "control.announce"
+	methodNewest   = "control.newest"
 	methodWatch    = "control.watch"
 )
 
@@ -17,6 +18,12 @@
 	replica.Redirect `msgpack:",inline"`
 }
 
+// newestReply names the newest start of a server.
+type newestReply struct {
+	replica.Redirect `msgpack:",inline"`
+	ID               string `msgpack:"i"`
+}
+
 // watchRequest tells what the asking instance has.
 type watchRequest struct {
 	Declaration uint64 `msgpack:"d"`
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -30,7 +30,9 @@
 	Declare(ctx context.Context, d *routing.Declaration, source []byte) error
 	Source(ctx context.Context) ([]byte, error)
 	Announce(ctx context.Context, s fleet.Server) error
-	Depart(ctx context.Context, serverID string) error
+	Depart(ctx context.Context, start fleet.Start) error
+	// Foreign notes an announcement that can't be from a backend server.
+	Foreign(source string, err error)
 }
 
 // Directory tells callers where to connect.
@@ -59,6 +61,7 @@
 	replica   *replica.Replica
 	directory *replica.Directory
 	watch     *control.Watch
+	control   *control.Service
 	router    *router.Router
 	services  []suture.Service
 	metrics   *telemetry.Metrics
@@ -115,12 +118,12 @@
 	if err != nil {
 		return eris.Wrap(err, "start replica")
 	}
-	c := control.New(d.transport, d.replica, client)
-	d.services = append(d.services, d.replica, c)
+	d.control = control.New(d.transport, d.replica, client)
+	d.services = append(d.services, d.replica, d.control)
 	if d.settings.Routing.ControlAddress == "" {
 		return nil
 	}
-	return d.listen("control", d.settings.Routing.ControlAddress, a.Control(c))
+	return d.listen("control", d.settings.Routing.ControlAddress, a.Control(d.control))
 }
 
 func (d *Routed) addEntry(a Adapter, client *replica.Client) error {
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -22,6 +22,7 @@
 		})
 	}
 	if d.replica != nil {
+		gauge("cardamomwick_foreign_announcements_total", func() float64 { return float64(d.control.ForeignAnnouncements()) })
 		gauge("cardamomwick_replica_term", func() float64 { v, _ := d.replica.View(); return float64(v.Term) })
 		gauge("cardamomwick_replica_leading", func() float64 { v, _ := d.replica.View(); return number(v.Leading) })
 		gauge("cardamomwick_replica_in_group", func() float64 { v, _ := d.replica.View(); return number(v.Ready) })
--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -169,7 +169,7 @@
 		})
 	}
 	c.until("both servers are in the log", 5*time.Second, func() bool { v, _ := group[2].replica.View(); return len(v.Routing.Servers) == 2 })
-	c.until("a departure is acknowledged", 5*time.Second, func() bool { return group[1].control.Depart(ctx, "a") == nil })
+	c.until("a departure is acknowledged", 5*time.Second, func() bool { return group[1].control.Depart(ctx, fleet.Start{Name: "a"}) == nil })
 	// Only the leader of this moment is ended: the next one leads soon after.
 	leads := func(m *member) bool { v, _ := m.replica.View(); return v.Leading }
 	c.until("there is a leader", 5*time.Second, func() bool { return slices.ContainsFunc(group, leads) })
--- /dev/null
+++ b/daemon/router/attempts.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"context"
+	"sync"
+
+	"cardamomwick.example/core/fleet"
+)
+
+// attempts holds what is in flight by server. A server that has started again
+// knows nothing of its former calls: waiting for their answers, on connections
+// that may never be reset, would use up the time in which another server can
+// answer. Safe for concurrent use.
+type attempts struct {
+	mu       sync.Mutex
+	next     int
+	byServer map[string]map[int]context.CancelFunc
+}
+
+// add notes an attempt; call the result when it is over.
+func (a *attempts) add(server string, end context.CancelFunc) (done func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byServer == nil {
+		a.byServer = map[string]map[int]context.CancelFunc{}
+	}
+	if a.byServer[server] == nil {
+		a.byServer[server] = map[int]context.CancelFunc{}
+	}
+	a.next++
+	id := a.next
+	a.byServer[server][id] = end
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.byServer[server], id)
+		if len(a.byServer[server]) == 0 {
+			delete(a.byServer, server)
+		}
+	}
+}
+
+// endAt ends the attempts at a start of a server and returns how many there were.
+func (a *attempts) endAt(server string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, end := range a.byServer[server] {
+		end()
+	}
+	return len(a.byServer[server])
+}
+
+// superseded lists the starts that newer ones of the same servers have followed.
+func superseded(before, now []fleet.Server) []fleet.Server {
+	born := make(map[string]int64, len(now))
+	for _, s := range now {
+		born[s.OwnName()] = max(born[s.OwnName()], s.Born)
+	}
+	var out []fleet.Server
+	for _, s := range before {
+		if s.Born < born[s.OwnName()] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -219,6 +219,7 @@
 	defer c.router.end(c)
 	ctx, end := context.WithCancel(ctx)
 	defer end()
+	defer c.router.attempts.add(s.ID, end)()
 	c.dog = c.watch(end)
 	v := c.send(ctx, s)
 	if c.dog.stop() && v == failed {
@@ -264,7 +265,7 @@
 func (c *call) request(s fleet.Server) *upstream.Request {
 	h := endToEnd(c.req.Header)
 	c.router.opt.Protocol.Strip(h)
-	stamp := upstream.Stamp{TimeLeft: time.Until(c.until), ServerID: s.ID, After: c.said.After}
+	stamp := upstream.Stamp{TimeLeft: time.Until(c.until), ServerName: s.OwnName(), After: c.said.After}
 	if c.customer != nil {
 		stamp.Customer = c.customer.Name
 	}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -54,10 +54,12 @@
 	opt      Options
 	upstream *upstream.Client
 	inFlight atomic.Int64
+	attempts attempts
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
 	budgets  map[string]*retry.Window
+	fleet    []fleet.Server
 	// cutOff is when this instance ends what is in flight; zero until it leaves.
 	cutOff time.Time
 }
@@ -74,7 +76,10 @@
 func (r *Router) SetFleet(list []fleet.Server) {
 	r.mu.Lock()
 	r.balancer.SetFleet(list)
+	before := r.fleet
+	r.fleet = list
 	r.mu.Unlock()
+	r.endSuperseded(before, list)
 	known := make(map[string]bool, len(list))
 	for _, s := range list {
 		known[s.ID] = s.Phase == fleet.Ready
@@ -83,6 +88,14 @@
 	r.upstream.Sweep()
 }
 
+// endSuperseded ends the attempts at servers that have started again.
+func (r *Router) endSuperseded(before, now []fleet.Server) {
+	for _, s := range superseded(before, now) {
+		ended := r.attempts.endAt(s.ID)
+		log.WithFields(log.Fields{"step": "take fleet", "server": s.ID, "pool": s.Pool, "in_flight": ended}).Info("server has started again; what was believed of its former start ends")
+	}
+}
+
 // SetTable takes a new declaration.
 func (r *Router) SetTable(t *routing.Table) {
 	r.mu.Lock()
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -36,7 +36,7 @@
 
 func (testProtocol) Stamp(h http.Header, s upstream.Stamp) {
 	h.Set("Patience", strconv.FormatInt(s.TimeLeft.Milliseconds(), 10))
-	h.Set("Server", s.ServerID)
+	h.Set("Server", s.ServerName)
 	h.Set("Customer", s.Customer)
 	h.Set("After", s.After)
 }
--- a/daemon/upstream/protocol.go
+++ b/daemon/upstream/protocol.go
@@ -50,9 +50,9 @@
 // Stamp is what the system tells a backend server about a call.
 type Stamp struct {
 	TimeLeft time.Duration
-	// ServerID is the start of the server that is meant; another one at the same
-	// address refuses.
-	ServerID string
+	// ServerName is the server that is meant; another one at the same address
+	// refuses.
+	ServerName string
 	// Customer is empty on public routes.
 	Customer string
 	// Priority is 0 to 9, 0 first; nil leaves the server's default.
