Calls wait for the first declaration; replicas are asked in parallel at the start

Cause: after a restart of all instances the entries know no declaration for 160 to 200 ms, and refused each call with 503. The time went into one replica asked after the other, a redial pause of 100 ms after a peer that was 30 ms late, and a search for a leader of 150 ms. Ruled out: the group's election, over 114 ms after the start, before that.

--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -22,8 +22,16 @@
 	// watchTimeout bounds one round including the search for the leader.
 	watchTimeout = 1500 * time.Millisecond
 	watchPause   = 20 * time.Millisecond
-	// beginTimeout bounds the question to one replica at the start.
+	// beginTimeout bounds the questions to the replicas at the start.
 	beginTimeout = 150 * time.Millisecond
+	// beginPause is the pause after a round of questions that no replica answered;
+	// it grows by half each time, up to mostBeginPause. Instances that restart
+	// together miss each other by some tens of milliseconds, and each of them costs
+	// the calls that wait for a declaration.
+	beginPause     = 10 * time.Millisecond
+	mostBeginPause = 100 * time.Millisecond
+	// beginTime is how long the replicas are asked so.
+	beginTime = time.Second
 	// lostAfter is how long no round may succeed before that is logged.
 	lostAfter = 3 * time.Second
 )
@@ -57,6 +65,7 @@
 
 // Serve watches until the context ends.
 func (w *Watch) Serve(ctx context.Context) error {
+	w.begin(ctx)
 	for ctx.Err() == nil {
 		w.round(ctx)
 		select {
@@ -67,36 +76,62 @@
 	return ctx.Err()
 }
 
-// begin asks any replica for what it knows, leader or not: after a power loss of
-// all instances the entries serve again before the group has a leader.
+// begin asks all replicas together for what they know, leader or not: after a
+// power loss of all instances the entries serve again before the group has a
+// leader. It ends once a replica has answered.
 func (w *Watch) begin(ctx context.Context) {
-	for _, address := range w.client.Directory().Addresses() {
-		if err := w.askStale(ctx, address); err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "begin watch", "peer": address}).Debug("asking another replica")
-			continue
-		}
-		if w.table.Load() != nil {
+	until := time.Now().Add(beginTime)
+	for pause := beginPause; ctx.Err() == nil && time.Now().Before(until); pause = min(mostBeginPause, pause*3/2) {
+		if w.askAll(ctx) {
 			return
 		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
 	}
 }
 
-func (w *Watch) askStale(ctx context.Context, address string) error {
+// askAll asks all replicas and takes the answers as they come, up to the first
+// declaration. It reports whether any replica that has a group has answered.
+func (w *Watch) askAll(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
+	addresses := w.client.Directory().Addresses()
+	replies := make(chan *watchReply, len(addresses))
+	for _, address := range addresses {
+		go func() { replies <- w.askStale(ctx, address) }()
+	}
+	answered := false
+	for range addresses {
+		reply := <-replies
+		if reply == nil || reply.NotLeader {
+			continue
+		}
+		answered = true
+		w.take(reply)
+		w.onFleet(w.mirror.Servers(time.Now()))
+		if w.table.Load() != nil {
+			return true
+		}
+	}
+	return answered
+}
+
+// askStale returns what a replica knows, nil without an answer.
+func (w *Watch) askStale(ctx context.Context, address string) *watchReply {
 	var reply watchReply
 	if err := w.transport.Call(ctx, address, methodWatch, &watchRequest{Stale: true}, &reply); err != nil {
-		return err
+		log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "begin watch", "peer": address}).Debug("no answer from this replica yet")
+		return nil
 	}
-	w.take(&reply)
-	w.onFleet(w.mirror.Servers(time.Now()))
-	return nil
+	return &reply
 }
 
 func (w *Watch) round(ctx context.Context) {
 	timeout := watchTimeout
 	if w.table.Load() == nil {
-		w.begin(ctx)
+		w.askAll(ctx)
 		timeout = beginTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/daemon/frame/link.go
+++ b/daemon/frame/link.go
@@ -31,8 +31,10 @@
 	once    sync.Once
 	// ended: the link was idle and is forgotten; nothing may be queued any more.
 	ended bool
-	// failedAt is when dialling failed last; sends fail fast for redialPause.
+	// failedAt is when dialling failed last, after so many failures in a row; sends
+	// fail fast for a while.
 	failedAt time.Time
+	failures int
 }
 
 func (l *link) close() { l.once.Do(func() { close(l.closing) }) }
@@ -43,7 +45,7 @@
 	if l.ended {
 		return errEnded
 	}
-	if time.Since(l.failedAt) < redialPause {
+	if l.failures > 0 && time.Since(l.failedAt) < l.redialPause() {
 		return eris.Wrapf(ErrUnreachable, "peer %s", l.address)
 	}
 	select {
@@ -57,6 +59,12 @@
 	return nil
 }
 
+// redialPause is the pause after the failures so far. Call with the lock held.
+func (l *link) redialPause() time.Duration {
+	const doublings = 4 // beyond, the pause is at its most
+	return min(mostRedialPause, redialPause<<min(l.failures-1, doublings))
+}
+
 func (l *link) forget(id uint64) {
 	l.mu.Lock()
 	delete(l.pending, id)
@@ -99,11 +107,15 @@
 	if err != nil {
 		l.mu.Lock()
 		l.failedAt = time.Now()
+		l.failures++
 		l.mu.Unlock()
 		l.drain()
 		l.down(ErrUnreachable)
 		return false
 	}
+	l.mu.Lock()
+	l.failures = 0
+	l.mu.Unlock()
 	broken := make(chan struct{})
 	go l.readLoop(c, broken)
 	idle = l.writeUntilBroken(c, first, broken)
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -19,8 +19,11 @@
 	// dark must end soon: the instance may be back meanwhile.
 	dialTimeout  = 250 * time.Millisecond
 	writeTimeout = 5 * time.Second
-	// redialPause keeps an unreachable address from being dialled all the time.
-	redialPause = 100 * time.Millisecond
+	// redialPause keeps an unreachable address from being dialled all the time. It
+	// doubles with each failure up to mostRedialPause: instances that restart
+	// together miss each other by some tens of milliseconds.
+	redialPause     = 10 * time.Millisecond
+	mostRedialPause = 100 * time.Millisecond
 	// queueLength bounds the messages waiting for one address. Queues and
 	// buffers count once per peer, which matters with hundreds of them.
 	queueLength = 512
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -22,6 +22,7 @@
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/routing"
+	"cardamomwick.example/core/warmup"
 	"cardamomwick.example/daemon/telemetry"
 	"cardamomwick.example/daemon/upstream"
 )
@@ -56,7 +57,14 @@
 	inFlight atomic.Int64
 	attempts attempts
 
+	// started is when this instance began; equipped is closed once it has a
+	// declaration and has been told of the servers.
+	started  time.Time
+	equipped chan struct{}
+	equip    sync.Once
+
 	mu       sync.Mutex
+	waiting  warmup.Room
 	balancer *balance.Balancer
 	budgets  map[string]*retry.Window
 	fleet    []fleet.Server
@@ -69,7 +77,7 @@
 	if o.Metrics == nil {
 		o.Metrics = telemetry.New()
 	}
-	return &Router{opt: o, upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Name), budgets: map[string]*retry.Window{}}
+	return &Router{opt: o, started: time.Now(), equipped: make(chan struct{}), upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Name), budgets: map[string]*retry.Window{}}
 }
 
 // SetFleet takes the backend servers that are there.
@@ -86,6 +94,9 @@
 	}
 	r.upstream.Forget(func(id string) bool { return !known[id] })
 	r.upstream.Sweep()
+	if r.opt.Table() != nil {
+		r.equip.Do(func() { close(r.equipped) })
+	}
 }
 
 // endSuperseded ends the attempts at servers that have started again.
@@ -155,17 +166,20 @@
 // accept reads the call and finds its route, customer and pool. It answers the
 // call itself, and returns false, if it can't be passed on.
 func (c *call) accept() bool {
-	table := c.router.opt.Table()
+	c.said = c.router.opt.Protocol.Call(c.req.Header)
+	if !c.readBody(c.router.bodyLimit()) {
+		return false
+	}
+	// The declaration is looked up after the body has come, which can take long.
+	table := c.awaitTable()
 	if table == nil {
 		c.refuse(http.StatusServiceUnavailable, "no declaration yet", noDeclarationPause)
 		return false
 	}
-	c.said = c.router.opt.Protocol.Call(c.req.Header)
-	if !c.readBody(table.Limits().MaxBodyBytes) {
+	if int64(len(c.body)) > c.router.bodyLimit() {
+		c.refuse(http.StatusRequestEntityTooLarge, "body is too large", 0)
 		return false
 	}
-	// The declaration is looked up after the body has come, which can take long.
-	table = c.router.opt.Table()
 	c.version = table.Version()
 	c.route = table.Route(hostOf(c.req), c.req.URL.EscapedPath())
 	if c.route == nil {
@@ -204,9 +218,6 @@
 }
 
 func (c *call) readBody(limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.req.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
