Boundary follows what waits, not the rate alone

Ruled out: the hysteresis (it did not bind).

TestBoundaryFollowsWhatWaits: 6 of 12 engines before, at least 8 after.

--- a/core/balance/needs.go
+++ b/core/balance/needs.go
@@ -19,25 +19,42 @@
 	// mostPiled bounds what running calls make a side need against what its
 	// reading does.
 	mostPiled = 1.5
+	// backlogShare of a call's target is the time in which a side should have read
+	// what waits there. A rate alone sees a burst of prompts whose shared parts
+	// nobody has read yet as a quarter of what it is: for 7 s six of twelve engines
+	// kept prompts waiting for 0.6 to 1.4 s beside six that were nearly idle.
+	backlogShare = 0.5
 )
 
 // needs returns how many engines each side needs for what arrives and runs.
 func (b *Balancer) needs(now time.Time, p *pool, poolName string) (short, long float64) {
-	shortRunning, longRunning, slots := 0, 0, 0
+	var onShort, onLong Load
+	slots := 0
 	for _, e := range p.servers {
 		slots = max(slots, e.Slots)
 		if e.long {
-			longRunning += e.load().Running
+			onLong.add(e.load())
 		} else {
-			shortRunning += e.load().Running
+			onShort.add(e.load())
 		}
 	}
 	rates := b.rates(now, p, poolName)
-	short = sideNeed(rates.Short/(p.speed.value()*shortDuty), float64(shortRunning), shortSlots*float64(slots))
-	long = sideNeed(rates.Long/(p.speed.value()*longDuty), float64(longRunning), longSlots*float64(slots))
+	shortReading := rates.Short / (p.speed.value() * shortDuty)
+	longReading := max(rates.Long/(p.speed.value()*longDuty), p.backlogNeed(onLong, p.sides.longTarget))
+	short = sideNeed(shortReading, float64(onShort.Running), shortSlots*float64(slots))
+	long = sideNeed(longReading, float64(onLong.Running), longSlots*float64(slots))
 	return short, long
 }
 
+// backlogNeed returns how many engines it takes to read what waits on a side in
+// time.
+func (p *pool) backlogNeed(l Load, target time.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	return p.speed.time(float64(l.Unread)).Seconds() / (backlogShare * target.Seconds())
+}
+
 // longNeed returns how many engines the reading of the long prompts that arrive
 // needs.
 func (b *Balancer) longNeed(now time.Time, p *pool, poolName string) float64 {
--- a/core/balance/replay_test.go
+++ b/core/balance/replay_test.go
@@ -268,3 +268,29 @@
 		}
 	}
 }
+
+// A burst of long prompts whose shared parts nobody has read yet: the boundary
+// must follow what waits, since the rate of what arrives shows a quarter of it.
+func TestBoundaryFollowsWhatWaits(t *testing.T) {
+	b, _ := pool12()
+	b.speed("p", 40_000)
+	now := t0
+	for i := range 40 {
+		c := Call{Tokens: 9000, Unshared: 2900, MaxOutput: 60, Target: 800 * time.Millisecond, Gap: 500 * time.Millisecond, Home: fmt.Sprint(i)}
+		now = now.Add(10 * time.Millisecond)
+		b.Arrive(now, "p", c)
+		s, ok := b.Choose(now, "p", c, nil, middle)
+		if !ok {
+			t.Fatal("no engine")
+		}
+		b.Start(now, s.ID, c)
+	}
+	if long := len(b.longSide(now, "p")); long < 8 {
+		t.Errorf("%d of 12 engines are for long prompts while 40 of them wait and nothing else does", long)
+	}
+}
+
+// speed sets what is known of a pool's reading speed.
+func (b *Balancer) speed(poolName string, tokensPerSecond float64) {
+	b.pool(poolName).speed.own = Reading{Sum: tokensPerSecond * mostCalls, Calls: mostCalls}
+}
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -19,7 +19,9 @@
 // sides parts a pool's engines into those for long prompts and the others.
 type sides struct {
 	long, short meter
-	share       float64
+	// longTarget is the usual target of long prompts.
+	longTarget time.Duration
+	share      float64
 	// engines are the IDs on the long side.
 	engines []string
 	// marked are the engines that were last noted as such.
@@ -42,11 +44,21 @@
 	}
 	if long {
 		s.long.add(now, c.unread())
+		s.longTarget = smooth(s.longTarget, c.target())
 		return
 	}
 	s.short.add(now, c.unread())
 }
 
+// smooth moves a usual value towards a new one; the first one is taken whole.
+func smooth(usual, seen time.Duration) time.Duration {
+	const weight = 16
+	if usual == 0 {
+		return seen
+	}
+	return usual + (seen-usual)/weight
+}
+
 // longSide returns the engines for long prompts. One instance decides for all,
 // so that an engine is on the same side for everyone.
 func (b *Balancer) longSide(now time.Time, poolName string) []string {
