Shared parts are followed at each engine

Cause: an engine was taken to keep a part if it was the part's home by rendezvous ranking, and a fifth of the shared tokens to be read in any case. When the boundary moved or a home was behind, calls left engines that had the part; in a burst of parts that nobody had read the backlog counted as a third of what it was. Each instance now notes which parts were given to which engine, tells the others with its counts, and takes a part as kept until an engine's memory was written over.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -68,6 +68,7 @@
 	fullUntil time.Time
 	health    health
 	pace      pace
+	parts     parts
 	// slowness is the pace against the pool's middle one.
 	slowness float64
 	slow     bool
@@ -84,6 +85,12 @@
 	lowestTier int
 	// usual is the usual time between two events.
 	usual time.Duration
+	// held is how long engines keep a shared part after its last use.
+	held time.Duration
+	// reread is the part of the shared tokens that was to be read lately.
+	reread float64
+	// seasoned: this instance has followed the uses of parts for long enough.
+	seasoned bool
 }
 
 // Balancer places calls on all pools. Not safe for concurrent use.
@@ -97,6 +104,8 @@
 
 	pacedAt       time.Time
 	reportedPaces time.Time
+	// since is when this instance began to exchange counts.
+	since time.Time
 }
 
 // New returns a balancer for the named instance that knows no servers.
@@ -143,7 +152,7 @@
 func (b *Balancer) pool(name string) *pool {
 	p := b.pools[name]
 	if p == nil {
-		p = &pool{}
+		p = &pool{reread: startReread}
 		b.pools[name] = p
 	}
 	return p
@@ -152,7 +161,7 @@
 // Arrive notes a call for a pool, placed or not.
 func (b *Balancer) Arrive(now time.Time, poolName string, c Call) {
 	p := b.pool(poolName)
-	p.sides.arrive(now, c, c.long(&p.speed))
+	p.sides.arrive(now, c, c.long(&p.speed), c.unread(p.reread))
 }
 
 // Choice is a server with what decided for it.
@@ -172,6 +181,8 @@
 	b.refreshPaces(now)
 	if c.Tokens > 0 {
 		b.longSide(now, poolName)
+		p.held = b.heldTime(now, p, poolName)
+		p.seasoned = !b.since.IsZero() && now.Sub(b.since) >= seasonTime
 	}
 	candidates := c.keepToSide(usable(now, p.servers, exclude))
 	if len(candidates) == 0 {
@@ -182,10 +193,11 @@
 	}
 	onLong := c.long(&p.speed)
 	ranks := rankByHome(c.Home, candidates, func(s *server) bool { return c.Tokens == 0 || s.long == onLong })
+	known := p.keeps(now, c)
 	best := 0
 	least := math.Inf(1)
 	for i, s := range candidates {
-		loss := p.loss(now, s, c, ranks[i])
+		loss := p.loss(now, s, c, ranks[i], known)
 		if ranks[i] != 0 || c.Home == "" {
 			loss += spreadLoss * random()
 		}
@@ -254,7 +266,8 @@
 	sent   time.Time
 	// ahead is what the engine had to read up to the end of this call's prompt.
 	ahead float64
-	// tokens is the prompt's length, unshared the part of it that no other call has.
+	// tokens is the most that the server had to read of the prompt, unshared the part
+	// of it that no other call has.
 	tokens, unshared int
 }
 
@@ -271,10 +284,22 @@
 // Start notes that a call was sent to a server.
 func (b *Balancer) Start(now time.Time, id string, c Call) Ticket {
 	t := Ticket{server: id, sent: now, load: c.load(), tokens: c.Tokens, unshared: c.Unshared}
-	if s := b.servers[id]; s != nil {
-		s.own.add(t.load)
-		t.ahead = float64(s.load().Unread)
+	s := b.servers[id]
+	if s == nil {
+		return t
+	}
+	p := b.pool(s.Pool)
+	unread := p.unreadAt(now, s, c, true, p.keeps(now, c))
+	t.load.Unread = int(unread)
+	if c.followed() {
+		p.noteReread((unread - float64(c.Unshared)) / float64(c.shared()))
+		s.parts.useOwn(now, keyOf(c.Home))
+		if unread == float64(c.Unshared) {
+			t.tokens = c.Unshared
+		}
 	}
+	s.own.add(t.load)
+	t.ahead = float64(s.load().Unread)
 	return t
 }
 
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -7,9 +7,11 @@
 	// long side. Two chunks of 2,048 tokens take longer to read than the pause
 	// that a chat allows between two events.
 	LongPrompt = 4000
-	// sharedUnread is the share of a prompt's shared parts that is taken to be
-	// read again.
-	sharedUnread = 0.2
+	// startReread is the share of shared parts that is taken to be read before any
+	// was seen.
+	startReread = 0.2
+	// rereadWeight is the weight of one call in the share that is read.
+	rereadWeight = 0.03
 )
 
 // Call is what placement needs to know.
@@ -77,11 +79,18 @@
 	return c.Target
 }
 
-// unread estimates the tokens that an engine must read.
-func (c *Call) unread() float64 {
-	return float64(c.Unshared) + sharedUnread*float64(c.Tokens-c.Unshared)
+// unread estimates the tokens that an engine must read, when of shared parts the
+// given share is.
+func (c *Call) unread(reread float64) float64 {
+	if !c.followed() {
+		return float64(c.Unshared)
+	}
+	return float64(c.Unshared) + reread*float64(c.shared())
 }
 
+// noteReread takes the share of a call's shared parts that its engine has to read.
+func (p *pool) noteReread(share float64) { p.reread += rereadWeight * (share - p.reread) }
+
 // sensitiveGap is the pause up to which a stream is late when its engine reads
 // prompts without a break: five tokens an event, each after a chunk of 2,048
 // tokens, take a quarter of a second on a slow engine.
@@ -91,7 +100,7 @@
 
 // load is what the call adds to its server.
 func (c *Call) load() Load {
-	l := Load{Running: 1, Unread: int(c.unread()), Memory: c.memory()}
+	l := Load{Running: 1, Unread: c.Unshared, Memory: c.memory()}
 	if c.sensitive() {
 		l.Sensitive = 1
 	}
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -50,21 +50,20 @@
 
 // loss estimates what is lost by placing a call on a server that has the given
 // place in the ranking of the call's shared part.
-func (p *pool) loss(now time.Time, s *server, c Call, rank int) float64 {
+func (p *pool) loss(now time.Time, s *server, c Call, rank int, known bool) float64 {
 	l := s.load()
 	loss := s.health.loss(now)
-	shared := float64(c.Tokens - c.Unshared)
-	unread := float64(l.Unread) + float64(c.Unshared)
+	own := p.unreadAt(now, s, c, rank == 0, known)
+	loss += (own - float64(c.Unshared)) / rereadTokens
 	if rank != 0 {
-		unread += shared
-		loss += shared/rereadTokens + rankStep*float64(max(rank, 1))
+		loss += rankStep * float64(max(rank, 1))
 	}
+	unread := float64(l.Unread) + own
 	if rank == offSide {
 		loss += c.offSideLoss(l)
 	}
 	delay := time.Duration(s.slowness * float64(p.speed.time(unread)))
 	loss += delayLoss(delay, c.target())
-	own := unread - float64(l.Unread)
 	loss += float64(l.Running) * s.slowness * p.speed.time(own).Seconds() / crowdTime.Seconds()
 	if c.sensitive() {
 		loss += slowLoss * (s.slowness - 1)
--- /dev/null
+++ b/core/balance/parts.go
@@ -0,0 +1,152 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits of what is believed of kept parts.
+const (
+	// leastPart is the length in tokens from which shared parts are followed: to read
+	// less again takes an engine some milliseconds.
+	leastPart = 1000
+	// usesWindow is how long a use is told to others: three exchanges, so that two
+	// lost reports do no harm.
+	usesWindow = 350 * time.Millisecond
+	// leastHeld and mostHeld bound the time that a part is taken to be kept after its
+	// last use.
+	leastHeld = 2 * time.Second
+	mostHeld  = time.Minute
+	// seasonTime is how long an instance must have heard of all uses before a part that
+	// it has not seen counts as read by nobody. Until then youngReread of such a part
+	// is taken to be read again.
+	seasonTime  = 8 * time.Second
+	youngReread = 0.2
+	// keptParts bounds the parts followed at one server.
+	keptParts = 4096
+)
+
+// partKey stands for a shared part.
+type partKey uint32
+
+func keyOf(home string) partKey { return partKey(xxhash.Sum64String(home)) }
+
+// parts are the shared parts that a server has read, with the time of their last
+// use. Engines do not tell what they keep without being asked for it, and their
+// answer is late; but whoever places calls knows what every engine was given.
+type parts struct {
+	used map[partKey]time.Time
+	// own are this instance's latest uses, to be told to others.
+	own []partUse
+}
+
+type partUse struct {
+	part partKey
+	at   time.Time
+}
+
+// use notes that a call with the part was given to the server.
+func (p *parts) use(now time.Time, part partKey) {
+	if p.used == nil {
+		p.used = map[partKey]time.Time{}
+	}
+	if len(p.used) >= keptParts {
+		p.forget(now.Add(-mostHeld))
+	}
+	if len(p.used) < keptParts {
+		p.used[part] = now
+	}
+}
+
+// forget drops parts that were last used before a time.
+func (p *parts) forget(before time.Time) {
+	for part, at := range p.used {
+		if at.Before(before) {
+			delete(p.used, part)
+		}
+	}
+}
+
+// useOwn notes a use by this instance.
+func (p *parts) useOwn(now time.Time, part partKey) {
+	p.use(now, part)
+	p.own = append(p.own, partUse{part, now})
+}
+
+// recent returns the parts that this instance has used lately.
+func (p *parts) recent(now time.Time) []partKey {
+	first := 0
+	for first < len(p.own) && now.Sub(p.own[first].at) > usesWindow {
+		first++
+	}
+	p.own = p.own[first:]
+	if len(p.own) == 0 {
+		return nil
+	}
+	out := make([]partKey, 0, len(p.own))
+	for _, u := range p.own {
+		out = append(out, u.part)
+	}
+	return out
+}
+
+// holds reports whether the server still keeps a part.
+func (p *parts) holds(now time.Time, part partKey, held time.Duration) bool {
+	at, known := p.used[part]
+	return known && now.Sub(at) < held
+}
+
+// followed reports whether the call's shared part is worth knowing of.
+func (c *Call) followed() bool { return c.Home != "" && c.shared() >= leastPart }
+
+// shared is the length of the parts that other calls have too.
+func (c *Call) shared() int { return c.Tokens - c.Unshared }
+
+// heldTime estimates how long an engine of the pool keeps a part after its last
+// use: until as much was written as its memory holds beside what runs.
+func (b *Balancer) heldTime(now time.Time, p *pool, poolName string) time.Duration {
+	if p.memory == 0 || len(p.servers) == 0 {
+		return leastHeld
+	}
+	running := 0
+	for _, s := range p.servers {
+		running += s.load().Memory
+	}
+	perEngine := float64(p.memory) - float64(running)/float64(len(p.servers))
+	rates := b.rates(now, p, poolName)
+	written := (rates.Long + rates.Short) / float64(len(p.servers))
+	if written <= 0 {
+		return mostHeld
+	}
+	held := time.Duration(heldShare * perEngine / written * float64(time.Second))
+	return max(leastHeld, min(mostHeld, held))
+}
+
+// heldShare covers engines that write more than the usual one.
+const heldShare = 0.5
+
+// unreadAt estimates the tokens that a server must read for the call. home: it is
+// the first in the ranking of the call's shared part, where a part that this
+// instance has not seen in use may be all the same; known: some server of the pool
+// is known to keep the part.
+func (p *pool) unreadAt(now time.Time, s *server, c Call, home, known bool) float64 {
+	switch {
+	case !c.followed() && home, s.parts.holds(now, keyOf(c.Home), p.held):
+		return float64(c.Unshared)
+	case !known && home && !p.seasoned:
+		return c.unread(youngReread)
+	}
+	return float64(c.Tokens)
+}
+
+// keeps reports whether some server of the pool is known to keep the call's shared
+// part.
+func (p *pool) keeps(now time.Time, c Call) bool {
+	if !c.followed() {
+		return false
+	}
+	key := keyOf(c.Home)
+	return slices.ContainsFunc(p.servers, func(s *server) bool { return s.parts.holds(now, key, p.held) })
+}
--- /dev/null
+++ b/core/balance/parts_test.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cardamomwick.example/core/fleet"
+)
+
+// longCall is a long prompt with a shared part.
+func longCall(part string) Call {
+	return Call{Tokens: 9200, Unshared: 2900, MaxOutput: 60, Target: 800 * time.Millisecond, Gap: 500 * time.Millisecond, Home: part}
+}
+
+// Another instance gave a part to an engine that is not its home, when the home was
+// behind. A call with the part follows it there, as soon as that was told.
+func TestCallsFollowAPartThatOthersPlaced(t *testing.T) {
+	a, list := pool12()
+	b := New("b")
+	b.SetFleet(list)
+	b.SetEngines("p", 500_000, 0)
+	c := longCall("s")
+	home, _ := a.Choose(t0, "p", c, nil, middle)
+	elsewhere, _ := a.Choose(t0, "p", c, func(id string) bool { return id == home.ID }, middle)
+	ticket := a.Start(t0, elsewhere.ID, c)
+	a.Began(t0.Add(100*time.Millisecond), &ticket)
+	a.End(ticket)
+	now := t0.Add(200 * time.Millisecond)
+	if got, _ := b.Choose(now, "p", c, nil, middle); got.ID != home.ID {
+		t.Fatalf("before it was told, another instance takes %s, not the home %s", got.ID, home.ID)
+	}
+	b.TakeSum(now, a.Sum(now))
+	if got, _ := b.Choose(now, "p", c, nil, middle); got.ID != elsewhere.ID {
+		t.Errorf("the part is at %s, and the call goes to %s", elsewhere.ID, got.ID)
+	}
+}
+
+// Nobody has read the parts of a burst yet: what waits must count whole, and the
+// next calls with a part only their own tokens.
+func TestFirstUseOfAPartCountsWhole(t *testing.T) {
+	b, list := pool12()
+	b.Sum(t0)
+	now := t0.Add(2 * seasonTime)
+	c := longCall("s")
+	s, _ := b.Choose(now, "p", c, nil, middle)
+	first := b.Start(now, s.ID, c)
+	second := b.Start(now, s.ID, c)
+	if first.load.Unread != c.Tokens || second.load.Unread != c.Unshared {
+		t.Errorf("unread are %d and %d, want %d and %d", first.load.Unread, second.load.Unread, c.Tokens, c.Unshared)
+	}
+	b.SetFleet(append([]fleet.Server{{ID: s.ID + "@2", Name: s.ID, Born: 2, Pool: "p", Slots: 64}}, list[:3]...))
+	again := b.Start(now, s.ID+"@2", c)
+	if again.load.Unread != c.Tokens {
+		t.Errorf("an engine that has started again is taken to keep the part: %d unread", again.load.Unread)
+	}
+}
+
+func TestPartsAreForgottenInTime(t *testing.T) {
+	b, _ := pool12()
+	b.Sum(t0)
+	now := t0.Add(2 * seasonTime)
+	c := longCall("s")
+	s, _ := b.Choose(now, "p", c, nil, middle)
+	b.Start(now, s.ID, c)
+	now = now.Add(2 * mostHeld)
+	b.Choose(now, "p", c, nil, middle)
+	if ticket := b.Start(now, s.ID, c); ticket.load.Unread != c.Tokens {
+		t.Errorf("a part that was not used for %v counts as kept", 2*mostHeld)
+	}
+}
+
+func TestFollowedPartsAreBounded(t *testing.T) {
+	var p parts
+	for i := range 3 * keptParts {
+		p.use(t0, keyOf(fmt.Sprint(i)))
+	}
+	if len(p.used) > keptParts {
+		t.Errorf("%d parts are followed at one server", len(p.used))
+	}
+}
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -22,6 +22,8 @@
 	// Boundaries are where the sender has each pool's sides; left out by members and
 	// by those that have just started.
 	Boundaries map[string]Boundary `msgpack:"b,omitempty"`
+	// Uses are the shared parts that calls were given to an engine with lately.
+	Uses map[string][]partKey `msgpack:"u,omitempty"`
 	// Paces are the times between two events by engine; left out in most reports.
 	Paces map[string]Pace `msgpack:"p,omitempty"`
 }
@@ -100,6 +102,7 @@
 
 // Own returns this instance's counts, for its collector.
 func (b *Balancer) Own(now time.Time) Report {
+	b.begun(now)
 	r := b.newReport(due(&b.reportedPaces, now))
 	b.addOwn(now, &r)
 	return r
@@ -108,6 +111,7 @@
 // Sum returns the counts of this instance and of those that report to it, for
 // other collectors.
 func (b *Balancer) Sum(now time.Time) Report {
+	b.begun(now)
 	r := b.newReport(due(&b.reportedPaces, now))
 	b.addOwn(now, &r)
 	for _, p := range b.peers {
@@ -135,6 +139,12 @@
 	return r
 }
 
+func (b *Balancer) begun(now time.Time) {
+	if b.since.IsZero() {
+		b.since = now
+	}
+}
+
 // due reports whether paces are to be told again, and notes it.
 func due(last *time.Time, now time.Time) bool {
 	if now.Sub(*last) < pacesPeriod {
@@ -157,6 +167,9 @@
 		if s.own != (Load{}) {
 			r.addLoad(id, s.own)
 		}
+		if recent := s.parts.recent(now); len(recent) > 0 {
+			r.addUses(id, recent)
+		}
 		if s.pace.perEvent > 0 {
 			r.addPace(id, Pace{uint32(s.pace.perEvent.Microseconds()), 1})
 		}
@@ -175,11 +188,21 @@
 	for pool, rates := range x.Rates {
 		r.addRates(pool, rates)
 	}
+	for id, uses := range x.Uses {
+		r.addUses(id, uses)
+	}
 	for id, pace := range x.Paces {
 		r.addPace(id, pace)
 	}
 }
 
+func (r *Report) addUses(id string, x []partKey) {
+	if r.Uses == nil {
+		r.Uses = map[string][]partKey{}
+	}
+	r.Uses[id] = append(r.Uses[id], x...)
+}
+
 func (r *Report) addLoad(id string, x Load) {
 	sum := r.Loads[id]
 	sum.add(x)
@@ -239,6 +262,13 @@
 		}
 	}
 	b.peers[r.Name] = p
+	for id, uses := range r.Uses {
+		if s := b.servers[id]; s != nil {
+			for _, part := range uses {
+				s.parts.use(now, part)
+			}
+		}
+	}
 	b.countOthers(now)
 	b.begin(now, r.Boundaries)
 }
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -38,16 +38,16 @@
 	swappedAt time.Time
 }
 
-func (s *sides) arrive(now time.Time, c Call, long bool) {
+func (s *sides) arrive(now time.Time, c Call, long bool, unread float64) {
 	if c.Tokens == 0 {
 		return
 	}
 	if long {
-		s.long.add(now, c.unread())
+		s.long.add(now, unread)
 		s.longTarget = smooth(s.longTarget, c.target())
 		return
 	}
-	s.short.add(now, c.unread())
+	s.short.add(now, unread)
 }
 
 // smooth moves a usual value towards a new one; the first one is taken whole.
