Long prompts are forecast, not refused by lot; what has lost its target goes behind

Now each long prompt's first event and end are forecast from what is unread, the speed, how much longer reading took than that lately (core/balance/stretch), and the events of streams that run now. In time: served. Late but within its time: served at the engine's lowest priority, with what the calls in time leave of its reading. Hopeless: refused at once, with the time at which there will be room. Slots of chats count whole; long streams on an engine that has changed sides half.

--- a/core/balance/admit.go
+++ b/core/balance/admit.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limits of admission.
 const (
@@ -8,13 +11,15 @@
 	// prompts. The tenth above the slots covers counts that are some hundred
 	// milliseconds old.
 	fullShare = 1.1
-	// mostBehind is the part of a call's target that its engine may need for what
-	// it has to read before.
-	mostBehind = 0.4
-	// busyUse is the use of the side from which a call is taken only at the home of
-	// its shared part. Elsewhere its engine would have to read the part again, which
-	// is about as much work as another call.
-	busyUse = 0.85
+	// lateShare of a call's target is what the reading before its first event may
+	// take; what takes longer goes behind the calls that can still be in time. The
+	// rest of the target is for counts that are old and for the way.
+	lateShare = 0.9
+	// timeMargin of the time that a call has left must suffice for its first event
+	// and its stream. Beyond, it would be read and generated in vain.
+	timeMargin = 0.9
+	// leastSpare is the least part of the reading that is left to late calls.
+	leastSpare = 0.1
 )
 
 // Admission is what becomes of a long prompt.
@@ -22,64 +27,109 @@
 
 // Admissions.
 const (
-	// Admitted calls are placed.
-	Admitted Admission = iota
-	// Crowded: each engine of the side is full at this moment.
-	Crowded
-	// Overloaded: more arrives than the engines of the side can take, and this call
-	// is among those that are too many.
-	Overloaded
+	// InTime calls are expected to make their target.
+	InTime Admission = iota
+	// Late calls are not, but to be answered within their time: they go behind those
+	// that can still be in time.
+	Late
+	// Hopeless calls can't be answered within their time.
+	Hopeless
 )
 
-// Admit decides whether a long prompt is taken; random draws uniformly from
-// [0, 1). Other calls are always admitted, and so are prompts that rank higher
-// than others of their pool.
+// String returns the name used in logs.
+func (a Admission) String() string { return [...]string{"in_time", "late", "hopeless"}[a] }
+
+// Forecast is what is expected of a long prompt that comes now.
+type Forecast struct {
+	Admission Admission
+	// First is the time to its first event at the engine that is the least behind,
+	// Stream the time from there to its end.
+	First, Stream time.Duration
+	// Room is when a call that comes back may expect to be in time.
+	Room time.Duration
+}
+
+// Forecast tells what to expect of a long prompt whose caller waits so long for the
+// first event, and for the end. Other calls count as in time, and so do prompts that
+// rank higher than others of their pool.
 //
 // The load pattern it answers: bursts of long prompts that ask for more than all
-// engines can read. An engine that reads without a pause gives its streams one
-// token a chunk, a fifth of their usual speed, so that a small excess makes all of
-// them run into their timeout: of 9,277 prompts of a burst 5,000 were read and
-// generated in vain. So only as many are taken as leave the engines time to
-// generate, drawn by lot, since the instances decide apart. The others are told at
-// once, and come back when the burst is over.
-func (b *Balancer) Admit(now time.Time, poolName string, c Call, random func() float64) Admission {
+// engines can read. While a burst is shorter than the time that its callers have,
+// the queue empties in time: each refusal would be one too many. What has lost its
+// target is still worth a part, but must not make the next ones lose theirs too: it
+// is read when nothing in time waits. What can't end within its time is refused
+// before anything is spent on it.
+func (b *Balancer) Forecast(now time.Time, poolName string, c Call, firstLeft, left time.Duration) Forecast {
 	p := b.pool(poolName)
 	if c.Tokens < LongPrompt || c.Tier < p.lowestTier {
-		return Admitted
+		return Forecast{}
 	}
 	b.longSide(now, poolName)
-	var engines []*server
-	for _, s := range usable(now, p.servers, nil) {
-		if s.long && s.Slots > 0 {
-			engines = append(engines, s)
-		}
+	p.held = b.heldTime(now, p, poolName)
+	f, ok := p.leastBehind(now, c)
+	if !ok {
+		return Forecast{}
 	}
-	if len(engines) == 0 {
-		return Admitted
+	inTime := portion(lateShare, c.target())
+	if f.First <= inTime {
+		return f
 	}
-	use := b.longNeed(now, p, poolName) / float64(len(engines))
-	if random()*use > 1 {
-		return Overloaded
+	f.Room = f.First - inTime
+	f.First = portion(1/max(leastSpare, 1-b.longUse(now, p, poolName)), f.First)
+	switch {
+	case f.First <= portion(timeMargin, firstLeft) && f.First+f.Stream <= portion(timeMargin, left):
+		f.Admission = Late
+	default:
+		f.Admission = Hopeless
 	}
-	if use > busyUse && c.Home != "" {
-		engines = []*server{home(c.Home, engines)}
+	return f
+}
+
+func portion(share float64, d time.Duration) time.Duration {
+	return time.Duration(share * float64(d))
+}
+
+// longUse returns the part of the long side's reading that what arrives there
+// takes. Calls in time are read before late ones, which get only the rest.
+func (b *Balancer) longUse(now time.Time, p *pool, poolName string) float64 {
+	long := 0
+	for _, s := range p.servers {
+		if s.long {
+			long++
+		}
 	}
-	for _, s := range engines {
-		if s.hasRoom(now, p, c) {
-			return Admitted
+	if long == 0 {
+		return 0
+	}
+	return b.rates(now, p, poolName).Long * (1 + p.stretch.beyond) / (p.speed.value() * float64(long))
+}
+
+// leastBehind returns what to expect at the engine of the long side that has the
+// call's first event soonest.
+func (p *pool) leastBehind(now time.Time, c Call) (Forecast, bool) {
+	known := p.keeps(now, c)
+	least := Forecast{First: math.MaxInt64}
+	for _, s := range c.keepToSide(usable(now, p.servers, nil)) {
+		l := s.load()
+		own := p.unreadAt(now, s, c, true, known)
+		first := p.stretch.of(portion(s.slowness, p.speed.time(float64(l.Unread)+own)))
+		first = max(first, s.slotWait(now, p, c, l))
+		if first < least.First {
+			least.First, least.Stream = first, portion(s.slowness, p.streams.length())
 		}
 	}
-	return Crowded
+	return least, least.First != math.MaxInt64
 }
 
-// hasRoom reports whether an engine of the long side can run one more call soon.
-func (s *server) hasRoom(now time.Time, p *pool, c Call) bool {
-	l := s.load()
-	if s.isFull(now, p, c, l) {
-		return false
+// slotWait estimates how long a call waits for a slot and for memory: as many
+// streams as are in its way must end, and slots are freed at the rate at which
+// streams of the usual length end.
+func (s *server) slotWait(now time.Time, p *pool, c Call, l Load) time.Duration {
+	if s.Slots == 0 || !s.isFull(now, p, c, l) {
+		return 0
 	}
-	behind := p.speed.time(s.slowness * float64(l.Unread))
-	return behind.Seconds() <= mostBehind*c.target().Seconds()
+	inTheWay := max(1, l.Running-s.Slots+1)
+	return portion(s.slowness*float64(inTheWay)/float64(s.Slots), p.streams.length())
 }
 
 // isFull reports whether an engine has neither slots nor memory for one more call.
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -44,6 +44,8 @@
 	Memory int
 	// Sensitive counts streams whose events must come in a short time.
 	Sensitive int
+	// Long counts long prompts.
+	Long int
 }
 
 func (l *Load) add(x Load) {
@@ -51,6 +53,7 @@
 	l.Unread += x.Unread
 	l.Memory += x.Memory
 	l.Sensitive += x.Sensitive
+	l.Long += x.Long
 }
 
 func (l *Load) sub(x Load) {
@@ -58,6 +61,7 @@
 	l.Unread -= x.Unread
 	l.Memory -= x.Memory
 	l.Sensitive -= x.Sensitive
+	l.Long -= x.Long
 }
 
 type server struct {
@@ -84,7 +88,11 @@
 	// lowestTier is the rank of the pool's least urgent prompts.
 	lowestTier int
 	// usual is the usual time between two events.
-	usual time.Duration
+	usual   time.Duration
+	streams longStreams
+	// stretch is how much longer reading takes beside other work than on an idle
+	// engine.
+	stretch stretch
 	// held is how long engines keep a shared part after its last use.
 	held time.Duration
 	// reread is the part of the shared tokens that was to be read lately.
@@ -269,6 +277,8 @@
 	// tokens is the most that the server had to read of the prompt, unshared the part
 	// of it that no other call has.
 	tokens, unshared int
+	// long: the prompt is one for the long side.
+	long bool
 }
 
 // Ahead is how many prompt tokens the server had to read up to the end of the
@@ -283,7 +293,7 @@
 
 // Start notes that a call was sent to a server.
 func (b *Balancer) Start(now time.Time, id string, c Call) Ticket {
-	t := Ticket{server: id, sent: now, load: c.load(), tokens: c.Tokens, unshared: c.Unshared}
+	t := Ticket{server: id, sent: now, load: c.load(), tokens: c.Tokens, unshared: c.Unshared, long: c.Tokens >= LongPrompt}
 	s := b.servers[id]
 	if s == nil {
 		return t
@@ -310,6 +320,10 @@
 		if t.ahead <= float64(t.load.Unread) {
 			b.pool(s.Pool).speed.observe(float64(t.unshared), float64(t.tokens), now.Sub(t.sent))
 		}
+		if t.long {
+			p := b.pool(s.Pool)
+			p.stretch.observe(portion(s.slowness, p.speed.time(t.ahead)), now.Sub(t.sent))
+		}
 	}
 	t.load.Unread = 0
 }
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -104,6 +104,9 @@
 	if c.sensitive() {
 		l.Sensitive = 1
 	}
+	if c.Tokens >= LongPrompt {
+		l.Long = 1
+	}
 	return l
 }
 
--- a/core/balance/needs.go
+++ b/core/balance/needs.go
@@ -16,9 +16,15 @@
 	// side may fill.
 	shortSlots = 0.6
 	longSlots  = 0.75
-	// mostPiled bounds what running calls make a side need against what its
-	// reading does.
+	// mostPiled bounds what running calls make the long side need against what its
+	// reading does. Long prompts that pile up on a side that is behind must not make
+	// it look ever more needy: that took all engines away from the chats.
 	mostPiled = 1.5
+	// lingerShare of a long prompt counts for the short side while it runs there, on an
+	// engine that has changed sides: its slot is taken. Counted whole, these streams
+	// made the short side look ever more needy until they ended, and took nearly all
+	// engines from the long prompts; not at all, chats lacked slots.
+	lingerShare = 0.5
 	// backlogShare of a call's target is the time in which a side should have read
 	// what waits there. A rate alone sees a burst of prompts whose shared parts
 	// nobody has read yet as a quarter of what it is: for 7 s six of twelve engines
@@ -28,21 +34,23 @@
 
 // needs returns how many engines each side needs for what arrives and runs.
 func (b *Balancer) needs(now time.Time, p *pool, poolName string) (short, long float64) {
-	var onShort, onLong Load
+	var all, onLong Load
+	lingering := 0.0
 	slots := 0
 	for _, e := range p.servers {
 		slots = max(slots, e.Slots)
+		all.add(e.load())
 		if e.long {
 			onLong.add(e.load())
 		} else {
-			onShort.add(e.load())
+			lingering += lingerShare * float64(e.load().Long)
 		}
 	}
 	rates := b.rates(now, p, poolName)
 	shortReading := rates.Short / (p.speed.value() * shortDuty)
 	longReading := max(rates.Long/(p.speed.value()*longDuty), p.backlogNeed(onLong, p.sides.longTarget))
-	short = sideNeed(shortReading, float64(onShort.Running), shortSlots*float64(slots))
-	long = sideNeed(longReading, float64(onLong.Running), longSlots*float64(slots))
+	short = max(shortReading, slotNeed(float64(all.Running-all.Long)+lingering, shortSlots, slots))
+	long = max(longReading, min(slotNeed(float64(all.Long), longSlots, slots), mostPiled*longReading+1))
 	return short, long
 }
 
@@ -55,12 +63,6 @@
 	return p.speed.time(float64(l.Unread)).Seconds() / (backlogShare * target.Seconds())
 }
 
-// longNeed returns how many engines the reading of the long prompts that arrive
-// needs.
-func (b *Balancer) longNeed(now time.Time, p *pool, poolName string) float64 {
-	return b.rates(now, p, poolName).Long / (p.speed.value() * longDuty)
-}
-
 // rates is what arrives for a pool at all instances.
 func (b *Balancer) rates(now time.Time, p *pool, poolName string) Rates {
 	sum := Rates{Short: p.sides.short.rate(now), Long: p.sides.long.rate(now)}
@@ -72,12 +74,11 @@
 	return sum
 }
 
-// sideNeed is the larger of what a side needs for reading and for its running
-// calls. Calls that pile up on a side that is behind must not make it look ever
-// more needy: that took all engines away from the other side.
-func sideNeed(reading, running, slots float64) float64 {
+// slotNeed returns how many engines it takes to run so many calls in the given part
+// of their slots.
+func slotNeed(running float64, share float64, slots int) float64 {
 	if slots == 0 {
-		return reading
+		return 0
 	}
-	return max(reading, min(running/slots, mostPiled*reading+1))
+	return running / (share * float64(slots))
 }
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -63,11 +63,17 @@
 	}
 }
 
-// Streamed notes the times between the events of a stream that a server has
+// Streamed notes the times between the events of a whole stream that a server has
 // sent. It sorts them.
-func (b *Balancer) Streamed(now time.Time, id string, gaps []time.Duration) {
-	s := b.servers[id]
-	if s == nil || len(gaps) < leastEvents {
+func (b *Balancer) Streamed(now time.Time, t *Ticket, gaps []time.Duration) {
+	s := b.servers[t.server]
+	if s == nil {
+		return
+	}
+	if t.long {
+		b.pool(s.Pool).streams.noteEnd(len(gaps))
+	}
+	if len(gaps) < leastEvents {
 		return
 	}
 	slices.Sort(gaps)
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -28,16 +28,21 @@
 	Paces map[string]Pace `msgpack:"p,omitempty"`
 }
 
-// loadCounts is how many counts a Load has on the wire.
-const loadCounts = 4
+const (
+	// loadCounts is how many counts a Load has on the wire.
+	loadCounts = 5
+	// memoryUnit is the unit of Memory on the wire, in tokens: engines hand out their
+	// memory in blocks of 16, and up to a million tokens take two bytes less so.
+	memoryUnit = 16
+)
 
-// EncodeMsgpack writes the four counts without names: reports of many servers
+// EncodeMsgpack writes the counts without names: reports of many servers
 // go out ten times a second.
 func (l Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	if err := e.EncodeArrayLen(loadCounts); err != nil {
 		return err
 	}
-	return e.EncodeMulti(l.Running, l.Unread, l.Memory, l.Sensitive)
+	return e.EncodeMulti(l.Running, l.Unread, l.Memory/memoryUnit, l.Sensitive, l.Long)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack writes.
@@ -49,7 +54,9 @@
 	if n != loadCounts {
 		return fmt.Errorf("a load has %d counts, not %d", n, loadCounts)
 	}
-	return d.DecodeMulti(&l.Running, &l.Unread, &l.Memory, &l.Sensitive)
+	err = d.DecodeMulti(&l.Running, &l.Unread, &l.Memory, &l.Sensitive, &l.Long)
+	l.Memory *= memoryUnit
+	return err
 }
 
 // Rates is the work that arrives for a pool, in prompt tokens per second.
--- a/core/routing/declaration.go
+++ b/core/routing/declaration.go
@@ -80,6 +80,22 @@
 	return r.Semantics == Idempotent || r.Semantics == Stream && r.Resumable
 }
 
+// Limits of a caller's patience with a silent stream, as callers have agreed.
+const (
+	leastSilence  = 2 * time.Second
+	silentTargets = 4
+	silentGaps    = 8
+)
+
+// Silence is how long callers wait for the next event of a stream, the first one
+// included, before they leave.
+func (r *Route) Silence() time.Duration {
+	if r.Semantics != Stream {
+		return r.Timeout
+	}
+	return max(leastSilence, silentTargets*r.TargetLatency, silentGaps*r.TargetGap)
+}
+
 // Target is a pool with its share of a route's calls.
 type Target struct {
 	Pool   string `msgpack:"p"`
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -107,12 +107,12 @@
 	if c != nil {
 		rank = min(max(0, c.Rank), ranksPerTier-1)
 	}
-	return min(leastUrgent, max(0, r.Tier)*ranksPerTier+rank)
+	return min(LeastUrgent, max(0, r.Tier)*ranksPerTier+rank)
 }
 
 const (
 	// ranksPerTier is how many ranks of customers are told apart in one tier.
 	ranksPerTier = 3
-	// leastUrgent is the last of the ten levels that engines tell apart.
-	leastUrgent = 9
+	// LeastUrgent is the last of the ten levels that engines tell apart.
+	LeastUrgent = 9
 )
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -60,6 +60,8 @@
 	ticket   balance.Ticket
 	choice   balance.Choice
 	dog      *watchdog
+	// forecast is what was expected of the call when it came.
+	forecast balance.Forecast
 	// comeBack is when the caller may come back after a refusal; zero for the
 	// usual pause.
 	comeBack time.Duration
@@ -92,8 +94,8 @@
 	defer cancel()
 	c.size = c.placement()
 	c.router.arrive(c)
-	if !c.admitted(ctx) {
-		c.giveUp("no room for long prompts")
+	if !c.admitted() {
+		c.giveUp("can't be answered in time")
 		return
 	}
 	for {
@@ -121,43 +123,6 @@
 	}
 }
 
-// Limits of the wait for room.
-const (
-	// roomShare of the target may pass before a call is refused for want of room:
-	// enough for a stream to end somewhere, and too little to matter to a caller
-	// that comes back.
-	roomShare = 0.1
-	roomPoll  = 20 * time.Millisecond
-	// crowdedPause and crowdedSpread are when a caller that found no room may come
-	// back: bursts last seconds, streams of long prompts about two.
-	crowdedPause  = 1500 * time.Millisecond
-	crowdedSpread = 2500 * time.Millisecond
-)
-
-// admitted reports whether the call is taken. It waits a little for room.
-func (c *call) admitted(ctx context.Context) bool {
-	until := c.arrived.Add(time.Duration(roomShare * float64(c.route.TargetLatency)))
-	draw := rand.Float64()
-	for {
-		admission := c.router.admit(c, draw)
-		if admission == balance.Admitted {
-			return true
-		}
-		if admission == balance.Overloaded || time.Now().After(until) || ctx.Err() != nil {
-			c.comeBack = crowdedPause + time.Duration(rand.Float64()*float64(crowdedSpread))
-			return false
-		}
-		time.Sleep(roomPoll)
-	}
-}
-
-// admit asks for a call's admission, with the one lot that it has drawn.
-func (r *Router) admit(c *call, draw float64) balance.Admission {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.balancer.Admit(time.Now(), c.pool.Name, c.size, func() float64 { return draw })
-}
-
 // pause waits a little before a second attempt. When a server dies, all its
 // calls come back at once, and every instance would place them by the same
 // counts.
@@ -270,7 +235,7 @@
 		stamp.Customer = c.customer.Name
 	}
 	if c.pool.Engine != nil {
-		urgency := c.route.Urgency(c.customer)
+		urgency := c.urgency()
 		stamp.Priority = &urgency
 	}
 	if c.stream != nil && c.stream.lastID != "" {
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -65,12 +65,6 @@
 	c.count(0, "caller left", 0)
 }
 
-func (r *Router) streamed(id string, s *stream) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.balancer.Streamed(time.Now(), id, s.gaps)
-}
-
 func (c *call) logEnd(what string) { c.logEntry().Info(what) }
 
 func (c *call) logEntry() *log.Entry {
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/daemon/upstream"
 )
@@ -30,17 +31,33 @@
 	gaps        []time.Duration
 }
 
-// note takes the time of an event.
-func (s *stream) note(now time.Time) {
+// note takes the time of an event and returns the gap before it; ok is false for
+// the first one.
+func (s *stream) note(now time.Time) (gap time.Duration, ok bool) {
 	if s.events == 0 {
 		s.first = now
 	} else {
-		gap := now.Sub(s.last)
+		gap, ok = now.Sub(s.last), true
 		s.longestGap = max(s.longestGap, gap)
 		s.gaps = append(s.gaps, gap)
 	}
 	s.last = now
 	s.events++
+	return gap, ok
+}
+
+// streamed tells placement of a whole stream.
+func (r *Router) streamed(c *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Streamed(time.Now(), &c.ticket, c.stream.gaps)
+}
+
+// progress tells placement of a gap in a running stream.
+func (r *Router) progress(c *call, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Progress(&c.ticket, gap)
 }
 
 // passStream passes whole events on as they come. When the server breaks off,
@@ -82,7 +99,7 @@
 		c.startStream(resp)
 	}
 	c.router.good(s.ID)
-	c.router.streamed(s.ID, c.stream)
+	c.router.streamed(c)
 	c.logAnswer(s, resp.Status)
 	return answered
 }
@@ -109,7 +126,9 @@
 	if !c.stream.started {
 		c.startStream(resp)
 	}
-	c.stream.note(time.Now())
+	if gap, ok := c.stream.note(time.Now()); ok && c.size.Tokens >= balance.LongPrompt {
+		c.router.progress(c, gap)
+	}
 	c.dog.event(c.route.TargetGap)
 	if _, err := c.w.Write(event); err != nil {
 		return errCallerLeft
