Chains of shared parts; long prompts stay where their parts are kept when reading is short; fuzzing

Traced to three things: a prompt's shared parts are a chain, of which engines kept the common first part; a part that nobody kept was read at whichever engine was idle instead of its home; and each prompt that left an engine that was behind took its reading along, so that more were behind. Also, in the first seconds the time for which parts were taken to be kept fell to 2 s.

Fuzz targets for each decoder of the platform, reports, commands, gossip, frames.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,21 @@
 lint:
 	cd ctl && go tool staticcheck ../core/... && go tool staticcheck ./... && go tool staticcheck ../daemon/... && go tool staticcheck ../platform/... && go tool staticcheck ../cmd/...
 
+# What comes from outside, decoded: each target for FUZZTIME. Inputs that ever
+# failed are kept under testdata/ and run by `make test`.
+.PHONY: fuzz
+FUZZTIME := 2s
+fuzz:
+	go test -run '^$$' -fuzz '^FuzzHeartbeat$$' -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz '^FuzzDeparture$$' -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz '^FuzzConfiguration$$' -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz '^FuzzCallHeaders$$' -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz '^FuzzAnswerHeaders$$' -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz '^FuzzReport$$' -fuzztime $(FUZZTIME) ./core/balance
+	go test -run '^$$' -fuzz '^FuzzCommand$$' -fuzztime $(FUZZTIME) ./core/state
+	go test -run '^$$' -fuzz '^FuzzMessage$$' -fuzztime $(FUZZTIME) ./core/membership
+	go test -run '^$$' -fuzz '^FuzzConnection$$' -fuzztime $(FUZZTIME) ./daemon/frame
+
 # Real processes with faults from outside; SOAK sets seeds and size, see
 # bin/soak -h. The default is the short run of CI; fresh seeds are for developers.
 .PHONY: soak
--- a/core/balance/admit.go
+++ b/core/balance/admit.go
@@ -65,7 +65,7 @@
 		return Forecast{}
 	}
 	b.longSide(now, poolName)
-	p.held = b.heldTime(now, p, poolName)
+	b.follow(now, p, poolName)
 	f, ok := p.leastBehind(now, c)
 	if !ok {
 		return Forecast{}
@@ -75,7 +75,10 @@
 		return f
 	}
 	f.Room = f.First - inTime
-	f.First = portion(1/max(leastSpare, 1-b.longUse(now, p, poolName)), f.First)
+	// Whether there is hope is decided as for a prompt of the usual length: large ones
+	// must not be refused more often than small ones.
+	f.First -= p.stretch.of(p.speed.time(max(0, float64(c.Unshared)-p.unshared)))
+	f.First = portion(1/max(leastSpare, 1-p.use), f.First)
 	switch {
 	case f.First <= portion(timeMargin, firstLeft) && f.First+f.Stream <= portion(timeMargin, left):
 		f.Admission = Late
@@ -89,27 +92,12 @@
 	return time.Duration(share * float64(d))
 }
 
-// longUse returns the part of the long side's reading that what arrives there
-// takes. Calls in time are read before late ones, which get only the rest.
-func (b *Balancer) longUse(now time.Time, p *pool, poolName string) float64 {
-	long := 0
-	for _, s := range p.servers {
-		if s.long {
-			long++
-		}
-	}
-	if long == 0 {
-		return 0
-	}
-	return b.rates(now, p, poolName).Long * (1 + p.stretch.beyond) / (p.speed.value() * float64(long))
-}
-
 // leastBehind returns what to expect at the engine of the long side that has the
 // call's first event soonest.
 func (p *pool) leastBehind(now time.Time, c Call) (Forecast, bool) {
 	known := p.keeps(now, c)
 	least := Forecast{First: math.MaxInt64}
-	for _, s := range c.keepToSide(usable(now, p.servers, nil)) {
+	for _, s := range p.keepToHolders(now, c, c.keepToSide(usable(now, p.servers, nil))) {
 		l := s.load()
 		own := p.unreadAt(now, s, c, true, known)
 		first := p.stretch.of(portion(s.slowness, p.speed.time(float64(l.Unread)+own)))
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -97,6 +97,10 @@
 	held time.Duration
 	// reread is the part of the shared tokens that was to be read lately.
 	reread float64
+	// use is the part of the long side's reading that is asked for.
+	use float64
+	// unshared is the usual length of a long prompt's own part, in tokens.
+	unshared float64
 	// seasoned: this instance has followed the uses of parts for long enough.
 	seasoned bool
 }
@@ -189,8 +193,7 @@
 	b.refreshPaces(now)
 	if c.Tokens > 0 {
 		b.longSide(now, poolName)
-		p.held = b.heldTime(now, p, poolName)
-		p.seasoned = !b.since.IsZero() && now.Sub(b.since) >= seasonTime
+		b.follow(now, p, poolName)
 	}
 	candidates := c.keepToSide(usable(now, p.servers, exclude))
 	if len(candidates) == 0 {
@@ -199,6 +202,7 @@
 	if c.Tokens == 0 {
 		candidates = twoOf(candidates, random)
 	}
+	candidates = p.keepToHolders(now, c, candidates)
 	onLong := c.long(&p.speed)
 	ranks := rankByHome(c.Home, candidates, func(s *server) bool { return c.Tokens == 0 || s.long == onLong })
 	known := p.keeps(now, c)
@@ -274,8 +278,7 @@
 	sent   time.Time
 	// ahead is what the engine had to read up to the end of this call's prompt.
 	ahead float64
-	// tokens is the most that the server had to read of the prompt, unshared the part
-	// of it that no other call has.
+	// tokens is the prompt's length, unshared the part of it that no other call has.
 	tokens, unshared int
 	// long: the prompt is one for the long side.
 	long bool
@@ -301,12 +304,12 @@
 	p := b.pool(s.Pool)
 	unread := p.unreadAt(now, s, c, true, p.keeps(now, c))
 	t.load.Unread = int(unread)
+	if t.long {
+		p.noteUnshared(c.Unshared)
+	}
 	if c.followed() {
 		p.noteReread((unread - float64(c.Unshared)) / float64(c.shared()))
-		s.parts.useOwn(now, keyOf(c.Home))
-		if unread == float64(c.Unshared) {
-			t.tokens = c.Unshared
-		}
+		s.parts.useOwn(now, &c)
 	}
 	s.own.add(t.load)
 	t.ahead = float64(s.load().Unread)
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -32,6 +32,23 @@
 	Tier int
 	// Home names the last shared part, "" for none.
 	Home string
+	// Chain are the shared parts in their order; the last one is Home. Left out, all
+	// shared tokens belong to Home.
+	Chain []Part
+}
+
+// Part is a piece of a prompt that other calls have too.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// chain returns the call's shared parts.
+func (c *Call) chain() []Part {
+	if len(c.Chain) == 0 && c.Home != "" {
+		return []Part{{c.Home, c.shared()}}
+	}
+	return c.Chain
 }
 
 // Limits for short calls beside long prompts.
@@ -98,6 +115,14 @@
 
 func (c *Call) sensitive() bool { return c.Gap > 0 && c.Gap <= sensitiveGap }
 
+// noteUnshared takes the length of a long prompt's own part.
+func (p *pool) noteUnshared(tokens int) {
+	if p.unshared == 0 {
+		p.unshared = float64(tokens)
+	}
+	p.unshared += rereadWeight * (float64(tokens) - p.unshared)
+}
+
 // load is what the call adds to its server.
 func (c *Call) load() Load {
 	l := Load{Running: 1, Unread: c.Unshared, Memory: c.memory()}
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -54,7 +54,10 @@
 	l := s.load()
 	loss := s.health.loss(now)
 	own := p.unreadAt(now, s, c, rank == 0, known)
-	loss += (own - float64(c.Unshared)) / rereadTokens
+	// A part that nobody keeps has to be read at its home, wherever the call comes.
+	if own > float64(c.Unshared) && (known || rank != 0) {
+		loss += (own - float64(c.Unshared)) / rereadTokens
+	}
 	if rank != 0 {
 		loss += rankStep * float64(max(rank, 1))
 	}
--- a/core/balance/parts_test.go
+++ b/core/balance/parts_test.go
@@ -79,3 +79,50 @@
 		t.Errorf("%d parts are followed at one server", len(p.used))
 	}
 }
+
+// Two parts in a row: a server that keeps only the first one has to read the second,
+// and one that keeps only the second has to read both.
+func TestPartsCountOnlyBehindThoseBefore(t *testing.T) {
+	var p parts
+	chain := []Part{{"common", 2500}, {"own", 3800}}
+	if got := p.missing(t0, chain, time.Minute); got != 6300 {
+		t.Errorf("nothing is kept: %d missing", got)
+	}
+	p.use(t0, keyOf("own"))
+	if got := p.missing(t0, chain, time.Minute); got != 6300 {
+		t.Errorf("the first part is not kept: %d missing", got)
+	}
+	p.use(t0, keyOf("common"))
+	if got := p.missing(t0, chain, time.Minute); got != 0 {
+		t.Errorf("both are kept: %d missing", got)
+	}
+	var first parts
+	first.use(t0, keyOf("common"))
+	if got := first.missing(t0, chain, time.Minute); got != 3800 {
+		t.Errorf("only the first part is kept: %d missing", got)
+	}
+}
+
+// While the long side has no reading to spare, a long prompt waits where its parts
+// are kept, however far behind that engine is.
+func TestPartsAreNotReadAgainWhenReadingIsShort(t *testing.T) {
+	b, _ := pool12()
+	b.Sum(t0)
+	now := t0.Add(2 * seasonTime)
+	kept := longCall("kept")
+	first, _ := b.Choose(now, "p", kept, nil, middle)
+	b.Start(now, first.ID, kept)
+	for i := range 300 {
+		c := longCall(fmt.Sprint(i))
+		now = now.Add(3 * time.Millisecond)
+		b.Arrive(now, "p", c)
+		s, _ := b.Choose(now, "p", c, nil, middle)
+		b.Start(now, s.ID, c)
+	}
+	if b.pool("p").use < busyUse {
+		t.Fatalf("the use is %.2f only", b.pool("p").use)
+	}
+	if got, _ := b.Choose(now, "p", kept, nil, middle); got.ID != first.ID {
+		t.Errorf("the part is kept at %s, and the call goes to %s", first.ID, got.ID)
+	}
+}
--- /dev/null
+++ b/core/state/fuzz_test.go
@@ -0,0 +1,30 @@
+package state
+
+import (
+	"testing"
+
+	"cardamomwick.example/core/fleet"
+)
+
+// Whatever stands in the log, each replica applies it without failing, and comes to
+// a state that can be saved and restored.
+func FuzzCommand(f *testing.F) {
+	for _, c := range []Command{
+		{Type: CommandDeclare, Declare: &DeclareCommand{Version: 3, Declaration: []byte("d"), Source: []byte("s")}},
+		{Type: CommandWithdraw, Withdraw: &fleet.Withdrawal{ServerID: "a", Phase: fleet.Departed}},
+		{Type: CommandRegister, Register: &fleet.Server{ID: "a@7", Name: "a", Born: 7, Pool: "p"}},
+		{Type: CommandOrderLease, Lease: &LeaseCommand{Owner: "x"}},
+		{Type: CommandClaim, Call: &CallCommand{CallID: "c", Owner: "o", Key: CallKey{Key: "k", Millis: 5}}},
+	} {
+		f.Add(c.Encode())
+	}
+	f.Add([]byte{0xc1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := New()
+		m.Apply(data)
+		m.Apply(data)
+		if err := New().Restore(m.Snapshot()); err != nil {
+			t.Errorf("the state after %x can't be restored: %v", data, err)
+		}
+	})
+}
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -151,6 +151,9 @@
 		out.Unshared = p.Parts[n-1].Tokens
 		if n > 1 {
 			out.Home = p.Parts[n-2].ID
+			for _, part := range p.Parts[:n-1] {
+				out.Chain = append(out.Chain, balance.Part{ID: part.ID, Tokens: part.Tokens})
+			}
 		}
 	}
 	return out
