--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -193,6 +193,57 @@
 	})
 }
 
+// A server crashes and starts again under its name. Once that was acknowledged, what
+// its former start has said comes late, also to a leader that was not there before.
+func TestFormerStartStaysAwayOverTheLeadersEnd(t *testing.T) {
+	c := newCluster(t)
+	group := c.founders()
+	c.declare(group[0], 1)
+	ctx := context.Background()
+	start := func(born int64, sequence uint64) fleet.Server {
+		return fleet.Server{ID: fleet.StartID(fleet.Start{Name: "a", Born: born}), Name: "a", Born: born, Pool: "p", Address: "10.0.0.1:1", Sequence: sequence}
+	}
+	announce := func(m *member, s fleet.Server) {
+		t.Helper()
+		c.until("an announcement is acknowledged", 5*time.Second, func() bool { return m.control.Announce(ctx, s) == nil })
+	}
+	announce(group[1], start(100, 9))
+	announce(group[1], start(200, 1))
+	c.until("the new start is in every log", 5*time.Second, func() bool {
+		for _, m := range group {
+			v, _ := m.replica.View()
+			if len(v.Routing.Servers) != 1 || v.Routing.Servers[0].Born != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	leads := func(m *member) bool { v, _ := m.replica.View(); return v.Leading }
+	c.until("there is a leader", 5*time.Second, func() bool { return slices.ContainsFunc(group, leads) })
+	leader := slices.IndexFunc(group, leads)
+	group[leader].kill()
+	left := slices.Delete(slices.Clone(group), leader, leader+1)
+	announce(left[0], start(100, 10))
+	got := make(chan []fleet.Server, 64)
+	w := control.NewWatch(left[0].transport, replica.NewClient(left[0].transport, left[0].directory), func(*routing.Table) {}, func(list []fleet.Server) {
+		select {
+		case got <- list:
+		default:
+		}
+	})
+	wctx, end := context.WithCancel(ctx)
+	defer end()
+	go func() { _ = w.Serve(wctx) }()
+	for range 5 {
+		if list := <-got; len(list) != 1 || list[0].Born != 200 {
+			t.Fatalf("listed are %+v", list)
+		}
+	}
+	// A departure without a time means the newest start.
+	c.until("a departure is acknowledged", 5*time.Second, func() bool { return left[1].control.Depart(ctx, fleet.Start{Name: "a"}) == nil })
+	c.until("nothing is listed", 5*time.Second, func() bool { return len(<-got) == 0 })
+}
+
 // replaceTime is within how long an empty replica must have taken the place of a
 // lost one; from then on the group must bear another loss.
 const replaceTime = 4 * time.Second
