--- a/core/balance/parts.go
+++ b/core/balance/parts.go
@@ -16,7 +16,9 @@
 	// lost reports do no harm.
 	usesWindow = 350 * time.Millisecond
 	// leastHeld and mostHeld bound the time that a part is taken to be kept after its
-	// last use.
+	// last use. The engine with the least memory measured (217,000 tokens) writes over
+	// it in 12 s at a fully used long side; with 2 s, parts that were kept were read
+	// again elsewhere in the first seconds of a burst.
 	leastHeld = 12 * time.Second
 	mostHeld  = time.Minute
 	// seasonTime is how long an instance must have heard of all uses before a part that
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/daemon/telemetry"
 )
@@ -76,5 +77,11 @@
 	if c.customer != nil {
 		f["customer"] = c.customer.Name
 	}
+	if x := c.forecast; x.Admission != balance.InTime {
+		f["expected"] = x.Admission.String()
+		f["expected_first_ms"] = x.First.Milliseconds()
+		f["expected_stream_ms"] = x.Stream.Milliseconds()
+		f["room_in_ms"] = x.Room.Milliseconds()
+	}
 	return log.WithFields(f)
 }
