--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -333,3 +333,27 @@
 		t.Error("a prompt of a higher tier is put back for want of room")
 	}
 }
+
+// In a burst, whether there is hope must not hang on a prompt's own length: the
+// largest tenth of the prompts was served a third as often as all.
+func TestLargePromptsAreNotRefusedMoreOften(t *testing.T) {
+	b, _ := pool12()
+	b.speed("p", 40_000)
+	usual := longCall("s")
+	now := t0
+	for range 400 {
+		now = now.Add(2 * time.Millisecond)
+		b.Arrive(now, "p", usual)
+		s, _ := b.Choose(now, "p", usual, nil, middle)
+		b.Start(now, s.ID, usual)
+	}
+	large := usual
+	large.Unshared *= 5
+	large.Tokens = large.Unshared + usual.shared()
+	for left := 500 * time.Millisecond; left < 30*time.Second; left += 500 * time.Millisecond {
+		of, ofLarge := b.Forecast(now, "p", usual, left, left), b.Forecast(now, "p", large, left, left)
+		if of.Admission != Hopeless && ofLarge.Admission == Hopeless {
+			t.Errorf("with %v left a large prompt is hopeless, and one of the usual length %v", left, of.Admission)
+		}
+	}
+}
