Messages that claim more than they hold are refused before they are decoded

Cause: the codec allocates a list as long as its header says, before it reads the first element: its limit is switched off by a comparison that is never true. A message of 72 bytes ended a process for want of memory. Ruled out: the membership table, which bounds its members. All decoding goes through core/wire, which walks over a message first.

--- a/core/balance/fuzz_test.go
+++ b/core/balance/fuzz_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
 )
 
 // A report that another version or a faulty instance sends may be nonsense, but
@@ -22,7 +24,7 @@
 	f.Add([]byte("\x81\xa1l\x81\xa1x\x95\xff\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		var r Report
-		if msgpack.Unmarshal(body, &r) != nil {
+		if wire.Decode(body, &r) != nil {
 			return
 		}
 		b, _ := pool12()
--- a/core/bundle/bundle.go
+++ b/core/bundle/bundle.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
 )
 
 // Duration is a time span written as in Go, for example "400ms".
@@ -221,7 +223,7 @@
 // Decode reads canonical bytes.
 func Decode(data []byte) (*Bundle, error) {
 	var enc canonicalBundle
-	if err := msgpack.Unmarshal(data, &enc); err != nil {
+	if err := wire.Decode(data, &enc); err != nil {
 		return nil, err
 	}
 	b := &Bundle{Version: enc.Version, Description: enc.Description,
--- a/core/membership/fuzz_test.go
+++ b/core/membership/fuzz_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
 )
 
 // A gossip message of a faulty instance changes beliefs at most: this instance goes
@@ -22,7 +24,7 @@
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		var m Message
-		if msgpack.Unmarshal(body, &m) != nil {
+		if wire.Decode(body, &m) != nil {
 			return
 		}
 		now := time.Unix(1_800_000_000, 0)
--- a/core/routing/declaration.go
+++ b/core/routing/declaration.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
 )
 
 // Semantics tells what may be repeated.
@@ -144,7 +146,7 @@
 // Decode reads a declaration's bytes.
 func Decode(data []byte) (*Declaration, error) {
 	var d Declaration
-	if err := msgpack.Unmarshal(data, &d); err != nil {
+	if err := wire.Decode(data, &d); err != nil {
 		return nil, err
 	}
 	return &d, nil
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -11,6 +11,7 @@
 
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/wire"
 )
 
 // CommandType tells which field of a Command is meant.
@@ -183,7 +184,7 @@
 // DecodeCommand reads a command's bytes.
 func DecodeCommand(data []byte) (*Command, error) {
 	var c Command
-	if err := msgpack.Unmarshal(data, &c); err != nil {
+	if err := wire.Decode(data, &c); err != nil {
 		return nil, err
 	}
 	return &c, nil
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
 )
 
 // Machine is the state of one replica. Not safe for concurrent use.
@@ -82,7 +84,7 @@
 // Restore replaces the machine's state by a snapshot.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
-	if err := msgpack.Unmarshal(data, &s); err != nil {
+	if err := wire.Decode(data, &s); err != nil {
 		return err
 	}
 	config, err := s.Config.restore()
--- a/daemon/baseline/baseline.go
+++ b/daemon/baseline/baseline.go
@@ -12,9 +12,8 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"cardamomwick.example/core/dispatch"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/dispatcher"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/scheduler"
@@ -46,7 +45,7 @@
 	p := &Policy{name: name, pools: map[string]map[string]server{}, turns: map[string]int{}}
 	t.HandleOneWay(dispatcher.MethodAnnounce, func(_ string, body []byte) {
 		var m dispatcher.Announce
-		if msgpack.Unmarshal(body, &m) == nil {
+		if wire.Decode(body, &m) == nil {
 			p.announce(&m)
 		}
 	})
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -12,11 +12,11 @@
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/loop"
 	"cardamomwick.example/daemon/replica"
@@ -192,7 +192,7 @@
 
 func (s *Service) handleNewest(_ context.Context, _ string, body []byte) (any, error) {
 	var name string
-	if err := msgpack.Unmarshal(body, &name); err != nil {
+	if err := wire.Decode(body, &name); err != nil {
 		return nil, eris.Wrap(err, "decode name of server")
 	}
 	v, _ := s.replica.View()
@@ -230,7 +230,7 @@
 
 func (s *Service) handleAnnounce(_ context.Context, _ string, body []byte) (any, error) {
 	var server fleet.Server
-	if err := msgpack.Unmarshal(body, &server); err != nil {
+	if err := wire.Decode(body, &server); err != nil {
 		return nil, eris.Wrap(err, "decode announcement")
 	}
 	v, _ := s.replica.View()
@@ -290,7 +290,7 @@
 
 func (s *Service) handleWatch(ctx context.Context, _ string, body []byte) (any, error) {
 	var req watchRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
+	if err := wire.Decode(body, &req); err != nil {
 		return nil, eris.Wrap(err, "decode watch")
 	}
 	timeout := time.NewTimer(min(req.Hold, maxHold))
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/dispatch"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/loop"
 )
@@ -63,7 +63,7 @@
 func handle[T any](t *frame.Transport, method string, f func(from string, m *T)) {
 	t.HandleOneWay(method, func(from string, body []byte) {
 		var m T
-		if err := msgpack.Unmarshal(body, &m); err != nil {
+		if err := wire.Decode(body, &m); err != nil {
 			log.WithError(err).WithField("step", "decode "+method).WithField("peer", from).Warn("message dropped")
 			return
 		}
--- a/daemon/frame/frame.go
+++ b/daemon/frame/frame.go
@@ -18,6 +18,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
 )
 
 // Bounds of the protocol.
@@ -223,7 +225,7 @@
 	if _, err := io.ReadFull(c.r, data); err != nil {
 		return h, err
 	}
-	if err := msgpack.Unmarshal(data, &h); err != nil {
+	if err := wire.Decode(data, &h); err != nil {
 		return h, err
 	}
 	if len(h.Nonce) != nonceBytes || len(h.KeyID) > maxKeyID || len(h.Address) > maxKeyID {
@@ -285,7 +287,7 @@
 		return nil, ErrMAC
 	}
 	var m Message
-	if err := msgpack.Unmarshal(data, &m); err != nil {
+	if err := wire.Decode(data, &m); err != nil {
 		return nil, eris.Wrap(err, "decode frame")
 	}
 	return &m, nil
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -11,6 +11,8 @@
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
 )
 
 // Parameters of a Transport.
@@ -300,7 +302,7 @@
 	if p.err != nil {
 		return eris.Wrapf(p.err, "%s at peer %s", method, address)
 	}
-	return eris.Wrap(msgpack.Unmarshal(p.body, out), "decode response")
+	return eris.Wrap(wire.Decode(p.body, out), "decode response")
 }
 
 func (t *Transport) link(address string) *link {
--- a/daemon/gossip/gossip.go
+++ b/daemon/gossip/gossip.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/membership"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/loop"
 )
@@ -71,7 +71,7 @@
 
 func (s *Service) handle(_ string, body []byte) {
 	var m membership.Message
-	if err := msgpack.Unmarshal(body, &m); err != nil {
+	if err := wire.Decode(body, &m); err != nil {
 		log.WithError(err).WithField("step", "decode gossip").Warn("message dropped")
 		return
 	}
--- a/daemon/lease/relay.go
+++ b/daemon/lease/relay.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/membership"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/replica"
 )
@@ -58,7 +58,7 @@
 func NewRelay(t *frame.Transport, r Ranker, direct Source, h *Holder) *Relay {
 	t.HandleRequest(methodRelay, func(_ context.Context, _ string, body []byte) (any, error) {
 		var req relayRequest
-		if err := msgpack.Unmarshal(body, &req); err != nil {
+		if err := wire.Decode(body, &req); err != nil {
 			return nil, eris.Wrap(err, "decode lease request")
 		}
 		l, ok := h.PassOn(req.Generation)
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -9,10 +9,10 @@
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/raft"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/storage"
 )
@@ -433,7 +433,7 @@
 
 func (r *Replica) handleRaft(from string, body []byte) {
 	var env raftEnvelope
-	if err := msgpack.Unmarshal(body, &env); err != nil {
+	if err := wire.Decode(body, &env); err != nil {
 		log.WithError(err).WithField("step", "decode raft message").Warn("message dropped")
 		return
 	}
--- a/daemon/replica/serve.go
+++ b/daemon/replica/serve.go
@@ -4,11 +4,11 @@
 	"context"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/raft"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/core/wire"
 )
 
 // run executes f in the loop and waits for the value that it hands to reply.
@@ -41,7 +41,7 @@
 }
 
 func decode(body []byte, v any) error {
-	return eris.Wrap(msgpack.Unmarshal(body, v), "decode request")
+	return eris.Wrap(wire.Decode(body, v), "decode request")
 }
 
 func (r *Replica) handleHello(ctx context.Context, _ string, _ []byte) (any, error) {
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/collect"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 )
 
@@ -116,7 +116,7 @@
 
 func decodeReport(from string, body []byte) (balance.Report, bool) {
 	var report balance.Report
-	if err := msgpack.Unmarshal(body, &report); err != nil {
+	if err := wire.Decode(body, &report); err != nil {
 		log.WithError(err).WithFields(log.Fields{"step": "decode load report", "peer": from}).Warn("report dropped")
 		return balance.Report{}, false
 	}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -12,10 +12,10 @@
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/dispatch"
 	"cardamomwick.example/core/membership"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/dispatcher"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/loop"
@@ -252,7 +252,7 @@
 
 func (s *Scheduler) handleSynced(from string, body []byte) {
 	var m dispatcher.Synced
-	if msgpack.Unmarshal(body, &m) != nil {
+	if wire.Decode(body, &m) != nil {
 		return
 	}
 	now := time.Now()
@@ -276,7 +276,7 @@
 
 func (s *Scheduler) handleActions(from string, body []byte) {
 	var m dispatcher.Actions
-	if err := msgpack.Unmarshal(body, &m); err != nil {
+	if err := wire.Decode(body, &m); err != nil {
 		log.WithError(err).WithField("step", "decode grants").WithField("peer", from).Warn("message dropped")
 		return
 	}
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -21,6 +21,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/raft"
+	"cardamomwick.example/core/wire"
 )
 
 // Errors of the store.
@@ -125,7 +126,7 @@
 	if err != nil || n != len(data) {
 		return eris.Wrap(ErrCorrupt, "identity file")
 	}
-	return eris.Wrap(msgpack.Unmarshal(body, &s.identity), "decode identity")
+	return eris.Wrap(wire.Decode(body, &s.identity), "decode identity")
 }
 
 // makeIdentity refuses a folder that has a log but lost its identity.
@@ -267,7 +268,7 @@
 	if err != nil || n != len(data) {
 		return eris.Wrap(ErrCorrupt, "snapshot file")
 	}
-	if err := msgpack.Unmarshal(body, &l.Snapshot); err != nil {
+	if err := wire.Decode(body, &l.Snapshot); err != nil {
 		return eris.Wrap(err, "decode snapshot")
 	}
 	l.State = raft.HardState{Term: l.Snapshot.Meta.Term, Commit: l.Snapshot.Meta.Index}
@@ -324,7 +325,7 @@
 
 func (l *Loaded) replay(body []byte) error {
 	var r record
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := wire.Decode(body, &r); err != nil {
 		return eris.Wrap(ErrCorrupt, err.Error())
 	}
 	if r.State != nil {
