Placement: one moving average, a call's parts keyed once, no second count of the long side

The first-taken-whole average stood six times (targets, gaps, events, lengths, pace, base time) and is one function. A prompt's parts were hashed anew for each server, 90 times a call on the grown site; they are keyed once a call. The long side was counted twice a call, and the boundary asked for beside each update of the rates. A share of 1 that changed nothing and a flag that the load holds are gone.

--- a/core/balance/admit.go
+++ b/core/balance/admit.go
@@ -64,7 +64,6 @@
 	if c.Tokens < LongPrompt || c.Tier < p.lowestTier {
 		return Forecast{}
 	}
-	b.longSide(now, poolName)
 	b.follow(now, p, poolName)
 	f, ok := p.leastBehind(now, c)
 	if !ok {
@@ -79,11 +78,9 @@
 	// must not be refused more often than small ones.
 	f.First -= p.stretch.of(p.speed.time(max(0, float64(c.Unshared)-p.unshared)))
 	f.First = portion(1/max(leastSpare, 1-p.use), f.First)
-	switch {
-	case f.First <= portion(timeMargin, firstLeft) && f.First+f.Stream <= portion(timeMargin, left):
+	f.Admission = Hopeless
+	if f.First <= portion(timeMargin, firstLeft) && f.First+f.Stream <= portion(timeMargin, left) {
 		f.Admission = Late
-	default:
-		f.Admission = Hopeless
 	}
 	return f
 }
@@ -95,11 +92,11 @@
 // leastBehind returns what to expect at the engine of the long side that has the
 // call's first event soonest.
 func (p *pool) leastBehind(now time.Time, c Call) (Forecast, bool) {
-	known := p.keeps(now, c)
+	r := p.request(now, c)
 	least := Forecast{First: math.MaxInt64}
-	for _, s := range p.keepToHolders(now, c, c.keepToSide(usable(now, p.servers, nil))) {
+	for _, s := range p.keepToHolders(now, r, c.keepToSide(usable(now, p.servers, nil))) {
 		l := s.load()
-		own := p.unreadAt(now, s, c, true, known)
+		own := p.unreadAt(now, s, r, true)
 		first := p.stretch.of(portion(s.slowness, p.speed.time(float64(l.Unread)+own)))
 		first = max(first, s.slotWait(now, p, c, l))
 		if first < least.First {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -192,7 +192,6 @@
 	p := b.pool(poolName)
 	b.refreshPaces(now)
 	if c.Tokens > 0 {
-		b.longSide(now, poolName)
 		b.follow(now, p, poolName)
 	}
 	candidates := c.keepToSide(usable(now, p.servers, exclude))
@@ -202,14 +201,14 @@
 	if c.Tokens == 0 {
 		candidates = twoOf(candidates, random)
 	}
-	candidates = p.keepToHolders(now, c, candidates)
+	r := p.request(now, c)
+	candidates = p.keepToHolders(now, r, candidates)
 	onLong := c.long(&p.speed)
 	ranks := rankByHome(c.Home, candidates, func(s *server) bool { return c.Tokens == 0 || s.long == onLong })
-	known := p.keeps(now, c)
 	best := 0
 	least := math.Inf(1)
 	for i, s := range candidates {
-		loss := p.loss(now, s, c, ranks[i], known)
+		loss := p.loss(now, s, r, ranks[i])
 		if ranks[i] != 0 || c.Home == "" {
 			loss += spreadLoss * random()
 		}
@@ -280,10 +279,11 @@
 	ahead float64
 	// tokens is the prompt's length, unshared the part of it that no other call has.
 	tokens, unshared int
-	// long: the prompt is one for the long side.
-	long bool
 }
 
+// long reports whether the call is a long prompt.
+func (t *Ticket) long() bool { return t.load.Long > 0 }
+
 // Ahead is how many prompt tokens the server had to read up to the end of the
 // call's own, when the call was sent.
 func (t *Ticket) Ahead() float64 { return t.ahead }
@@ -296,20 +296,21 @@
 
 // Start notes that a call was sent to a server.
 func (b *Balancer) Start(now time.Time, id string, c Call) Ticket {
-	t := Ticket{server: id, sent: now, load: c.load(), tokens: c.Tokens, unshared: c.Unshared, long: c.Tokens >= LongPrompt}
+	t := Ticket{server: id, sent: now, load: c.load(), tokens: c.Tokens, unshared: c.Unshared}
 	s := b.servers[id]
 	if s == nil {
 		return t
 	}
 	p := b.pool(s.Pool)
-	unread := p.unreadAt(now, s, c, true, p.keeps(now, c))
+	r := p.request(now, c)
+	unread := p.unreadAt(now, s, r, true)
 	t.load.Unread = int(unread)
-	if t.long {
-		p.noteUnshared(c.Unshared)
+	if t.long() {
+		p.unshared = smooth(p.unshared, float64(c.Unshared), rereadWeight)
 	}
 	if c.followed() {
 		p.noteReread((unread - float64(c.Unshared)) / float64(c.shared()))
-		s.parts.useOwn(now, &c)
+		s.parts.useOwn(now, r.parts)
 	}
 	s.own.add(t.load)
 	t.ahead = float64(s.load().Unread)
@@ -319,12 +320,12 @@
 // Began notes that the server has read the call's prompt.
 func (b *Balancer) Began(now time.Time, t *Ticket) {
 	if s := b.servers[t.server]; s != nil {
+		p := b.pool(s.Pool)
 		s.own.Unread -= t.load.Unread
 		if t.ahead <= float64(t.load.Unread) {
-			b.pool(s.Pool).speed.observe(float64(t.unshared), float64(t.tokens), now.Sub(t.sent))
+			p.speed.observe(float64(t.unshared), float64(t.tokens), now.Sub(t.sent))
 		}
-		if t.long {
-			p := b.pool(s.Pool)
+		if t.long() {
 			p.stretch.observe(portion(s.slowness, p.speed.time(t.ahead)), now.Sub(t.sent))
 		}
 	}
--- a/core/balance/call.go
+++ b/core/balance/call.go
@@ -10,7 +10,8 @@
 	// startReread is the share of shared parts that is taken to be read before any
 	// was seen.
 	startReread = 0.2
-	// rereadWeight is the weight of one call in the share that is read.
+	// rereadWeight is the weight of one call in the share that is read, and in the
+	// usual length of a long prompt's own part.
 	rereadWeight = 0.03
 )
 
@@ -115,14 +116,6 @@
 
 func (c *Call) sensitive() bool { return c.Gap > 0 && c.Gap <= sensitiveGap }
 
-// noteUnshared takes the length of a long prompt's own part.
-func (p *pool) noteUnshared(tokens int) {
-	if p.unshared == 0 {
-		p.unshared = float64(tokens)
-	}
-	p.unshared += rereadWeight * (float64(tokens) - p.unshared)
-}
-
 // load is what the call adds to its server.
 func (c *Call) load() Load {
 	l := Load{Running: 1, Unread: c.Unshared, Memory: c.memory()}
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -50,12 +50,12 @@
 
 // loss estimates what is lost by placing a call on a server that has the given
 // place in the ranking of the call's shared part.
-func (p *pool) loss(now time.Time, s *server, c Call, rank int, known bool) float64 {
+func (p *pool) loss(now time.Time, s *server, c request, rank int) float64 {
 	l := s.load()
 	loss := s.health.loss(now)
-	own := p.unreadAt(now, s, c, rank == 0, known)
+	own := p.unreadAt(now, s, c, rank == 0)
 	// A part that nobody keeps has to be read at its home, wherever the call comes.
-	if own > float64(c.Unshared) && (known || rank != 0) {
+	if own > float64(c.Unshared) && (c.known || rank != 0) {
 		loss += (own - float64(c.Unshared)) / rereadTokens
 	}
 	if rank != 0 {
@@ -71,7 +71,7 @@
 	if c.sensitive() {
 		loss += slowLoss * (s.slowness - 1)
 	}
-	return loss + roomLoss(now, p, s, c, l)
+	return loss + roomLoss(now, p, s, c.Call, l)
 }
 
 // offSideLoss is the loss of crossing the boundary: a long prompt delays the
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -70,7 +70,7 @@
 	if s == nil {
 		return
 	}
-	if t.long {
+	if t.long() {
 		b.pool(s.Pool).streams.noteEnd(len(gaps))
 	}
 	if len(gaps) < leastEvents {
@@ -79,10 +79,7 @@
 	slices.Sort(gaps)
 	seen := gaps[len(gaps)/4]
 	p := b.pool(s.Pool)
-	if p.usual == 0 {
-		p.usual = seen
-	}
-	p.usual += time.Duration(usualWeight * float64(seen-p.usual))
+	p.usual = smooth(p.usual, seen, usualWeight)
 	s.pace.observe(now, max(seen, time.Duration(leastOfUsual*float64(p.usual))))
 }
 
--- a/core/balance/parts.go
+++ b/core/balance/parts.go
@@ -33,7 +33,7 @@
 // partKey stands for a shared part.
 type partKey uint32
 
-func keyOf(home string) partKey { return partKey(xxhash.Sum64String(home)) }
+func keyOf(id string) partKey { return partKey(xxhash.Sum64String(id)) }
 
 // parts are the shared parts that a server has read, with the time of their last
 // use. Engines do not tell what they keep without being asked for it, and their
@@ -72,11 +72,11 @@
 }
 
 // useOwn notes a use by this instance.
-func (p *parts) useOwn(now time.Time, c *Call) {
-	for _, x := range c.chain() {
-		if x.Tokens >= leastPart {
-			p.use(now, keyOf(x.ID))
-			p.own = append(p.own, partUse{keyOf(x.ID), now})
+func (p *parts) useOwn(now time.Time, chain []keyedPart) {
+	for _, x := range chain {
+		if x.tokens >= leastPart {
+			p.use(now, x.key)
+			p.own = append(p.own, partUse{x.key, now})
 		}
 	}
 }
@@ -106,11 +106,11 @@
 
 // missing returns how many tokens of a chain of parts the server has to read. A part
 // is of use only with all parts before it.
-func (p *parts) missing(now time.Time, chain []Part, held time.Duration) int {
+func (p *parts) missing(now time.Time, chain []keyedPart, held time.Duration) int {
 	missing := 0
 	for _, x := range chain {
-		if missing > 0 || x.Tokens >= leastPart && !p.holds(now, keyOf(x.ID), held) {
-			missing += x.Tokens
+		if missing > 0 || x.tokens >= leastPart && !p.holds(now, x.key, held) {
+			missing += x.tokens
 		}
 	}
 	return missing
@@ -124,21 +124,28 @@
 
 // follow brings up to date what placement derives from the arriving work.
 func (b *Balancer) follow(now time.Time, p *pool, poolName string) {
+	b.longSide(now, poolName)
 	rates := b.rates(now, p, poolName)
-	p.held = p.heldTime(rates)
-	p.use = p.longUse(rates)
+	engines, running := p.onLong()
+	p.held = p.heldTime(rates, engines, running)
+	p.use = p.longUse(rates, engines)
 	p.seasoned = !b.since.IsZero() && now.Sub(b.since) >= seasonTime
 }
 
-// longUse returns the part of the long side's reading that what arrives there asks
-// for.
-func (p *pool) longUse(rates Rates) float64 {
-	engines := 0
+// onLong counts the engines of the long side, and the memory in use there.
+func (p *pool) onLong() (engines, memory int) {
 	for _, s := range p.servers {
 		if s.long {
 			engines++
+			memory += s.load().Memory
 		}
 	}
+	return engines, memory
+}
+
+// longUse returns the part of the long side's reading that what arrives there asks
+// for.
+func (p *pool) longUse(rates Rates, engines int) float64 {
 	if engines == 0 {
 		return 0
 	}
@@ -147,14 +154,7 @@
 
 // heldTime estimates how long an engine of the pool keeps a part after its last
 // use: until as much was written as its memory holds beside what runs.
-func (p *pool) heldTime(rates Rates) time.Duration {
-	running, engines := 0, 0
-	for _, s := range p.servers {
-		if s.long {
-			running += s.load().Memory
-			engines++
-		}
-	}
+func (p *pool) heldTime(rates Rates, engines, running int) time.Duration {
 	if p.memory == 0 || engines == 0 {
 		return leastHeld
 	}
@@ -163,13 +163,10 @@
 	if written <= 0 {
 		return mostHeld
 	}
-	held := time.Duration(heldShare * perEngine / written * float64(time.Second))
+	held := time.Duration(perEngine / written * float64(time.Second))
 	return max(leastHeld, min(mostHeld, held))
 }
 
-// heldShare covers engines that write more than the usual one.
-const heldShare = 1.0
-
 // busyUse is the use of the long side's reading from which a long prompt goes only
 // where its shared parts are kept. Elsewhere they would have to be read again, which
 // is as much work as another call: each call that leaves its home then makes more
@@ -180,13 +177,13 @@
 // keepToHolders leaves a long prompt the engines that keep its shared parts, or the
 // home of the last one where nobody does, while the long side has no reading to
 // spare.
-func (p *pool) keepToHolders(now time.Time, c Call, list []*server) []*server {
+func (p *pool) keepToHolders(now time.Time, c request, list []*server) []*server {
 	if p.use < busyUse || c.Tokens < LongPrompt || !c.followed() {
 		return list
 	}
 	var holders []*server
 	for _, s := range list {
-		if s.parts.missing(now, c.chain(), p.held) == 0 {
+		if s.parts.missing(now, c.parts, p.held) == 0 {
 			holders = append(holders, s)
 		}
 	}
@@ -196,30 +193,46 @@
 	return holders
 }
 
+// request is a call with what all servers are asked about its shared parts.
+type request struct {
+	Call
+	parts []keyedPart
+	// known: some server of the pool is known to keep the last part.
+	known bool
+}
+
+// keyedPart is a shared part under its key.
+type keyedPart struct {
+	key    partKey
+	tokens int
+}
+
+func (p *pool) request(now time.Time, c Call) request {
+	r := request{Call: c}
+	if !c.followed() {
+		return r
+	}
+	for _, x := range c.chain() {
+		r.parts = append(r.parts, keyedPart{keyOf(x.ID), x.Tokens})
+	}
+	last := r.parts[len(r.parts)-1].key
+	r.known = slices.ContainsFunc(p.servers, func(s *server) bool { return s.parts.holds(now, last, p.held) })
+	return r
+}
+
 // unreadAt estimates the tokens that a server must read for the call. home: it is
 // the first in the ranking of the call's last shared part, where a part that this
-// instance has not seen in use may be all the same; known: some server of the pool
-// is known to keep the part.
-func (p *pool) unreadAt(now time.Time, s *server, c Call, home, known bool) float64 {
+// instance has not seen in use may be all the same.
+func (p *pool) unreadAt(now time.Time, s *server, c request, home bool) float64 {
 	if !c.followed() {
 		if home {
 			return float64(c.Unshared)
 		}
 		return float64(c.Tokens)
 	}
-	missing := float64(s.parts.missing(now, c.chain(), p.held))
-	if !known && home && !p.seasoned {
+	missing := float64(s.parts.missing(now, c.parts, p.held))
+	if !c.known && home && !p.seasoned {
 		missing *= youngReread
 	}
 	return float64(c.Unshared) + missing
 }
-
-// keeps reports whether some server of the pool is known to keep the call's shared
-// parts.
-func (p *pool) keeps(now time.Time, c Call) bool {
-	if !c.followed() {
-		return false
-	}
-	key := keyOf(c.Home)
-	return slices.ContainsFunc(p.servers, func(s *server) bool { return s.parts.holds(now, key, p.held) })
-}
--- a/core/balance/parts_test.go
+++ b/core/balance/parts_test.go
@@ -84,7 +84,7 @@
 // and one that keeps only the second has to read both.
 func TestPartsCountOnlyBehindThoseBefore(t *testing.T) {
 	var p parts
-	chain := []Part{{"common", 2500}, {"own", 3800}}
+	chain := []keyedPart{{keyOf("common"), 2500}, {keyOf("own"), 3800}}
 	if got := p.missing(t0, chain, time.Minute); got != 6300 {
 		t.Errorf("nothing is kept: %d missing", got)
 	}
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -14,6 +14,8 @@
 	leastLong = 0.2
 	// startShare holds before anything has arrived.
 	startShare = 0.5
+	// targetWeight is the weight of one long prompt in their usual target.
+	targetWeight = 1.0 / 16
 )
 
 // sides parts a pool's engines into those for long prompts and the others.
@@ -44,21 +46,12 @@
 	}
 	if long {
 		s.long.add(now, unread)
-		s.longTarget = smooth(s.longTarget, c.target())
+		s.longTarget = smooth(s.longTarget, c.target(), targetWeight)
 		return
 	}
 	s.short.add(now, unread)
 }
 
-// smooth moves a usual value towards a new one; the first one is taken whole.
-func smooth(usual, seen time.Duration) time.Duration {
-	const weight = 16
-	if usual == 0 {
-		return seen
-	}
-	return usual + (seen-usual)/weight
-}
-
 // longSide returns the engines for long prompts. One instance decides for all,
 // so that an engine is on the same side for everyone.
 func (b *Balancer) longSide(now time.Time, poolName string) []string {
--- a/core/balance/speed.go
+++ b/core/balance/speed.go
@@ -93,10 +93,7 @@
 	if took < s.base {
 		weight = baseDown
 	}
-	if s.base == 0 {
-		weight = 1
-	}
-	s.base += time.Duration(weight * float64(took-s.base))
+	s.base = smooth(s.base, took, weight)
 }
 
 // time estimates how long reading takes.
--- a/core/balance/streams.go
+++ b/core/balance/streams.go
@@ -24,24 +24,18 @@
 // Progress notes the time between two events of a long prompt's stream.
 func (b *Balancer) Progress(t *Ticket, gap time.Duration) {
 	s := b.servers[t.server]
-	if s == nil || !t.long {
+	if s == nil || !t.long() {
 		return
 	}
 	// On an engine of the usual pace.
 	gap = portion(1/s.slowness, gap)
 	x := &b.pool(s.Pool).streams
-	if x.gap == 0 {
-		x.gap = gap
-	}
-	x.gap += portion(eventWeight, gap-x.gap)
+	x.gap = smooth(x.gap, gap, eventWeight)
 }
 
 // noteEnd takes the number of events of a stream that has ended.
 func (x *longStreams) noteEnd(events int) {
-	if x.events == 0 {
-		x.events = float64(events)
-	}
-	x.events += streamWeight * (float64(events) - x.events)
+	x.events = smooth(x.events, float64(events), streamWeight)
 }
 
 // length estimates the time from a stream's first event to its end.
