--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -83,13 +83,13 @@
 	servers  map[string]*record
 	departed map[string]bool
 	order    []string
-	starts   *Starts
+	starts   Starts
 	version  uint64
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{servers: map[string]*record{}, departed: map[string]bool{}, starts: NewStarts()}
+	return &Registry{servers: map[string]*record{}, departed: map[string]bool{}}
 }
 
 // Version rises whenever Servers returns something else.
@@ -99,10 +99,9 @@
 // and a newer start of the same server, or at the same address, ends the one
 // before.
 func (r *Registry) Announce(now time.Time, s Server) {
-	if r.departed[s.ID] || r.starts.Stale(s.Start()) {
+	if !r.admits(s) {
 		return
 	}
-	r.noteStart(s.Start())
 	old := r.servers[s.ID]
 	if old == nil {
 		if len(r.servers) >= maxServers {
@@ -143,10 +142,9 @@
 // with it, and then waits for their announcements.
 func (r *Registry) Remember(now time.Time, list []Server) {
 	for _, s := range list {
-		if r.departed[s.ID] || r.starts.Stale(s.Start()) {
+		if !r.admits(s) {
 			continue
 		}
-		r.noteStart(s.Start())
 		old := r.servers[s.ID]
 		if old == nil {
 			r.servers[s.ID] = &record{s, now}
@@ -161,6 +159,15 @@
 	}
 }
 
+// admits reports whether a server may be there, and if so ends its older starts.
+func (r *Registry) admits(s Server) bool {
+	if r.departed[s.ID] || r.starts.Stale(s.Start()) {
+		return false
+	}
+	r.noteStart(s.Start())
+	return true
+}
+
 // NoteStarts takes starts that are known from elsewhere: what older ones of the
 // same servers say comes late.
 func (r *Registry) NoteStarts(list []Start) {
--- a/core/fleet/mirror.go
+++ b/core/fleet/mirror.go
@@ -39,12 +39,12 @@
 	phases map[string]Phase
 	// starts: a leader that was not told of a server's newest start may list an
 	// older one.
-	starts *Starts
+	starts Starts
 }
 
 // NewMirror returns an empty mirror.
 func NewMirror() *Mirror {
-	return &Mirror{listed: map[string]Server{}, adopted: map[string]Server{}, phases: map[string]Phase{}, starts: NewStarts()}
+	return &Mirror{listed: map[string]Server{}, adopted: map[string]Server{}, phases: map[string]Phase{}}
 }
 
 // At returns the term and version last taken.
--- a/core/fleet/starts.go
+++ b/core/fleet/starts.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "strconv"
+import (
+	"slices"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // keptStarts bounds the servers whose newest start is remembered: the restarts of
 // an hour at the largest deployment aimed at.
@@ -28,16 +33,14 @@
 
 // Starts knows the newest start of each server. It answers servers that crash and
 // start again under their name: what the former start has said may arrive seconds
-// later, or through an instance that was cut off, and must not bring it back. Not
-// safe for concurrent use.
+// later, or through an instance that was cut off, and must not bring it back. The
+// zero value knows none. Not safe for concurrent use.
 type Starts struct {
 	newest map[string]int64
-	order  []string
+	// order has the names as their newest starts were noted.
+	order []string
 }
 
-// NewStarts returns an empty record.
-func NewStarts() *Starts { return &Starts{newest: map[string]int64{}} }
-
 // Stale reports whether a newer start of the server is known.
 func (s *Starts) Stale(start Start) bool { return start.Born < s.newest[start.Name] }
 
@@ -47,10 +50,14 @@
 	if start.Born <= s.newest[start.Name] {
 		return false
 	}
-	if _, known := s.newest[start.Name]; !known {
-		s.order = append(s.order, start.Name)
+	if s.newest == nil {
+		s.newest = map[string]int64{}
+	}
+	if _, known := s.newest[start.Name]; known {
+		s.order = slices.DeleteFunc(s.order, func(name string) bool { return name == start.Name })
 	}
 	s.newest[start.Name] = start.Born
+	s.order = append(s.order, start.Name)
 	if len(s.order) > keptStarts {
 		delete(s.newest, s.order[0])
 		s.order = s.order[1:]
@@ -61,7 +68,7 @@
 // Newest returns the ID of the newest start known of a server.
 func (s *Starts) Newest(name string) string { return StartID(Start{name, s.newest[name]}) }
 
-// List returns all starts, the first ones noted first.
+// List returns all starts, in the order in which they were noted.
 func (s *Starts) List() []Start {
 	out := make([]Start, 0, len(s.order))
 	for _, name := range s.order {
@@ -69,3 +76,19 @@
 	}
 	return out
 }
+
+// EncodeMsgpack writes the list of starts.
+func (s *Starts) EncodeMsgpack(e *msgpack.Encoder) error { return e.Encode(s.List()) }
+
+// DecodeMsgpack reads what EncodeMsgpack writes.
+func (s *Starts) DecodeMsgpack(d *msgpack.Decoder) error {
+	var list []Start
+	if err := d.Decode(&list); err != nil {
+		return err
+	}
+	*s = Starts{}
+	for _, x := range list {
+		s.Note(x)
+	}
+	return nil
+}
--- a/core/state/routing.go
+++ b/core/state/routing.go
@@ -31,7 +31,7 @@
 	Servers []fleet.Server `msgpack:"f,omitempty"`
 	// Starts are the newest starts of servers that keep their name, also of those
 	// that have departed: a new leader must not take back an older one.
-	Starts []fleet.Start `msgpack:"s,omitempty"`
+	Starts fleet.Starts `msgpack:"s"`
 	// Revision rises with every change of the above.
 	Revision uint64 `msgpack:"r"`
 }
@@ -53,9 +53,14 @@
 // register remembers a server, and forgets its older starts. One that has said
 // that it leaves stays so.
 func (s *routingState) register(server fleet.Server) Result {
-	if !s.noteStart(server.Start()) {
+	start := server.Start()
+	if s.Starts.Stale(start) {
 		return Result{Code: CodeOK}
 	}
+	if s.Starts.Note(start) {
+		s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.OwnName() == start.Name && x.Born < start.Born })
+		s.Revision++
+	}
 	for _, w := range s.Withdrawals {
 		if w.ServerID == server.ID {
 			return Result{Code: CodeOK}
@@ -75,27 +80,6 @@
 	return Result{Code: CodeOK}
 }
 
-// noteStart keeps the newest start of a server and reports whether the given one
-// is it.
-func (s *routingState) noteStart(start fleet.Start) bool {
-	i := slices.IndexFunc(s.Starts, func(x fleet.Start) bool { return x.Name == start.Name })
-	switch {
-	case i >= 0 && start.Born < s.Starts[i].Born:
-		return false
-	case i >= 0 && start.Born == s.Starts[i].Born || start.Born == 0:
-		return true
-	case i >= 0:
-		s.Starts = slices.Delete(s.Starts, i, i+1)
-	}
-	s.Starts = append(s.Starts, start)
-	if extra := len(s.Starts) - keptServers; extra > 0 {
-		s.Starts = slices.Clone(s.Starts[extra:])
-	}
-	s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.OwnName() == start.Name && x.Born < start.Born })
-	s.Revision++
-	return true
-}
-
 // settle applies a withdrawal to the servers remembered.
 func (s *routingState) settle(w fleet.Withdrawal) {
 	s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.ID == w.ServerID && w.Phase == fleet.Departed })
@@ -140,7 +124,7 @@
 func (m *Machine) Routing() Routing {
 	s := &m.routing
 	return Routing{Held: s.Held, Withdrawals: slices.Clone(s.Withdrawals),
-		Servers: slices.Clone(s.Servers), Starts: slices.Clone(s.Starts), Revision: s.Revision}
+		Servers: slices.Clone(s.Servers), Starts: s.Starts.List(), Revision: s.Revision}
 }
 
 // RoutingRevision returns the revision of what Routing would return.
--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -158,6 +158,33 @@
 	}
 }
 
+// killLeader ends the leader of this moment only, since the next one leads soon
+// after, and returns the others.
+func (c *cluster) killLeader(group []*member) []*member {
+	c.t.Helper()
+	leads := func(m *member) bool { v, _ := m.replica.View(); return v.Leading }
+	c.until("there is a leader", 5*time.Second, func() bool { return slices.ContainsFunc(group, leads) })
+	leader := slices.IndexFunc(group, leads)
+	group[leader].kill()
+	return slices.Delete(slices.Clone(group), leader, leader+1)
+}
+
+// watchFleet returns the listings that an entry gets which starts now beside a
+// replica, until the test ends.
+func (c *cluster) watchFleet(m *member) <-chan []fleet.Server {
+	got := make(chan []fleet.Server, 64)
+	w := control.NewWatch(m.transport, replica.NewClient(m.transport, m.directory), func(*routing.Table) {}, func(list []fleet.Server) {
+		select {
+		case got <- list:
+		default:
+		}
+	})
+	ctx, end := context.WithCancel(context.Background())
+	c.t.Cleanup(end)
+	go func() { _ = w.Serve(ctx) }()
+	return got
+}
+
 func TestWithdrawnServerStaysAwayOverTheLeadersEnd(t *testing.T) {
 	c := newCluster(t)
 	group := c.founders()
@@ -170,23 +197,9 @@
 	}
 	c.until("both servers are in the log", 5*time.Second, func() bool { v, _ := group[2].replica.View(); return len(v.Routing.Servers) == 2 })
 	c.until("a departure is acknowledged", 5*time.Second, func() bool { return group[1].control.Depart(ctx, fleet.Start{Name: "a"}) == nil })
-	// Only the leader of this moment is ended: the next one leads soon after.
-	leads := func(m *member) bool { v, _ := m.replica.View(); return v.Leading }
-	c.until("there is a leader", 5*time.Second, func() bool { return slices.ContainsFunc(group, leads) })
-	leader := slices.IndexFunc(group, leads)
-	group[leader].kill()
-	left := slices.Delete(slices.Clone(group), leader, leader+1)
+	left := c.killLeader(group)
 	// An entry that starts now knows only what the new leader has from the log.
-	got := make(chan []fleet.Server, 64)
-	w := control.NewWatch(left[0].transport, replica.NewClient(left[0].transport, left[0].directory), func(*routing.Table) {}, func(list []fleet.Server) {
-		select {
-		case got <- list:
-		default:
-		}
-	})
-	wctx, end := context.WithCancel(ctx)
-	defer end()
-	go func() { _ = w.Serve(wctx) }()
+	got := c.watchFleet(left[0])
 	c.until("the new leader lists b and not a", 10*time.Second, func() bool {
 		list := <-got
 		return len(list) == 1 && list[0].ID == "b"
@@ -218,22 +231,9 @@
 		}
 		return true
 	})
-	leads := func(m *member) bool { v, _ := m.replica.View(); return v.Leading }
-	c.until("there is a leader", 5*time.Second, func() bool { return slices.ContainsFunc(group, leads) })
-	leader := slices.IndexFunc(group, leads)
-	group[leader].kill()
-	left := slices.Delete(slices.Clone(group), leader, leader+1)
+	left := c.killLeader(group)
 	announce(left[0], start(100, 10))
-	got := make(chan []fleet.Server, 64)
-	w := control.NewWatch(left[0].transport, replica.NewClient(left[0].transport, left[0].directory), func(*routing.Table) {}, func(list []fleet.Server) {
-		select {
-		case got <- list:
-		default:
-		}
-	})
-	wctx, end := context.WithCancel(ctx)
-	defer end()
-	go func() { _ = w.Serve(wctx) }()
+	got := c.watchFleet(left[0])
 	for range 5 {
 		if list := <-got; len(list) != 1 || list[0].Born != 200 {
 			t.Fatalf("listed are %+v", list)
