Settings: any value that a platform fills in starts an instance

Cause: the template wrote a bound with '.0' behind it; where the platform's number has a fraction the text is no TOML, and no instance of the deployment starts. The same held for absent numbers, quotes in names, an absent bootstrap, a retry window under a second and a ratio above 1.

--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -68,11 +68,15 @@
 		return cli.Exit(err.Error(), exitSettings)
 	}
 	if cmd.Bool("check") {
+		for _, p := range s.Notices() {
+			fmt.Printf("%s: %s: %s\n", file, p.Key, p.Reason)
+		}
 		fmt.Println("settings are good")
 		return nil
 	}
 	debug.SetGCPercent(gcPercent)
 	daemon.SetUpLog(logFile(s), s.Log.Level, s.Instance.Name)
+	logNotices(s, file)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	hangUps := make(chan os.Signal, 1)
@@ -90,6 +94,13 @@
 	return nil
 }
 
+// logNotices says which settings were not taken as they stand.
+func logNotices(s *settings.Settings, file string) {
+	for _, p := range s.Notices() {
+		log.WithFields(log.Fields{"step": "read settings", "file": file, "key": p.Key}).Warn(p.Reason)
+	}
+}
+
 // logFile is standard output on a platform, which collects it, and standard
 // error elsewhere.
 func logFile(s *settings.Settings) *os.File {
--- a/daemon/replica/client.go
+++ b/daemon/replica/client.go
@@ -68,6 +68,9 @@
 	if len(kept) == 0 {
 		kept = list
 	}
+	if len(kept) == 0 {
+		return "" // no seed is known yet; the settings may name one later
+	}
 	return kept[rand.IntN(len(kept))]
 }
 
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -128,10 +128,11 @@
 
 func (d *Routed) addEntry(a Adapter, client *replica.Client) error {
 	r := d.settings.Routing
+	tuned := d.settings.Tuned()
 	d.router = router.New(router.Options{Protocol: a, Name: d.settings.Instance.Name,
 		Table:   func() *routing.Table { return d.watch.Table() },
 		Entries: func() int { return len(d.entries()) },
-		Retry:   router.RetryLimits{Span: r.RetryWindow.D(), Ratio: r.RetryRatio, Slack: r.RetrySlack}, Metrics: d.metrics})
+		Retry:   router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics})
 	d.watch = control.NewWatch(d.transport, client, d.takeTable, d.router.SetFleet)
 	self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
 	exchange := router.NewExchange(d.router, d.transport, self, d.collectMembers)
@@ -230,7 +231,7 @@
 		return nil
 	}
 	began := time.Now()
-	cutOff := began.Add(time.Duration(drainShare * float64(d.settings.Callers.DrainTimeout.D())))
+	cutOff := began.Add(time.Duration(drainShare * float64(d.settings.Tuned().DrainTimeout)))
 	log.WithField("in_flight", d.router.InFlight()).Info("draining")
 	time.Sleep(staleTTLs * d.TTL())
 	d.router.Close(cutOff)
--- a/daemon/settings/reference_test.go
+++ b/daemon/settings/reference_test.go
@@ -46,6 +46,7 @@
 		f := t.Field(i)
 		key := prefix + f.Tag.Get("toml")
 		switch {
+		case !f.IsExported(): // never read from a file
 		case f.Type.Kind() == reflect.Struct:
 			collect(f.Type, key+".", keys)
 		case f.Type.Kind() == reflect.Map && f.Type.Elem().Kind() == reflect.Struct:
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -33,6 +33,9 @@
 	Faults   Faults   `toml:"faults"`
 	// Experiment switches a baseline policy on; see the type.
 	Experiment Experiment `toml:"experiment"`
+
+	tuned   Tuned
+	notices []Problem
 }
 
 // Instance says who this daemon is.
@@ -55,7 +58,7 @@
 	// AddressTTL is how long callers may keep a list of addresses. Default 2 s.
 	AddressTTL bundle.Duration `toml:"address_ttl"`
 	// DrainTimeout bounds a graceful shutdown. Default 10 min.
-	DrainTimeout bundle.Duration `toml:"drain_timeout"`
+	DrainTimeout Text `toml:"drain_timeout"`
 }
 
 // Peers sets the frame listener for the other instances.
@@ -172,6 +175,7 @@
 		return nil, &Problems{file, decodeProblems(err)}
 	}
 	s.fillDefaults()
+	s.tune()
 	if list := s.check(); len(list) > 0 {
 		return nil, &Problems{file, list}
 	}
@@ -203,15 +207,12 @@
 	if s.Callers.AddressTTL == 0 {
 		s.Callers.AddressTTL = bundle.Duration(DefaultAddressTTL)
 	}
-	if s.Callers.DrainTimeout == 0 {
-		s.Callers.DrainTimeout = bundle.Duration(DefaultDrainTimeout)
-	}
-	s.Routing.fillDefaults()
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
 }
 
+// nameRE is for names that stand in bundles and commands.
 var nameRE = regexp.MustCompile(`^[a-z0-9][a-z0-9_.-]{0,63}$`)
 
 type checker struct{ list []Problem }
@@ -237,7 +238,8 @@
 	c.address("callers.address", s.Callers.Address)
 	c.require(s.Callers.MaxBodyBytes > 0 && s.Callers.MaxBodyBytes <= 64<<20, "callers.max_body_bytes", "must be 1 to 67108864")
 	c.require(s.Callers.AddressTTL.D() >= 100*time.Millisecond, "callers.address_ttl", "must be at least 100ms")
-	c.require(s.Callers.DrainTimeout > 0, "callers.drain_timeout", "must be above 0")
+	c.require(s.tuned.DrainTimeout > 0, "callers.drain_timeout", "must be above 0")
+	c.list = append(c.list, s.notices...)
 	s.checkPeers(c)
 	b := s.Experiment.Baseline
 	c.require(b == "" || b == "round_robin" || b == "two_choices", "experiment.baseline", "must be empty, \"round_robin\" or \"two_choices\"")
@@ -276,7 +278,7 @@
 	if s.Peers.Listen != "" {
 		c.address("peers.listen", s.Peers.Listen)
 	}
-	c.require(len(s.Peers.Seeds) > 0, "peers.seeds", "needs at least one peer address")
+	c.require(len(s.Peers.Seeds) > 0 || s.Routing.Enabled, "peers.seeds", "needs at least one peer address")
 	for _, a := range s.Peers.Seeds {
 		c.address("peers.seeds", a)
 	}
