Short calls may fill 0.7 of their engines' slots; the age of counts is told

Hypothesis: with 12 slots an engine, slots and not reading decide how many engines chats need, and 0.6 of them leaves five free beside long prompts that are refused.

Change: shortSlots 0.6 to 0.7. The age that a message tells is that of the counts in it; before, two collectors added up each other's.

--- a/core/balance/needs.go
+++ b/core/balance/needs.go
@@ -13,8 +13,11 @@
 	shortDuty = 0.45
 	longDuty  = 0.7
 	// shortSlots and longSlots are the parts of the slots that the calls of each
-	// side may fill.
-	shortSlots = 0.6
+	// side may fill. Where engines have few slots, these and not the reading decide
+	// how many engines chats need: with 0.6 of 12 slots, long prompts are refused while
+	// engines kept for chats have five slots free; from 0.8 on, a replayed overload
+	// makes a sixth of the chats late instead of a twelfth.
+	shortSlots = 0.7
 	longSlots  = 0.75
 	// mostPiled bounds what running calls make the long side need against what its
 	// reading does. Long prompts that pile up on a side that is behind must not make
--- a/core/balance/peers.go
+++ b/core/balance/peers.go
@@ -218,10 +218,16 @@
 
 // CountsAge is how old the counts of others are, on average over their calls.
 func (b *Balancer) CountsAge(now time.Time) time.Duration {
+	return b.age(now, 0, func(*peer) bool { return true })
+}
+
+// age is the average age of the counts of the peers that are included, and of so many
+// calls that are known as they are.
+func (b *Balancer) age(now time.Time, own int, included func(*peer) bool) time.Duration {
 	var sum time.Duration
-	calls := 0
+	calls := own
 	for _, p := range b.peers {
-		if p.fresh(now) {
+		if p.fresh(now) && included(p) {
 			sum += time.Duration(p.running) * (now.Sub(p.at) + p.age)
 			calls += p.running
 		}
@@ -231,3 +237,19 @@
 	}
 	return sum / time.Duration(calls)
 }
+
+// ageFor is the age of what a peer is told.
+func (b *Balancer) ageFor(now time.Time, to *peer, below bool) time.Duration {
+	return b.age(now, b.ownRunning(), func(p *peer) bool { return p != to && (!below || b.counted(p)) })
+}
+
+// ownRunning counts this instance's own calls.
+func (b *Balancer) ownRunning() int {
+	n := 0
+	for _, s := range b.slots {
+		if s != nil {
+			n += s.own.Running
+		}
+	}
+	return n
+}
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -64,11 +64,14 @@
 	m := p.out.Next(v, content, b.firstStream)
 	m.Name, m.Level = b.name, b.level
 	m.Heard = p.in.Heard()
-	m.AgeMillis = uint16(min(b.CountsAge(now), peerTime).Milliseconds())
+	m.AgeMillis = uint16(min(b.ageFor(now, p, below), mostAge).Milliseconds())
 	m.Decides = kind == counts.ToPeer && len(content.Boundaries) > 0 && b.decider(now) == nil
 	return m
 }
 
+// mostAge bounds the age that is told: beyond it counts are as good as unknown.
+const mostAge = time.Minute
+
 // subtreeView is what this instance and the members below it have; the receiver's
 // own part is left out.
 type subtreeView struct {
