--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	go test -run '^$$' -fuzz '^FuzzCallHeaders$$' -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz '^FuzzAnswerHeaders$$' -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz '^FuzzReport$$' -fuzztime $(FUZZTIME) ./core/balance
+	go test -run '^$$' -fuzz '^FuzzTake$$' -fuzztime $(FUZZTIME) ./core/counts
 	go test -run '^$$' -fuzz '^FuzzCommand$$' -fuzztime $(FUZZTIME) ./core/state
 	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) ./core/wire
 	go test -run '^$$' -fuzz '^FuzzMessage$$' -fuzztime $(FUZZTIME) ./core/membership
--- a/core/balance/peers.go
+++ b/core/balance/peers.go
@@ -69,43 +69,51 @@
 	p := b.peer(now, m.Name)
 	p.out.Heard(m.Heard)
 	u, ok := p.in.Take(m)
-	if m.Kind == counts.Answer && ok {
-		b.leaveOthers(p)
-	}
 	moved := ok && (p.at.IsZero() || p.kind != m.Kind || p.level != m.Level)
 	if ok {
 		p.at, p.kind, p.level, p.decides = now, m.Kind, m.Level, m.Decides
 		p.age = time.Duration(m.AgeMillis) * time.Millisecond
 		p.rates = ratesOf(m.Rates)
 	}
+	if ok && p.kind == counts.Answer {
+		b.leaveOthers(p)
+	}
+	b.takeRows(p, u, moved)
+	b.shareSpeeds()
+	b.takeUses(now, p, u.Uses)
+	if u.Begun || u.Boundaries != nil {
+		p.boundaries = boundariesOf(u.Boundaries)
+	}
+	b.begin(now, p.boundaries)
+}
+
+// takeRows takes what has changed at the servers; moved: the peer has another place
+// among the collectors than before.
+func (b *Balancer) takeRows(p *peer, u counts.Update, moved bool) {
 	if u.Begun || moved {
 		b.recount()
-	} else {
-		for _, number := range u.Changed {
-			id, row := p.in.Server(number)
-			if s := b.servers[id]; s != nil {
-				b.setRow(p, s, row)
-			}
+		return
+	}
+	for _, number := range u.Changed {
+		id, row := p.in.Server(number)
+		if s := b.servers[id]; s != nil {
+			b.setRow(p, s, row)
 		}
 	}
-	b.shareSpeeds()
-	for _, use := range u.Uses {
+}
+
+// takeUses notes which shared parts were given to servers elsewhere.
+func (b *Balancer) takeUses(now time.Time, from *peer, list []counts.Use) {
+	for _, use := range list {
 		s := b.servers[use.Server]
 		if s == nil {
 			continue
 		}
 		b.pool(s.Pool).noteHolder(use.Part, s)
 		if s.parts.use(now, use.Part) {
-			b.uses.add(now, p, use)
+			b.uses.add(now, from, use)
 		}
 	}
-	if u.Begun && u.Boundaries == nil {
-		p.boundaries = nil
-	}
-	if u.Boundaries != nil {
-		p.boundaries = boundariesOf(u.Boundaries)
-	}
-	b.begin(now, p.boundaries)
 }
 
 // leaveOthers forgets whom this instance heard of the others before: a collector's
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"cardamomwick.example/core/counts"
@@ -33,25 +34,22 @@
 // ReportTo returns the next message with this instance's counts, and those of the
 // members below it, for its collector.
 func (b *Balancer) ReportTo(now time.Time, collector string) counts.Message {
-	p := b.peer(now, collector)
-	return b.message(now, p, counts.FromMember, &subtreeView{b, p})
+	return b.message(now, b.peer(now, collector), counts.FromMember)
 }
 
 // SumTo returns the next message with the same counts for another collector, and
 // the boundaries that this one goes by.
 func (b *Balancer) SumTo(now time.Time, peer string) counts.Message {
-	p := b.peer(now, peer)
-	return b.message(now, p, counts.ToPeer, &subtreeView{b, p})
+	return b.message(now, b.peer(now, peer), counts.ToPeer)
 }
 
 // AnswerTo returns the next message with what everyone but the named member has,
 // and the boundaries that this instance goes by.
 func (b *Balancer) AnswerTo(now time.Time, member string) counts.Message {
-	p := b.peer(now, member)
-	return b.message(now, p, counts.Answer, &answerView{b, p})
+	return b.message(now, b.peer(now, member), counts.Answer)
 }
 
-func (b *Balancer) message(now time.Time, p *peer, kind counts.Kind, v counts.View) counts.Message {
+func (b *Balancer) message(now time.Time, p *peer, kind counts.Kind) counts.Message {
 	if b.since.IsZero() {
 		b.since = now
 	}
@@ -61,7 +59,7 @@
 		content.Boundaries, content.Version = b.boundaries(now)
 	}
 	content.Uses = b.uses.next(now, p, below, b.counted)
-	m := p.out.Next(v, content, b.firstStream)
+	m := p.out.Next(&view{b, p, below}, content, b.firstStream)
 	m.Name, m.Level = b.name, b.level
 	m.Heard = p.in.Heard()
 	m.AgeMillis = uint16(min(b.ageFor(now, p, below), mostAge).Milliseconds())
@@ -72,63 +70,43 @@
 // mostAge bounds the age that is told: beyond it counts are as good as unknown.
 const mostAge = time.Minute
 
-// subtreeView is what this instance and the members below it have; the receiver's
-// own part is left out.
-type subtreeView struct {
-	b  *Balancer
-	to *peer
+// view is what a peer is told: what everyone but the peer has, or with below only what
+// this instance and the members below it have.
+type view struct {
+	b     *Balancer
+	to    *peer
+	below bool
 }
 
 // Slots implements counts.View.
-func (v *subtreeView) Slots() int { return len(v.b.slots) }
+func (v *view) Slots() int { return len(v.b.slots) }
 
 // Version implements counts.View.
-func (v *subtreeView) Version(slot int) uint64 { return v.b.slotVersion(slot) }
-
-// Row implements counts.View.
-func (v *subtreeView) Row(slot int) (string, counts.Row) {
-	s := v.b.slots[slot]
-	if s == nil {
-		return "", counts.Row{}
-	}
-	r := s.ownRow()
-	r.Add(s.below)
-	if v.b.counted(v.to) {
-		r.Sub(v.to.row(slot))
+func (v *view) Version(slot int) uint64 {
+	if s := v.b.slots[slot]; s != nil {
+		return s.version
 	}
-	return s.ID, r
-}
-
-// answerView is what everyone but the receiver has.
-type answerView struct {
-	b  *Balancer
-	to *peer
+	return 0
 }
 
-// Slots implements counts.View.
-func (v *answerView) Slots() int { return len(v.b.slots) }
-
-// Version implements counts.View.
-func (v *answerView) Version(slot int) uint64 { return v.b.slotVersion(slot) }
-
 // Row implements counts.View.
-func (v *answerView) Row(slot int) (string, counts.Row) {
+func (v *view) Row(slot int) (string, counts.Row) {
 	s := v.b.slots[slot]
 	if s == nil {
 		return "", counts.Row{}
 	}
 	r := s.ownRow()
-	r.Add(s.others)
-	r.Sub(v.to.row(slot))
-	return s.ID, r
-}
-
-// slotVersion rises with each change at a slot; 0 for an empty one.
-func (b *Balancer) slotVersion(slot int) uint64 {
-	if s := b.slots[slot]; s != nil {
-		return s.version
+	switch {
+	case !v.below:
+		r.Add(s.others)
+		r.Sub(v.to.row(slot))
+	case v.b.counted(v.to):
+		r.Add(s.below)
+		r.Sub(v.to.row(slot))
+	default:
+		r.Add(s.below)
 	}
-	return 0
+	return s.ID, r
 }
 
 // touch notes that the counts at a server have changed.
@@ -193,7 +171,7 @@
 			list = append(list, counts.Boundary{Pool: name, Share: p.sides.share, Engines: engines})
 		}
 	}
-	slices.SortFunc(list, func(x, y counts.Boundary) int { return compareText(x.Pool, y.Pool) })
+	slices.SortFunc(list, func(x, y counts.Boundary) int { return strings.Compare(x.Pool, y.Pool) })
 	if !slices.EqualFunc(list, t.list, sameBoundary) {
 		t.list = list
 		t.version++
@@ -201,16 +179,6 @@
 	return t.list, t.version
 }
 
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func sameBoundary(x, y counts.Boundary) bool {
 	return x.Pool == y.Pool && x.Share == y.Share && slices.Equal(x.Engines, y.Engines)
 }
