Sight: what request failed, and which servers ended under calls

Cause: lines about calls name the caller's attempt, which is new with each repeat, and nothing of the request, so the logs of the incident can't tell whether the calls under which servers end are one request; and no line says that a server has ended. Change: the line of a failed attempt bears a digest of customer, method, host, path and body (made only then), and an entry whose call breaks off looks whether the server's port still takes connections: a refusal is proof that the process is gone, which a broken connection is not.

--- /dev/null
+++ b/daemon/quarantine/ended.go
@@ -0,0 +1,77 @@
+// Package quarantine finds out which requests end the backend servers that run
+// them, tells the other instances, and keeps such requests from the servers. The
+// decisions are made in core/quarantine.
+package quarantine
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Checks of a server whose connection broke. A process that ends closes its
+// connections and its listener within milliseconds, in any order: the second check is
+// for a listener that went later. Both come before a process that is started again
+// can listen.
+const (
+	firstCheck  = 10 * time.Millisecond
+	secondCheck = 150 * time.Millisecond
+	// checkTimeout bounds a check's dial. A host that does not answer may be cut off:
+	// that proves nothing.
+	checkTimeout = 300 * time.Millisecond
+)
+
+// checker tells servers that have ended from those that only broke a connection:
+// answers are also cut short, lost and reset while their server lives on. A host that
+// refuses connections to a server's port shows that the server's process has ended.
+// Safe for concurrent use.
+type checker struct {
+	mu      sync.Mutex
+	running map[string]bool
+	// after is told of each check's end, and whether the server has ended.
+	after func(server string, ended bool)
+}
+
+func newChecker(after func(server string, ended bool)) *checker {
+	return &checker{running: map[string]bool{}, after: after}
+}
+
+// check looks, in the background, whether a server has ended. Only one check of a
+// server runs at a time.
+func (c *checker) check(server, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running[server] {
+		return
+	}
+	c.running[server] = true
+	go func() {
+		ended := refusesSoon(address)
+		c.mu.Lock()
+		delete(c.running, server)
+		c.mu.Unlock()
+		c.after(server, ended)
+	}()
+}
+
+func refusesSoon(address string) bool {
+	for _, pause := range []time.Duration{firstCheck, secondCheck} {
+		time.Sleep(pause)
+		if refuses(address) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuses reports whether nobody listens at an address, by its host's own word.
+func refuses(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, checkTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close() // the server lives
+	return false
+}
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -12,6 +12,7 @@
 
 	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/upstream"
 )
@@ -69,6 +70,8 @@
 	paid   bool
 	stream *stream
 	last   *upstream.Error
+	// identity is the request's digest; nil until it is asked for.
+	identity *quarantine.Digest
 }
 
 // verdict tells how an attempt ended.
@@ -201,7 +204,7 @@
 	target := upstream.Target{ID: s.ID, Address: s.Address, MaxConnections: c.router.share(c.pool.MaxConnections)}
 	resp, err := c.router.upstream.Send(ctx, target, c.request(s))
 	if err != nil {
-		return c.noteError(s, err)
+		return c.noteError(ctx, s, err)
 	}
 	defer resp.Close()
 	return c.pass(ctx, s, resp)
@@ -258,12 +261,13 @@
 	return req.URL.RequestURI() // the absolute form names the host as well
 }
 
-func (c *call) noteError(s fleet.Server, err error) verdict {
+func (c *call) noteError(ctx context.Context, s fleet.Server, err error) verdict {
 	var e *upstream.Error
 	if !errors.As(err, &e) {
 		e = &upstream.Error{Sent: true, Step: "send", Server: s.ID, Err: err}
 	}
 	c.last = e
+	c.noteBroken(ctx, s, e)
 	callerLeft := c.req.Context().Err() != nil
 	inTime := time.Now().Before(c.until)
 	if !errors.Is(e.Err, upstream.ErrConnections) && !callerLeft && inTime {
@@ -304,7 +308,7 @@
 	if success && c.route.Semantics == routing.Stream {
 		return c.passStream(ctx, s, resp)
 	}
-	return c.passWhole(s, resp)
+	return c.passWhole(ctx, s, resp)
 }
 
 func (c *call) noteRefusal(s fleet.Server, resp *upstream.Response) verdict {
@@ -326,10 +330,11 @@
 var errRefused = errors.New("the server did not run the call")
 
 // passWhole passes a whole answer on, once all of it is there.
-func (c *call) passWhole(s fleet.Server, resp *upstream.Response) verdict {
+func (c *call) passWhole(ctx context.Context, s fleet.Server, resp *upstream.Response) verdict {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		c.last = &upstream.Error{Sent: true, Step: "read answer", Server: s.ID, Err: err}
+		c.noteBroken(ctx, s, c.last)
 		if time.Now().Before(c.until) && c.req.Context().Err() == nil {
 			c.router.bad(s.ID, false)
 		}
--- /dev/null
+++ b/daemon/router/request.go
@@ -0,0 +1,45 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/daemon/upstream"
+)
+
+// digest identifies the request. It is made when it is first asked for: calls that
+// nothing happens to don't need it.
+func (c *call) digest() quarantine.Digest {
+	if c.identity == nil {
+		r := quarantine.Request{Method: c.req.Method, Host: c.req.Host, URI: requestURI(c.req), Body: c.body}
+		if c.customer != nil {
+			r.Customer = c.customer.Name
+		}
+		d := r.Digest()
+		c.identity = &d
+	}
+	return *c.identity
+}
+
+// noteBroken tells the quarantine of a run that the server broke off. Runs that this
+// instance or the caller ended say nothing of the server.
+func (c *call) noteBroken(ctx context.Context, s fleet.Server, e *upstream.Error) {
+	if e.Sent && ctx.Err() == nil && connectionBroke(e) {
+		c.router.opt.Quarantine.Broke(s.ID, s.Address, c.digest())
+	}
+}
+
+// connectionBroke reports whether an attempt ended with its connection, and not by
+// an answer that can't be passed on.
+func connectionBroke(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -23,6 +23,7 @@
 	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/core/warmup"
+	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/telemetry"
 	"cardamomwick.example/daemon/upstream"
 )
@@ -42,6 +43,9 @@
 	Retry RetryLimits
 	// Metrics counts calls; New makes a set of its own when it is nil.
 	Metrics *telemetry.Metrics
+	// Quarantine is told of runs that break off; New makes one of its own when it is
+	// nil.
+	Quarantine *quarantine.Keeper
 }
 
 // RetryLimits are the limits of repeated attempts per pool; see retry.Window.
@@ -77,6 +81,9 @@
 	if o.Metrics == nil {
 		o.Metrics = telemetry.New()
 	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New()
+	}
 	return &Router{opt: o, started: time.Now(), equipped: make(chan struct{}), upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Name, rand.Uint32()), budgets: map[string]*retry.Window{}}
 }
 
