A request that ends the servers that run it is kept from them

What callers saw: up to half of the chats failed for seconds, while engine after engine ended. Cause (a query of death without a quarantine): an entry knew a call only until its final answer. A request that ended its engine came again as a new call, at whichever entry, and got the next engine; nothing anywhere counted the engines by request.

Change: a request is known by a digest of customer, method, host, path and body. An entry whose call breaks off finds out whether the server has ended (its host refuses connections, or a newer start announces itself) and tells two judges, instances picked by the digest. Three ends one after the other without a success between hold the request for 10 minutes at all instances, by a ruling that is sent to all and told again by lot; ends of many servers at once, and ends that a held request explains, are not held against others. Held requests get 503 at once, not run, with the time at which the hold ends. Chosen over the replicated log: facts need no order, and it works without a leader.

Why it holds: every way of a routed call to a server asks before each attempt.

--- /dev/null
+++ b/core/quarantine/judge.go
@@ -0,0 +1,211 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Ending says that a server ended while a run of a request was in flight there. A
+// broken connection is none: there must be proof that the server's process is gone.
+type Ending struct {
+	Request Digest `msgpack:"d"`
+	// Server is the start of the server that ended.
+	Server string `msgpack:"s"`
+	// Began and Ended are how long ago the run began and broke off, at the moment of
+	// telling.
+	Began time.Duration `msgpack:"b"`
+	Ended time.Duration `msgpack:"e"`
+	// Others are servers that broke off calls at the same time, as far as the instance
+	// that tells this has seen; MostOthers at most.
+	Others []string `msgpack:"o,omitempty"`
+}
+
+// Ends of many servers at the same time, as a power cut, a mass kill or a release
+// gone wrong bring them, have a cause of their own.
+const (
+	// SameTime is how far apart ends at the same time may be.
+	SameTime = 500 * time.Millisecond
+	// MostOthers bounds the servers named in an ending: enough to tell a mass of ends,
+	// though the request itself may account for some of them.
+	MostOthers = 4
+	// massOthers is the number of others from which an end is not held against a
+	// request that did not run there.
+	massOthers = 2
+)
+
+// Bounds of a judge's memory: a record takes 200 bytes, at most 3 KB.
+const (
+	mostRecords = 4096
+	keptServers = 32
+	keptRounds  = 8
+)
+
+// Judge counts the servers that end under requests, and decides. All endings of a
+// request go to the same judge, an instance that its digest picks.
+//
+// The load pattern it answers: a request ends each server that runs it and comes again,
+// at any instance; with it end the runs of everybody else on these servers, dozens at
+// a time, some of which are repeated too and meet the next end. What tells them apart
+// is that the others succeed before they have met three ends one after the other, and
+// that an end which a held request explains is not held against the others. Nor is an
+// end among many at the same time, unless the request ran at these servers too; and
+// then they count once: a power cut ends many servers under calls that are alike, such
+// as health checks, which have one body for all.
+//
+// Not safe for concurrent use.
+type Judge struct {
+	register *Register
+	records  map[Digest]*record
+}
+
+// record is what is known against a request.
+type record struct {
+	// prior counts the rounds behind a ruling that was there before the record.
+	prior  int
+	rounds []round
+	// servers are those that ended under it, in any round.
+	servers []string
+	last    time.Time
+}
+
+// round is one end; the next one counts if its run began later.
+type round struct {
+	server string
+	ended  time.Time
+	others []string
+}
+
+// NewJudge returns a judge that puts its rulings into a register.
+func NewJudge(r *Register) *Judge { return &Judge{register: r, records: map[Digest]*record{}} }
+
+// Take takes an ending and returns the ruling to tell, if it led to one.
+func (j *Judge) Take(now time.Time, e Ending) (Ruling, bool) {
+	if j.register.Blamed(now, e.Server, e.Request) {
+		return Ruling{}, false
+	}
+	standing, known := j.register.Ruling(now, e.Request)
+	if known && standing.Standing == Held {
+		return j.again(now, e)
+	}
+	rec := j.record(now, e.Request)
+	if slices.Contains(rec.servers, e.Server) {
+		return Ruling{}, false
+	}
+	rec.add(now.Add(-e.Began), round{e.Server, now.Add(-e.Ended), e.Others[:min(len(e.Others), MostOthers)]})
+	rounds := rec.prior + rec.counted()
+	switch {
+	case rounds >= roundsToHold:
+		delete(j.records, e.Request)
+		return j.rule(now, e.Request, Held, rec.servers)
+	case rounds >= roundsToSuspect && !(known && standing.Standing == Suspected):
+		return j.rule(now, e.Request, Suspected, rec.servers)
+	}
+	return Ruling{}, false
+}
+
+// again notes one more server that ended under a held request, by a run that had
+// begun before: it explains that end for the others.
+func (j *Judge) again(now time.Time, e Ending) (Ruling, bool) {
+	d := j.register.rulings[e.Request]
+	if !d.addServers([]string{e.Server}) {
+		return Ruling{}, false
+	}
+	j.Explain(d.Ruling)
+	return d.told(now), true
+}
+
+func (j *Judge) rule(now time.Time, request Digest, s Standing, servers []string) (Ruling, bool) {
+	before, _ := j.register.Ruling(now, request)
+	x := Ruling{Digest: request, Standing: s, Version: before.Version + 1, Servers: slices.Clone(servers[max(0, len(servers)-mostServers):])}
+	j.register.Take(now, x)
+	j.Explain(x)
+	return x, true
+}
+
+// Explain takes the ends of a held request's servers from what is known against other
+// requests.
+func (j *Judge) Explain(x Ruling) {
+	if x.Standing != Held {
+		return
+	}
+	for digest, rec := range j.records {
+		if digest != x.Digest {
+			rec.rounds = slices.DeleteFunc(rec.rounds, func(r round) bool { return slices.Contains(x.Servers, r.server) })
+		}
+	}
+}
+
+// Succeeded clears a request that a server has answered; the ruling is to be told if
+// the request was suspected or held.
+func (j *Judge) Succeeded(now time.Time, request Digest) (Ruling, bool) {
+	delete(j.records, request)
+	standing, known := j.register.Ruling(now, request)
+	if !known || standing.Standing == Cleared {
+		return Ruling{}, false
+	}
+	return j.rule(now, request, Cleared, nil)
+}
+
+// Forget drops what is known against requests that no server has ended under lately.
+func (j *Judge) Forget(now time.Time) {
+	for digest, rec := range j.records {
+		if now.Sub(rec.last) >= memoryTime {
+			delete(j.records, digest)
+		}
+	}
+}
+
+func (j *Judge) record(now time.Time, request Digest) *record {
+	rec := j.records[request]
+	if rec == nil {
+		if len(j.records) >= mostRecords {
+			j.dropOne()
+		}
+		rec = &record{}
+		if standing, known := j.register.Ruling(now, request); known && standing.Standing == Suspected {
+			rec.prior = roundsToHold - 1 // by another judge, or before a hold that is over
+		}
+		j.records[request] = rec
+	}
+	rec.last = now
+	return rec
+}
+
+// dropOne makes room: what has the fewest rounds goes first, then the oldest.
+func (j *Judge) dropOne() {
+	var least Digest
+	var worst *record
+	for digest, rec := range j.records {
+		if worst == nil || len(rec.rounds) < len(worst.rounds) || len(rec.rounds) == len(worst.rounds) && rec.last.Before(worst.last) {
+			least, worst = digest, rec
+		}
+	}
+	delete(j.records, least)
+}
+
+// add counts an end as a round of its own if its run began after the last round.
+func (r *record) add(began time.Time, x round) {
+	r.servers = append(r.servers, x.server)
+	r.servers = r.servers[max(0, len(r.servers)-keptServers):]
+	if n := len(r.rounds); n == 0 || began.After(r.rounds[n-1].ended) {
+		r.rounds = append(r.rounds, x)
+		r.rounds = r.rounds[max(0, len(r.rounds)-keptRounds):]
+	}
+}
+
+// counted is the number of rounds that tell something about the request.
+func (r *record) counted() int {
+	n := 0
+	for _, x := range r.rounds {
+		others := 0
+		for _, server := range x.others {
+			if !slices.Contains(r.servers, server) {
+				others++
+			}
+		}
+		if others < massOthers {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/quarantine/replay_test.go
@@ -0,0 +1,181 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// replay is a pool of servers under calls, with a judge.
+type replay struct {
+	*world
+	rnd     *rand.Rand
+	servers []*server
+	started int
+	running map[*run]bool
+	// refused counts the calls that were held, by request.
+	refused map[string]int
+	ends    int
+	calls   int
+}
+
+type server struct {
+	id   string
+	back time.Time
+}
+
+// run is one run of a request.
+type run struct {
+	request string
+	server  *server
+	began   time.Time
+	until   time.Time
+	// runs is how many are left to the call, this one included.
+	runs int
+}
+
+const (
+	tick     = 10 * time.Millisecond
+	downtime = 4 * time.Second
+)
+
+func newReplay(t *testing.T, servers int, seed int64) *replay {
+	p := &replay{world: newWorld(t), rnd: rand.New(rand.NewSource(seed)), running: map[*run]bool{}, refused: map[string]int{}}
+	for range servers {
+		p.servers = append(p.servers, &server{id: p.newStart()})
+	}
+	return p
+}
+
+func (p *replay) newStart() string {
+	p.started++
+	return fmt.Sprint("start-", p.started)
+}
+
+// begin sends a request to a server that is there; it begins a moment later.
+func (p *replay) begin(request string, lasts time.Duration, runs int) {
+	began := p.now.Add(time.Millisecond)
+	if x, known := p.r.Ruling(p.now, digest(request)); known && x.Standing == Held {
+		p.refused[request]++
+		return
+	}
+	s := p.servers[p.rnd.Intn(len(p.servers))]
+	if p.now.Before(s.back) {
+		return
+	}
+	p.running[&run{request, s, began, began.Add(lasts), runs}] = true
+}
+
+// crash ends servers at the same time; their runs are reported, and begin anew if
+// they may.
+func (p *replay) crash(list ...*server) {
+	var ids []string
+	for _, s := range list {
+		ids = append(ids, s.id)
+	}
+	p.ends += len(list)
+	for i, s := range list {
+		others := append(append([]string{}, ids[:i]...), ids[i+1:]...)
+		s.id, s.back = p.newStart(), p.now.Add(downtime)
+		p.report(s, ids[i], others[:min(len(others), MostOthers)])
+	}
+}
+
+func (p *replay) report(s *server, id string, others []string) {
+	for r := range p.running {
+		if r.server != s {
+			continue
+		}
+		delete(p.running, r)
+		p.j.Take(p.now, Ending{Request: digest(r.request), Server: id, Began: p.now.Sub(r.began), Others: others})
+		if r.runs > 1 {
+			p.begin(r.request, r.until.Sub(r.began), r.runs-1)
+		}
+	}
+}
+
+const (
+	lethal = "lethal"
+	// lethalEnds is the most that one request may end: three, and the three that users
+	// allow until all instances know.
+	lethalEnds = 6
+)
+
+// step lets the runs of one tick end and new calls come.
+func (p *replay) step() {
+	p.after(tick)
+	for r := range p.running {
+		if p.now.Before(r.until) {
+			continue
+		}
+		if r.request == lethal {
+			p.crash(r.server)
+			continue
+		}
+		delete(p.running, r)
+		if x, known := p.r.Ruling(p.now, digest(r.request)); known && x.Standing == Suspected {
+			p.j.Succeeded(p.now, digest(r.request))
+		}
+	}
+	for range 3 {
+		p.calls++
+		switch p.rnd.Intn(5) {
+		case 0:
+			p.begin(fmt.Sprint("ping of ", p.rnd.Intn(10)), 30*time.Millisecond, 4)
+		case 1:
+			p.begin(fmt.Sprint("digest ", p.calls), 1500*time.Millisecond, 4)
+		default:
+			p.begin(fmt.Sprint("chat ", p.calls), 800*time.Millisecond, 1)
+		}
+	}
+}
+
+// Each half second somebody sends a request that ends its server; 300 other calls come
+// each second, some with one body for all, some repeated up to three times. None of
+// the others may be held.
+func TestInnocentBesideALethalRequest(t *testing.T) {
+	for seed := range int64(20) {
+		p := newReplay(t, 12, seed)
+		for n := range int(20 * time.Second / tick) {
+			p.step()
+			if n%50 == 0 {
+				p.begin(lethal, 100*time.Millisecond, 2)
+			}
+		}
+		p.check(lethalEnds)
+	}
+}
+
+// Half of the servers end at once, three times within seconds; no request is to blame.
+func TestInnocentInMassCrashes(t *testing.T) {
+	for seed := range int64(20) {
+		p := newReplay(t, 40, seed)
+		for n := range int(20 * time.Second / tick) {
+			p.step()
+			if n == 500 || n == 600 || n == 700 {
+				var half []*server
+				for _, s := range p.servers {
+					if p.rnd.Intn(2) == 0 && !p.now.Before(s.back) {
+						half = append(half, s)
+					}
+				}
+				p.crash(half...)
+			}
+		}
+		p.check(p.ends)
+	}
+}
+
+func (p *replay) check(mostEnds int) {
+	p.t.Helper()
+	p.t.Logf("%d calls, %d servers ended, held: %v", p.calls, p.ends, p.refused)
+	if p.ends > mostEnds {
+		p.t.Errorf("%d servers ended; at most %d may", p.ends, mostEnds)
+	}
+	for request := range p.refused {
+		if request != lethal {
+			p.t.Errorf("%q was held", request)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/quarantine/broken.go
@@ -0,0 +1,91 @@
+package quarantine
+
+import (
+	"time"
+
+	"cardamomwick.example/core/quarantine"
+)
+
+// Bounds of what is remembered of broken runs: 64 bytes each.
+const (
+	mostServers = 1024
+	mostRuns    = 256
+	// proofTime is how long runs that broke off wait for the proof that their server
+	// has ended: it may be a newer start that announces itself some seconds later.
+	proofTime = 10 * time.Second
+)
+
+// run is a run that broke off.
+type run struct {
+	request      quarantine.Digest
+	began, ended time.Time
+}
+
+// brokenServer is a server that broke off runs.
+type brokenServer struct {
+	last time.Time
+	runs []run
+	// ended: there is proof already.
+	ended bool
+}
+
+// broken holds the servers that broke off runs lately, by their starts' IDs.
+type broken map[string]*brokenServer
+
+func (b broken) server(now time.Time, id string) *brokenServer {
+	s := b[id]
+	if s == nil {
+		if len(b) >= mostServers {
+			b.forget(now, quarantine.SameTime)
+		}
+		if len(b) >= mostServers {
+			return &brokenServer{} // not remembered: thousands of servers break at once
+		}
+		s = &brokenServer{}
+		b[id] = s
+	}
+	s.last = now
+	return s
+}
+
+// add notes a run.
+func (b broken) add(now time.Time, id string, r run) {
+	if s := b.server(now, id); len(s.runs) < mostRuns {
+		s.runs = append(s.runs, r)
+	}
+}
+
+// take returns the runs at a server that has ended, each of them once.
+func (b broken) take(now time.Time, id string) []run {
+	s := b.server(now, id)
+	runs := s.runs
+	s.runs, s.ended = nil, true
+	return runs
+}
+
+// hasEnded reports whether there was proof before.
+func (b broken) hasEnded(id string) bool { return b[id] != nil && b[id].ended }
+
+// others lists servers that broke off runs at the same time as the given one.
+func (b broken) others(id string) []string {
+	var out []string
+	at := b[id]
+	if at == nil {
+		return nil
+	}
+	for other, s := range b {
+		if other != id && len(out) < quarantine.MostOthers && s.last.Sub(at.last).Abs() <= quarantine.SameTime {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// forget drops what is older than a time.
+func (b broken) forget(now time.Time, age time.Duration) {
+	for id, s := range b {
+		if now.Sub(s.last) >= age {
+			delete(b, id)
+		}
+	}
+}
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -1,58 +1,137 @@
 package quarantine
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
-	"github.com/apex/log"
-
+	"cardamomwick.example/core/membership"
 	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/loop"
+)
+
+// Methods of frames between keepers.
+const (
+	methodEndings = "quarantine.endings"
+	methodRulings = "quarantine.rulings"
+	methodSuccess = "quarantine.success"
+)
+
+const (
+	// tellPeriod is the time between two tellings of rulings, each to one instance by
+	// lot: an instance that has just started, or was cut off, knows them after some of
+	// these. With eight rulings of 30 to 200 bytes it is 3 KB/s at most, and nothing
+	// while there are none.
+	tellPeriod = 500 * time.Millisecond
+	// judges are the instances that count the endings of a request, so that one may be
+	// lost.
+	judges = 2
 )
 
-// Keeper is an instance's part in the quarantine. Safe for concurrent use.
+// Options sets up a Keeper.
+type Options struct {
+	// Transport connects it with the other instances; nil for an instance on its own.
+	Transport *frame.Transport
+	// Instances lists all instances, this one included.
+	Instances func() []membership.Instance
+}
+
+// Keeper is an instance's part in the quarantine: it reports what ended here, counts
+// for the requests that it is a judge of, and knows the rulings of all. It is a suture
+// service. Safe for concurrent use.
 type Keeper struct {
+	opt     Options
 	checker *checker
+	// known is how many rulings there are. While it is 0 nothing is looked up.
+	known atomic.Int64
+	// ended counts the servers that were found to have ended under calls.
+	ended atomic.Int64
 
-	mu sync.Mutex
-	// broken are the requests whose runs broke off at a server that is being checked.
-	broken map[string][]quarantine.Digest
+	mu       sync.Mutex
+	broken   broken
+	register *quarantine.Register
+	judge    *quarantine.Judge
 }
 
-// New returns a keeper.
-func New() *Keeper {
-	k := &Keeper{broken: map[string][]quarantine.Digest{}}
+// New returns a keeper and registers its frame handlers.
+func New(o Options) *Keeper {
+	r := quarantine.NewRegister()
+	k := &Keeper{opt: o, broken: broken{}, register: r, judge: quarantine.NewJudge(r)}
 	k.checker = newChecker(k.checked)
+	if t := o.Transport; t != nil {
+		t.HandleOneWay(methodEndings, k.handleEndings)
+		t.HandleOneWay(methodRulings, k.handleRulings)
+		t.HandleOneWay(methodSuccess, k.handleSuccess)
+	}
 	return k
 }
 
-// Broke notes that a run of a request broke off, for no reason of this instance's or
-// the caller's.
-func (k *Keeper) Broke(server, address string, d quarantine.Digest) {
+// String names the service in the supervisor's log.
+func (k *Keeper) String() string { return "quarantine" }
+
+// Serve tells others of the rulings until the context ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	return loop.Every(ctx, tellPeriod, func(time.Time) { k.tellSomeone(time.Now()) })
+}
+
+// Holding returns how many requests are held.
+func (k *Keeper) Holding() int {
 	k.mu.Lock()
-	k.broken[server] = append(k.broken[server], d)
-	k.mu.Unlock()
-	k.checker.check(server, address)
+	defer k.mu.Unlock()
+	return k.register.Held(time.Now())
 }
 
-func (k *Keeper) checked(server string, ended bool) {
+// ServersEnded returns how many servers were found here to have ended under calls.
+func (k *Keeper) ServersEnded() int64 { return k.ended.Load() }
+
+// Held reports whether a request is held, and for how long still. The digest is only
+// asked for while there are rulings.
+func (k *Keeper) Held(request func() quarantine.Digest) (time.Duration, bool) {
+	x, known := k.ruling(request)
+	if !known || x.Standing != quarantine.Held {
+		return 0, false
+	}
+	return x.Left(), true
+}
+
+func (k *Keeper) ruling(request func() quarantine.Digest) (quarantine.Ruling, bool) {
+	if k.known.Load() == 0 {
+		return quarantine.Ruling{}, false
+	}
+	d := request()
 	k.mu.Lock()
-	under := k.broken[server]
-	delete(k.broken, server)
-	k.mu.Unlock()
-	fields := log.Fields{"step": "check server", "server": server, "broken_calls": len(under), "requests": texts(under)}
-	if ended {
-		log.WithFields(fields).Info("server has ended with calls in flight")
+	defer k.mu.Unlock()
+	return k.register.Ruling(time.Now(), d)
+}
+
+// Succeeded notes that a server has answered a request.
+func (k *Keeper) Succeeded(request func() quarantine.Digest) {
+	x, known := k.ruling(request)
+	if !known || x.Standing == quarantine.Cleared {
 		return
 	}
-	log.WithFields(fields).Debug("server lives on")
+	for _, judge := range k.judgesOf(x.Digest) {
+		if judge == k.self() {
+			k.takeSuccess(x.Digest)
+			continue
+		}
+		k.send(judge, methodSuccess, x.Digest)
+	}
 }
 
-// mostTexts bounds the digests in one log line.
-const mostTexts = 16
-
-func texts(list []quarantine.Digest) []string {
-	var out []string
-	for _, d := range list[:min(len(list), mostTexts)] {
-		out = append(out, d.String())
+// Broke notes that a run of a request, begun at a time, broke off, for no reason of
+// this instance's or the caller's. Whether its server has ended is looked at.
+func (k *Keeper) Broke(server, address string, request quarantine.Digest, began time.Time) {
+	now := time.Now()
+	k.mu.Lock()
+	k.broken.add(now, server, run{request, began, now})
+	ended := k.broken.hasEnded(server)
+	k.mu.Unlock()
+	if ended {
+		k.report(server)
+		return
 	}
-	return out
+	k.checker.check(server, address)
 }
--- /dev/null
+++ b/daemon/quarantine/tell.go
@@ -0,0 +1,206 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/membership"
+	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/core/wire"
+)
+
+// Ended notes that a start of a server has ended, by other proof than a refused
+// connection.
+func (k *Keeper) Ended(server string) { k.report(server) }
+
+// checked takes the outcome of a check. A server that took a connection may stand
+// behind something that listens for it: what broke off there still waits for proof.
+func (k *Keeper) checked(server string, ended bool) {
+	if ended {
+		k.report(server)
+	}
+}
+
+// report tells the judges what broke off when a server ended.
+func (k *Keeper) report(server string) {
+	now := time.Now()
+	k.mu.Lock()
+	others := k.broken.others(server)
+	runs := k.broken.take(now, server)
+	k.mu.Unlock()
+	if len(runs) == 0 {
+		return
+	}
+	k.ended.Add(1)
+	log.WithFields(log.Fields{"step": "report ended server", "server": server, "broken_calls": len(runs), "requests": texts(runs), "others": others}).
+		Info("server has ended with calls in flight")
+	k.tellEndings(now, server, runs, others)
+}
+
+func (k *Keeper) tellEndings(now time.Time, server string, runs []run, others []string) {
+	byJudge := map[string][]quarantine.Ending{}
+	for _, r := range runs {
+		e := quarantine.Ending{Request: r.request, Server: server, Began: now.Sub(r.began), Ended: now.Sub(r.ended), Others: others}
+		for _, judge := range k.judgesOf(r.request) {
+			byJudge[judge] = append(byJudge[judge], e)
+		}
+	}
+	for judge, list := range byJudge {
+		if judge == k.self() {
+			k.takeEndings(list)
+			continue
+		}
+		k.send(judge, methodEndings, list)
+	}
+}
+
+// self is this instance's peer address, "" for an instance on its own.
+func (k *Keeper) self() string {
+	if k.opt.Transport == nil {
+		return ""
+	}
+	return k.opt.Transport.Self()
+}
+
+func (k *Keeper) send(address, method string, v any) {
+	if err := k.opt.Transport.Send(address, method, v); err != nil {
+		log.WithError(err).WithFields(log.Fields{"step": "tell quarantine", "peer": address}).Debug("message lost; the other judge and the next telling remain")
+	}
+}
+
+// judgesOf returns the peer addresses of a request's judges.
+func (k *Keeper) judgesOf(request quarantine.Digest) []string {
+	if k.opt.Transport == nil {
+		return []string{""}
+	}
+	ranked := membership.Rank(string(request[:]), k.opt.Instances())
+	var out []string
+	for _, i := range ranked[:min(judges, len(ranked))] {
+		out = append(out, i.PeerAddress)
+	}
+	return out
+}
+
+// takeEndings counts endings as the judge of their requests.
+func (k *Keeper) takeEndings(list []quarantine.Ending) {
+	now := time.Now()
+	var rulings []quarantine.Ruling
+	k.mu.Lock()
+	for _, e := range list {
+		if x, tell := k.judge.Take(now, e); tell {
+			rulings = append(rulings, x)
+		}
+	}
+	k.mu.Unlock()
+	k.publish(rulings)
+}
+
+func (k *Keeper) takeSuccess(request quarantine.Digest) {
+	k.mu.Lock()
+	x, tell := k.judge.Succeeded(time.Now(), request)
+	k.mu.Unlock()
+	if tell {
+		k.publish([]quarantine.Ruling{x})
+	}
+}
+
+// publish tells all instances of rulings that this one has just made.
+func (k *Keeper) publish(rulings []quarantine.Ruling) {
+	if len(rulings) == 0 {
+		return
+	}
+	k.count()
+	for _, x := range rulings {
+		log.WithFields(log.Fields{"step": "rule on request", "request": x.Digest.String(), "standing": x.Standing.String(), "servers": x.Servers,
+			"version": x.Version, "left_s": int(x.Left().Seconds())}).Warn("standing of a request under which servers ended")
+	}
+	if k.opt.Transport == nil {
+		return
+	}
+	for _, i := range k.opt.Instances() {
+		if i.PeerAddress != k.self() {
+			k.send(i.PeerAddress, methodRulings, rulings)
+		}
+	}
+}
+
+// takeRulings takes what another instance tells.
+func (k *Keeper) takeRulings(list []quarantine.Ruling) {
+	now := time.Now()
+	k.mu.Lock()
+	for _, x := range list {
+		if k.register.Take(now, x) {
+			k.judge.Explain(x)
+		}
+	}
+	k.mu.Unlock()
+	k.count()
+}
+
+// count notes how many rulings there are, for those who only ask that.
+func (k *Keeper) count() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.known.Store(int64(k.register.Len()))
+}
+
+// tellSomeone tells an instance by lot of some rulings, and forgets what is over.
+func (k *Keeper) tellSomeone(now time.Time) {
+	k.mu.Lock()
+	k.register.Forget(now)
+	k.judge.Forget(now)
+	k.broken.forget(now, proofTime)
+	told := k.register.Told(now)
+	k.mu.Unlock()
+	k.count()
+	if len(told) == 0 || k.opt.Transport == nil {
+		return
+	}
+	if all := k.opt.Instances(); len(all) > 0 {
+		if to := all[rand.IntN(len(all))].PeerAddress; to != k.self() {
+			k.send(to, methodRulings, told)
+		}
+	}
+}
+
+func (k *Keeper) handleEndings(from string, body []byte) {
+	var list []quarantine.Ending
+	if decode(from, body, &list) {
+		k.takeEndings(list)
+	}
+}
+
+func (k *Keeper) handleRulings(from string, body []byte) {
+	var list []quarantine.Ruling
+	if decode(from, body, &list) {
+		k.takeRulings(list)
+	}
+}
+
+func (k *Keeper) handleSuccess(from string, body []byte) {
+	var request quarantine.Digest
+	if decode(from, body, &request) {
+		k.takeSuccess(request)
+	}
+}
+
+func decode(from string, body []byte, v any) bool {
+	if err := wire.Decode(body, v); err != nil {
+		log.WithError(err).WithFields(log.Fields{"step": "decode quarantine", "peer": from}).Warn("message dropped")
+		return false
+	}
+	return true
+}
+
+// mostTexts bounds the digests in one log line.
+const mostTexts = 16
+
+func texts(runs []run) []string {
+	var out []string
+	for _, r := range runs[:min(len(runs), mostTexts)] {
+		out = append(out, r.request.String())
+	}
+	return out
+}
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -18,6 +18,7 @@
 	"cardamomwick.example/daemon/control"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/gossip"
+	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/router"
 	"cardamomwick.example/daemon/settings"
@@ -62,6 +63,7 @@
 	directory *replica.Directory
 	watch     *control.Watch
 	control   *control.Service
+	keeper    *quarantine.Keeper
 	router    *router.Router
 	services  []suture.Service
 	metrics   *telemetry.Metrics
@@ -79,6 +81,8 @@
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	seeds := s.Peers.SeedAddresses()
 	d.gossip = gossip.New(d.transport, self, seeds)
+	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances})
+	d.services = append(d.services, d.keeper)
 	d.directory = replica.NewSeedDirectory(seeds, s.Replicas.Bootstrap)
 	client := replica.NewClient(d.transport, d.directory)
 	if s.Instance.DataFolder != "" {
@@ -132,7 +136,7 @@
 	d.router = router.New(router.Options{Protocol: a, Name: d.settings.Instance.Name,
 		Table:   func() *routing.Table { return d.watch.Table() },
 		Entries: func() int { return len(d.gossip.Entries()) },
-		Retry:   router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics})
+		Retry:   router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.keeper})
 	d.watch = control.NewWatch(d.transport, client, d.takeTable, d.router.SetFleet)
 	self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
 	exchange := router.NewExchange(d.router, d.transport, self, d.collectMembers)
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -11,7 +11,9 @@
 	gauge("cardamomwick_entries", func() float64 { return float64(len(d.gossip.Entries())) })
 	gauge("cardamomwick_bad_frames_total", func() float64 { return float64(d.transport.BadFrames.Load()) })
 	gauge("cardamomwick_frame_bytes_sent_total", func() float64 { return float64(d.transport.BytesSent.Load()) })
+	gauge("cardamomwick_requests_held", func() float64 { return float64(d.keeper.Holding()) })
 	if d.router != nil {
+		gauge("cardamomwick_servers_ended_total", func() float64 { return float64(d.keeper.ServersEnded()) })
 		gauge("cardamomwick_in_flight", func() float64 { return float64(d.router.InFlight()) })
 		gauge("cardamomwick_counts_age_seconds", func() float64 { return d.router.CountsAge().Seconds() })
 		gauge("cardamomwick_ready", func() float64 { return number(d.ready()) })
--- a/daemon/router/attempts.go
+++ b/daemon/router/attempts.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"cardamomwick.example/core/fleet"
 )
 
+// errStartedAgain ends the attempts at a server that has started again.
+var errStartedAgain = errors.New("the server has started again")
+
 // attempts holds what is in flight by server. A server that has started again
 // knows nothing of its former calls: waiting for their answers, on connections
 // that may never be reset, would use up the time in which another server can
@@ -14,18 +18,18 @@
 type attempts struct {
 	mu       sync.Mutex
 	next     int
-	byServer map[string]map[int]context.CancelFunc
+	byServer map[string]map[int]context.CancelCauseFunc
 }
 
 // add notes an attempt; call the result when it is over.
-func (a *attempts) add(server string, end context.CancelFunc) (done func()) {
+func (a *attempts) add(server string, end context.CancelCauseFunc) (done func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.byServer == nil {
-		a.byServer = map[string]map[int]context.CancelFunc{}
+		a.byServer = map[string]map[int]context.CancelCauseFunc{}
 	}
 	if a.byServer[server] == nil {
-		a.byServer[server] = map[int]context.CancelFunc{}
+		a.byServer[server] = map[int]context.CancelCauseFunc{}
 	}
 	a.next++
 	id := a.next
@@ -45,7 +49,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, end := range a.byServer[server] {
-		end()
+		end(errStartedAgain)
 	}
 	return len(a.byServer[server])
 }
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -70,6 +70,8 @@
 	paid   bool
 	stream *stream
 	last   *upstream.Error
+	// began is when the last attempt began.
+	began time.Time
 	// identity is the request's digest; nil until it is asked for.
 	identity *quarantine.Digest
 }
@@ -95,6 +97,11 @@
 	}
 	ctx, cancel := context.WithDeadline(c.req.Context(), c.until)
 	defer cancel()
+	// A call is forgotten with its final answer: without this, the repeats of one that
+	// ends its servers end one after the other, with the calls of everybody else there.
+	if c.keptBack() {
+		return
+	}
 	c.size = c.placement()
 	c.router.arrive(c)
 	if !c.admitted() {
@@ -123,6 +130,10 @@
 			c.giveUp("time is over")
 			return
 		}
+		// The servers that ended under the attempts before count too.
+		if c.keptBack() {
+			return
+		}
 	}
 }
 
@@ -188,10 +199,11 @@
 func (c *call) attempt(ctx context.Context, s fleet.Server) verdict {
 	c.tried = append(c.tried, s.ID)
 	defer c.router.end(c)
-	ctx, end := context.WithCancel(ctx)
-	defer end()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	defer c.router.attempts.add(s.ID, end)()
-	c.dog = c.watch(end)
+	c.began = time.Now()
+	c.dog = c.watch(func() { end(nil) })
 	v := c.send(ctx, s)
 	if c.dog.stop() && v == failed {
 		c.paid = true
@@ -349,6 +361,7 @@
 		}
 	} else {
 		c.router.good(s.ID)
+		c.router.opt.Quarantine.Succeeded(c.digest)
 	}
 	if c.stream != nil && c.stream.started {
 		return failed
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -28,11 +28,23 @@
 // noteBroken tells the quarantine of a run that the server broke off. Runs that this
 // instance or the caller ended say nothing of the server.
 func (c *call) noteBroken(ctx context.Context, s fleet.Server, e *upstream.Error) {
-	if e.Sent && ctx.Err() == nil && connectionBroke(e) {
-		c.router.opt.Quarantine.Broke(s.ID, s.Address, c.digest())
+	startedAgain := errors.Is(context.Cause(ctx), errStartedAgain)
+	if e.Sent && (startedAgain || ctx.Err() == nil && connectionBroke(e)) {
+		c.router.opt.Quarantine.Broke(s.ID, s.Address, c.digest(), c.began)
 	}
 }
 
+// keptBack gives the final answer of a request in quarantine, and reports whether it
+// is there.
+func (c *call) keptBack() bool {
+	left, held := c.router.opt.Quarantine.Held(c.digest)
+	if held {
+		c.comeBack = left
+		c.giveUp("kept from the servers: this request has ended several that ran it")
+	}
+	return held
+}
+
 // connectionBroke reports whether an attempt ended with its connection, and not by
 // an answer that can't be passed on.
 func connectionBroke(err error) bool {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -43,8 +43,8 @@
 	Retry RetryLimits
 	// Metrics counts calls; New makes a set of its own when it is nil.
 	Metrics *telemetry.Metrics
-	// Quarantine is told of runs that break off; New makes one of its own when it is
-	// nil.
+	// Quarantine says which requests are kept from the servers; New makes one of its
+	// own when it is nil.
 	Quarantine *quarantine.Keeper
 }
 
@@ -82,7 +82,7 @@
 		o.Metrics = telemetry.New()
 	}
 	if o.Quarantine == nil {
-		o.Quarantine = quarantine.New()
+		o.Quarantine = quarantine.New(quarantine.Options{})
 	}
 	return &Router{opt: o, started: time.Now(), equipped: make(chan struct{}), upstream: upstream.NewClient(o.Protocol), balancer: balance.New(o.Name, rand.Uint32()), budgets: map[string]*retry.Window{}}
 }
@@ -109,6 +109,7 @@
 // endSuperseded ends the attempts at servers that have started again.
 func (r *Router) endSuperseded(before, now []fleet.Server) {
 	for _, s := range superseded(before, now) {
+		r.opt.Quarantine.Ended(s.ID)
 		ended := r.attempts.endAt(s.ID)
 		log.WithFields(log.Fields{"step": "take fleet", "server": s.ID, "pool": s.Pool, "in_flight": ended}).Info("server has started again; what was believed of its former start ends")
 	}
