--- a/core/api/api.go
+++ b/core/api/api.go
@@ -67,6 +67,9 @@
 	ErrorBackend    ErrorType = "backend_failed"
 	ErrorAccepted   ErrorType = "accepted_not_finished"
 	ErrorAnswerGone ErrorType = "answer_not_kept"
+	// ErrorQuarantined: the request is kept from the servers, since several have ended
+	// under it.
+	ErrorQuarantined ErrorType = "request_quarantined"
 )
 
 // CallError is the body of every failed call.
--- a/ctl/fake/control.go
+++ b/ctl/fake/control.go
@@ -13,6 +13,8 @@
 	LastStart map[string]time.Time `json:"last_start"`
 	// Retired is when each server learned that it is retired.
 	Retired map[string]time.Time `json:"retired"`
+	// Crashes are the times at which servers ended under a call.
+	Crashes map[string][]time.Time `json:"crashes"`
 }
 
 // EngineState is one engine's counters.
@@ -59,7 +61,7 @@
 
 // State returns all counters.
 func (w *World) State() State {
-	out := State{Engines: map[string]EngineState{}, LastStart: map[string]time.Time{}, Retired: map[string]time.Time{}}
+	out := State{Engines: map[string]EngineState{}, LastStart: map[string]time.Time{}, Retired: map[string]time.Time{}, Crashes: map[string][]time.Time{}}
 	for id, e := range w.engines {
 		e.mu.Lock()
 		out.Engines[id] = EngineState{len(e.running), len(e.waiting), e.generated, e.cancelled, e.loaded.version, append([]TakenOrder(nil), e.orders...)}
@@ -73,6 +75,9 @@
 	for k, v := range w.retired {
 		out.Retired[k] = v
 	}
+	for k, v := range w.crashes {
+		out.Crashes[k] = append([]time.Time(nil), v...)
+	}
 	return out
 }
 
--- a/ctl/fake/world.go
+++ b/ctl/fake/world.go
@@ -4,19 +4,18 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
+	"io"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/crashserver"
 )
 
 // Config describes all stand-ins of one process.
@@ -54,15 +53,23 @@
 	cfg     *Config
 	ledger  Ledger
 	engines map[string]*Engine
-	servers sync.WaitGroup
 	mu      sync.Mutex
 	retired map[string]time.Time
 	starts  map[string]time.Time
+	// servers are listening, by ID; crashes are the times at which each has crashed,
+	// down those that have not come back yet.
+	servers map[string]*crashserver.Server
+	crashes map[string][]time.Time
+	down    map[string]bool
 }
 
+// downtime passes between a crash and the next start.
+const downtime = time.Second
+
 // NewWorld prepares the stand-ins.
 func NewWorld(cfg *Config) *World {
-	return &World{cfg: cfg, engines: map[string]*Engine{}, retired: map[string]time.Time{}, starts: map[string]time.Time{}}
+	return &World{cfg: cfg, engines: map[string]*Engine{}, retired: map[string]time.Time{}, starts: map[string]time.Time{},
+		servers: map[string]*crashserver.Server{}, crashes: map[string][]time.Time{}, down: map[string]bool{}}
 }
 
 // Run serves until the context ends.
@@ -70,53 +77,90 @@
 	for _, c := range w.cfg.Engines {
 		e := NewEngine(c)
 		w.engines[c.ID] = e
-		if err := w.listen(ctx, c.Address, w.tracked(c.ID, e)); err != nil {
+		if err := w.listen(ctx, c.ID, c.Address, w.tracked(c.ID, e)); err != nil {
 			return err
 		}
 		go e.Run(ctx)
-		go w.announceLoop(ctx, w.engineAnnouncement(e), c.Token)
+		go w.announceLoop(ctx, w.whileUp(c.ID, w.engineAnnouncement(e)), c.Token)
 	}
 	for _, c := range w.cfg.Services {
 		s := NewService(c, &w.ledger)
-		if err := w.listen(ctx, c.Address, w.tracked(c.ID, s)); err != nil {
+		if err := w.listen(ctx, c.ID, c.Address, w.tracked(c.ID, s)); err != nil {
 			return err
 		}
-		go w.announceLoop(ctx, serviceAnnouncement(s), c.Token)
+		go w.announceLoop(ctx, w.whileUp(c.ID, serviceAnnouncement(s)), c.Token)
 	}
 	if w.cfg.Control != "" {
-		if err := w.listen(ctx, w.cfg.Control, w.control()); err != nil {
+		if err := w.listen(ctx, "control", w.cfg.Control, w.control()); err != nil {
 			return err
 		}
 	}
 	<-ctx.Done()
-	w.servers.Wait()
 	return nil
 }
 
-// tracked notes when a server last got new work.
+// tracked notes when a server last got new work, and crashes it if that work does so.
 func (w *World) tracked(id string, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodDelete && r.URL.Query().Get("offset") == "" {
-			w.mu.Lock()
-			w.starts[id] = time.Now()
-			w.mu.Unlock()
+		if r.Method == http.MethodDelete || r.URL.Query().Get("offset") != "" {
+			h.ServeHTTP(rw, r)
+			return
+		}
+		w.mu.Lock()
+		w.starts[id] = time.Now()
+		w.mu.Unlock()
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if crashserver.Lethal(body) {
+			w.crash(id)
+			panic(http.ErrAbortHandler)
 		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		h.ServeHTTP(rw, r)
 	})
 }
 
-func (w *World) listen(ctx context.Context, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+// crash ends a server for some time.
+func (w *World) crash(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down[id] {
+		return
+	}
+	w.down[id] = true
+	w.crashes[id] = append(w.crashes[id], time.Now())
+	w.servers[id].Crash(downtime, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.down[id] = false
+	})
+}
+
+// whileUp returns announcements of a server while it has not crashed.
+func (w *World) whileUp(id string, next func() *api.Announcement) func() *api.Announcement {
+	return func() *api.Announcement {
+		w.mu.Lock()
+		down := w.down[id]
+		w.mu.Unlock()
+		if down {
+			return nil
+		}
+		return next()
+	}
+}
+
+func (w *World) listen(ctx context.Context, id, address string, h http.Handler) error {
+	s, err := crashserver.Start(address, h)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	s := &http.Server{Handler: h}
-	w.servers.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			log.WithError(err).WithField("step", "serve stand-in").Error(address)
-		}
-	})
-	context.AfterFunc(ctx, func() { s.Close() })
+	w.mu.Lock()
+	w.servers[id] = s
+	w.mu.Unlock()
+	context.AfterFunc(ctx, s.Stop)
 	return nil
 }
 
