Calls by a bundle ask the quarantine too; recorded calls stop ending services

Attempts, repeats and the rounds of recorded calls of the bundle path went to the next server without a memory of the ends before. All of them now ask the same place before a slot is asked for, and report what broke off. Servers of this path keep their IDs over their starts: an end counts again when its run began after the end before. A recorded call that is held stays recorded and is tried again when its hold is over; its caller is told so at once, with that time, instead of at its deadline, and no shutdown waits for it. TestEndsOfOneServerOneAfterTheOtherHold is red without the new counting.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -36,7 +36,7 @@
 // Bounds of a judge's memory: a record takes 200 bytes, at most 3 KB.
 const (
 	mostRecords = 4096
-	keptServers = 32
+	keptEnds    = 32
 	keptRounds  = 8
 )
 
@@ -63,9 +63,15 @@
 	// prior counts the rounds behind a ruling that was there before the record.
 	prior  int
 	rounds []round
-	// servers are those that ended under it, in any round.
-	servers []string
-	last    time.Time
+	// ends are all, whether they count as a round or not.
+	ends []end
+	last time.Time
+}
+
+// end is the end of a server under the request.
+type end struct {
+	server string
+	at     time.Time
 }
 
 // round is one end; the next one counts if its run began later.
@@ -88,17 +94,18 @@
 		return j.again(now, e)
 	}
 	rec := j.record(now, e.Request)
-	if slices.Contains(rec.servers, e.Server) {
+	began := now.Add(-e.Began)
+	if rec.knows(e.Server, began) {
 		return Ruling{}, false
 	}
-	rec.add(now.Add(-e.Began), round{e.Server, now.Add(-e.Ended), e.Others[:min(len(e.Others), MostOthers)]})
+	rec.add(began, round{e.Server, now.Add(-e.Ended), e.Others[:min(len(e.Others), MostOthers)]})
 	rounds := rec.prior + rec.counted()
 	switch {
 	case rounds >= roundsToHold:
 		delete(j.records, e.Request)
-		return j.rule(now, e.Request, Held, rec.servers)
+		return j.rule(now, e.Request, Held, rec.servers())
 	case rounds >= roundsToSuspect && !(known && standing.Standing == Suspected):
-		return j.rule(now, e.Request, Suspected, rec.servers)
+		return j.rule(now, e.Request, Suspected, rec.servers())
 	}
 	return Ruling{}, false
 }
@@ -116,7 +123,7 @@
 
 func (j *Judge) rule(now time.Time, request Digest, s Standing, servers []string) (Ruling, bool) {
 	before, _ := j.register.Ruling(now, request)
-	x := Ruling{Digest: request, Standing: s, Version: before.Version + 1, Servers: slices.Clone(servers[max(0, len(servers)-mostServers):])}
+	x := Ruling{Digest: request, Standing: s, Version: before.Version + 1, Servers: servers[max(0, len(servers)-mostServers):]}
 	j.register.Take(now, x)
 	j.Explain(x)
 	return x, true
@@ -183,10 +190,25 @@
 	delete(j.records, least)
 }
 
+// knows reports whether the end of a run was told before. Where servers keep their IDs
+// over their starts, a run that began after an end belongs to another start.
+func (r *record) knows(server string, began time.Time) bool {
+	return slices.ContainsFunc(r.ends, func(e end) bool { return e.server == server && !began.After(e.at) })
+}
+
+// servers names those that ended, the newest last.
+func (r *record) servers() []string {
+	var out []string
+	for _, e := range r.ends {
+		out = append(out, e.server)
+	}
+	return out
+}
+
 // add counts an end as a round of its own if its run began after the last round.
 func (r *record) add(began time.Time, x round) {
-	r.servers = append(r.servers, x.server)
-	r.servers = r.servers[max(0, len(r.servers)-keptServers):]
+	r.ends = append(r.ends, end{x.server, x.ended})
+	r.ends = r.ends[max(0, len(r.ends)-keptEnds):]
 	if n := len(r.rounds); n == 0 || began.After(r.rounds[n-1].ended) {
 		r.rounds = append(r.rounds, x)
 		r.rounds = r.rounds[max(0, len(r.rounds)-keptRounds):]
@@ -199,7 +221,7 @@
 	for _, x := range r.rounds {
 		others := 0
 		for _, server := range x.others {
-			if !slices.Contains(r.servers, server) {
+			if !slices.ContainsFunc(r.ends, func(e end) bool { return e.server == server }) {
 				others++
 			}
 		}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -109,13 +109,23 @@
 // Reports of the same end, by several instances and twice, are one.
 func TestOneEndCountsOnce(t *testing.T) {
 	w := newWorld(t)
-	for range 5 {
+	for i := range 5 {
 		w.after(time.Second)
-		w.ends("q", "s", 100*time.Millisecond)
+		w.j.Take(w.now, Ending{Request: digest("q"), Server: "s", Began: time.Duration(i)*time.Second + 100*time.Millisecond, Ended: time.Duration(i) * time.Second})
 	}
 	w.expect("q", Cleared)
 }
 
+// A server that keeps its ID over its starts ends three times.
+func TestEndsOfOneServerOneAfterTheOtherHold(t *testing.T) {
+	w := newWorld(t)
+	for range 3 {
+		w.after(time.Second)
+		w.ends("q", "s", 100*time.Millisecond)
+	}
+	w.expect("q", Held)
+}
+
 // What ran beside a held request is not blamed for the ends that the request
 // explains, whether these were reported before the ruling or after it.
 func TestHeldRequestExplainsEndsForOthers(t *testing.T) {
--- a/ctl/prove/lethal_test.go
+++ b/ctl/prove/lethal_test.go
@@ -11,6 +11,7 @@
 
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/crashserver"
+	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/ctl/caller"
 )
 
@@ -27,6 +28,7 @@
 // instances know.
 func TestLethalCallsAreKeptFromTheServers(t *testing.T) {
 	const mostEnds, repeats = 6, 24
+	const recordTime = 12 * time.Second
 	w := begin(t, 5, 6)
 	t.Run("chat that is repeated", func(t *testing.T) {
 		var last *caller.Result
@@ -38,9 +40,14 @@
 		w.expectEnds(t, w.engineIDs(), mostEnds)
 	})
 	t.Run("recorded call", func(t *testing.T) {
+		sent := time.Now()
 		r := w.call(0, "sync", "", "record that "+crashserver.Marker)
-		t.Logf("the caller got %d, outcome %q", r.Status, r.Outcome)
-		time.Sleep(8 * time.Second)
+		took := time.Since(sent)
+		t.Logf("the caller got %d, outcome %q, after %v", r.Status, r.Outcome, took)
+		if r.Error == nil || r.Error.Type != api.ErrorAccepted || r.Error.RetryAfterMillis < quarantine.HoldTime.Milliseconds()/2 {
+			t.Errorf("the caller got %+v; want that the call is recorded, and when to come back", r.Error)
+		}
+		time.Sleep(recordTime - took)
 		w.expectEnds(t, []string{"s1", "s2"}, mostEnds)
 	})
 	t.Run("others", func(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"cardamomwick.example/daemon/gossip"
 	"cardamomwick.example/daemon/lease"
 	"cardamomwick.example/daemon/placement"
+	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/scheduler"
 	"cardamomwick.example/daemon/settings"
@@ -47,6 +48,7 @@
 	dispatcher *dispatcher.Service
 	scheduler  *scheduler.Scheduler
 	slots      entry.Slots
+	keeper     *quarantine.Keeper
 	entry      *entry.Entry
 	admin      *admin.Admin
 	placement  *placement.Service
@@ -86,8 +88,9 @@
 	if experiment {
 		d.slots = baseline.New(s.Experiment.Baseline, d.transport)
 	}
+	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances})
 	d.entry = entry.New(entry.Options{Settings: s, Holder: d.holder, Gossip: d.gossip, Scheduler: d.slots,
-		Replicas: d.replicas, Metrics: d.metrics, Owner: self.Owner(), SpreadAnnouncements: experiment, IgnoreTiers: experiment})
+		Replicas: d.replicas, Metrics: d.metrics, Quarantine: d.keeper, Owner: self.Owner(), SpreadAnnouncements: experiment, IgnoreTiers: experiment})
 	d.admin = &admin.Admin{Settings: s, Holder: d.holder, Gossip: d.gossip, Replicas: d.replicas, Transport: d.transport, Own: d.info}
 	d.admin.Register()
 	d.placement = &placement.Service{Owner: self.Owner(), Gossip: d.gossip, Holder: d.holder, Replicas: d.replicas, Servers: d.admin.ServerList}
@@ -147,6 +150,7 @@
 	control := supervisor("control")
 	control.Add(d.gossip)
 	control.Add(d.holder)
+	control.Add(d.keeper)
 	root.Add(control)
 	work := supervisor("work")
 	work.Add(d.dispatcher)
@@ -194,6 +198,8 @@
 
 func (d *Daemon) registerGauges() {
 	d.metrics.Gauge("cardamomwick_generation", func() float64 { return float64(d.holder.Config().Generation) })
+	d.metrics.Gauge("cardamomwick_requests_held", func() float64 { return float64(d.keeper.Holding()) })
+	d.metrics.Gauge("cardamomwick_servers_ended_total", func() float64 { return float64(d.keeper.ServersEnded()) })
 	d.metrics.Gauge("cardamomwick_lease_fresh", func() float64 {
 		if d.holder.Fresh() {
 			return 1
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -50,6 +50,12 @@
 
 // attempt makes the n-th attempt; nil asks for another one.
 func (x *execution) attempt(n int) *reply {
+	// Attempts, repeats and rounds of recorded calls all come here: without this, one
+	// that ends its servers would end one after the other.
+	if left, held := x.e.keeper.Held(x.c.requestDigest); held {
+		return failed(giveUp(http.StatusServiceUnavailable, api.ErrorQuarantined,
+			"kept from the servers: this request has ended several that ran it", x.uncertain).after(left))
+	}
 	t := x.c.ticket()
 	t.Attempt = n
 	t.Exclude = x.exclude
@@ -66,13 +72,23 @@
 		return r
 	}
 	x.out.attempt(n)
+	began := time.Now()
 	rep, failure := x.e.try(x.run, x.c, x.target(&grant, n), slot, x.out)
 	if failure != nil {
+		x.noteBroken(failure, &grant, began)
 		return x.failed(failure, grant.Server, n)
 	}
+	x.e.keeper.Succeeded(x.c.requestDigest)
 	return rep
 }
 
+// noteBroken tells the quarantine of a run that may have begun and has no answer.
+func (x *execution) noteBroken(f *backend.CallError, g *dispatch.Grant, began time.Time) {
+	if f.Failure == retry.FailureUncertain && f.Status == 0 && x.run.Err() == nil {
+		x.e.keeper.Broke(g.Server, g.Address, x.c.requestDigest(), began)
+	}
+}
+
 // blocked answers a grant that may not be used: the server was retired since,
 // or the lease is gone.
 func (x *execution) blocked(server string, n int) *reply {
--- a/daemon/entry/durable.go
+++ b/daemon/entry/durable.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cardamomwick.example/core/api"
@@ -33,14 +34,27 @@
 	if rep := e.claimResult(c, &res); rep != nil {
 		return rep
 	}
-	return e.detached(ctx, out, func() *reply { return e.runDurable(c, out) }, func() *reply {
-		return failed(unknown(http.StatusAccepted, api.ErrorAccepted, "the call is recorded and will be run; ask again with the same key for its answer").after(time.Second))
+	ctx, answer := context.WithCancel(ctx)
+	defer answer()
+	var quarantined atomic.Pointer[reply]
+	kept := func(r *reply) {
+		quarantined.Store(r)
+		answer() // the caller need not wait for what goes on without it
+	}
+	return e.detached(ctx, out, func() *reply { return e.runDurable(c, out, kept) }, func() *reply {
+		x := unknown(http.StatusAccepted, api.ErrorAccepted, "the call is recorded and will be run; ask again with the same key for its answer").after(time.Second)
+		if r := quarantined.Load(); r != nil {
+			x.Message = "the call is recorded, but " + r.err.Message
+			x.RetryAfterMillis = r.err.RetryAfterMillis
+		}
+		return failed(x)
 	})
 }
 
 // runDurable tries until the call has ended. While shutting down a call that
-// is not dispatched yet is left to another instance.
-func (e *Entry) runDurable(c *call, out *sink) *reply {
+// is not dispatched yet is left to another instance. kept is told when the call is
+// kept from the servers for some time.
+func (e *Entry) runDurable(c *call, out *sink, kept func(*reply)) *reply {
 	for {
 		r := e.durableRound(c, out)
 		switch {
@@ -53,6 +67,18 @@
 			return failed(unknown(http.StatusAccepted, api.ErrorAccepted, "the call is recorded; another instance will run it").after(time.Second))
 		}
 		log.WithFields(log.Fields{"request_id": c.id, "class": c.class, "step": "durable round", "outcome": string(r.outcome)}).Info("durable call will be tried again")
+		if r.err == nil || r.err.Type != api.ErrorQuarantined {
+			time.Sleep(durablePause)
+			continue
+		}
+		kept(r)
+		e.pauseInQuarantine(time.Duration(r.err.RetryAfterMillis) * time.Millisecond)
+	}
+}
+
+// pauseInQuarantine waits while a call is held, but no shutdown waits for it.
+func (e *Entry) pauseInQuarantine(left time.Duration) {
+	for until := time.Now().Add(min(quarantinePause, left)); time.Now().Before(until) && !e.refusing.Load(); {
 		time.Sleep(durablePause)
 	}
 }
@@ -113,7 +139,7 @@
 	e.work.Add(1)
 	go func() {
 		defer e.work.Done()
-		e.runDurable(c, newSink(nil, c))
+		e.runDurable(c, newSink(nil, c), func(*reply) {})
 	}()
 }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -23,6 +23,7 @@
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/gossip"
 	"cardamomwick.example/daemon/lease"
+	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/scheduler"
 	"cardamomwick.example/daemon/settings"
@@ -45,6 +46,8 @@
 	Scheduler Slots
 	Replicas  *replica.Client
 	Metrics   *telemetry.Metrics
+	// Quarantine says which requests are kept from the servers.
+	Quarantine *quarantine.Keeper
 	// SpreadAnnouncements passes announcements to every instance, as the
 	// baselines need it.
 	SpreadAnnouncements bool
@@ -62,6 +65,7 @@
 	scheduler Slots
 	replicas  *replica.Client
 	metrics   *telemetry.Metrics
+	keeper    *quarantine.Keeper
 	owner     string
 	spreadAll bool
 	flatTiers bool
@@ -81,7 +85,7 @@
 // New returns an entry that follows the holder's configuration.
 func New(o Options) *Entry {
 	e := &Entry{settings: o.Settings, holder: o.Holder, gossip: o.Gossip, scheduler: o.Scheduler, replicas: o.Replicas,
-		metrics: o.Metrics, owner: o.Owner, spreadAll: o.SpreadAnnouncements, flatTiers: o.IgnoreTiers, budgets: map[string]*retry.Budget{}}
+		metrics: o.Metrics, keeper: o.Quarantine, owner: o.Owner, spreadAll: o.SpreadAnnouncements, flatTiers: o.IgnoreTiers, budgets: map[string]*retry.Budget{}}
 	e.keys.Store(&map[string]string{})
 	o.Holder.OnChange(e.indexKeys)
 	return e
--- a/daemon/entry/execute.go
+++ b/daemon/entry/execute.go
@@ -25,6 +25,9 @@
 	claimTimeout = 3 * time.Second
 	// durablePause is the wait between two rounds for a durable call.
 	durablePause = 500 * time.Millisecond
+	// quarantinePause is the longest wait for a durable call that is kept from the
+	// servers: it may be cleared sooner than its hold ends.
+	quarantinePause = 30 * time.Second
 	// durableRound bounds one round's wait for a slot.
 	durableRound = 30 * time.Second
 )
--- a/daemon/entry/request.go
+++ b/daemon/entry/request.go
@@ -19,6 +19,7 @@
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/dispatch"
 	"cardamomwick.example/core/prefix"
+	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/core/state"
 )
 
@@ -51,6 +52,18 @@
 	digest string
 
 	chat *chatRequest
+	// identity is what requestDigest returns; nil until it is asked for.
+	identity *quarantine.Digest
+}
+
+// requestDigest identifies what the servers are asked for.
+func (c *call) requestDigest() quarantine.Digest {
+	if c.identity == nil {
+		r := quarantine.Request{Customer: c.customer, Method: c.method, Host: c.pool, URI: c.path, Body: c.body}
+		d := r.Digest()
+		c.identity = &d
+	}
+	return *c.identity
 }
 
 // chatRequest is a chat-completions body with all its fields kept.
--- a/daemon/quarantine/broken.go
+++ b/daemon/quarantine/broken.go
@@ -25,8 +25,8 @@
 type brokenServer struct {
 	last time.Time
 	runs []run
-	// ended: there is proof already.
-	ended bool
+	// ended is when there was proof that it has ended; zero without.
+	ended time.Time
 }
 
 // broken holds the servers that broke off runs lately, by their starts' IDs.
@@ -59,12 +59,15 @@
 func (b broken) take(now time.Time, id string) []run {
 	s := b.server(now, id)
 	runs := s.runs
-	s.runs, s.ended = nil, true
+	s.runs, s.ended = nil, now
 	return runs
 }
 
-// hasEnded reports whether there was proof before.
-func (b broken) hasEnded(id string) bool { return b[id] != nil && b[id].ended }
+// endedSince reports whether there was proof that a server has ended since a run
+// began. A later run was at the next start, where both have the same ID.
+func (b broken) endedSince(id string, began time.Time) bool {
+	return b[id] != nil && b[id].ended.After(began)
+}
 
 // others lists servers that broke off runs at the same time as the given one.
 func (b broken) others(id string) []string {
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -127,7 +127,7 @@
 	now := time.Now()
 	k.mu.Lock()
 	k.broken.add(now, server, run{request, began, now})
-	ended := k.broken.hasEnded(server)
+	ended := k.broken.endedSince(server, began)
 	k.mu.Unlock()
 	if ended {
 		k.report(server)
