Holds outlive a restart of all instances

Cause: rulings stood in memory, told from instance to instance; after a power cut nobody knew them. Change: a judge puts a hold, and its end by a success, into the replicated log in the background, with its time by the group's clock; an entry gets them from the log together with the first declaration, before it takes a call. Weighed: the log alone (nothing is held while there is no leader), memory of the replicas (lost in a power cut of everything). The log is written once a ruling. Calls by bundles don't read it at the start: left.

--- a/core/quarantine/ruling.go
+++ b/core/quarantine/ruling.go
@@ -79,13 +79,18 @@
 	return out
 }
 
-// over reports whether nothing follows from the ruling any more.
-func (d *decided) over(now time.Time) bool {
-	age := now.Sub(d.at)
-	if d.Standing == Held {
-		age -= HoldTime
+// Over reports whether nothing follows from the ruling any more.
+func (r *Ruling) Over() bool {
+	if r.Standing == Held {
+		return r.Age >= HoldTime+memoryTime
 	}
-	return age >= memoryTime
+	return r.Age >= memoryTime
+}
+
+func (d *decided) over(now time.Time) bool {
+	x := d.Ruling
+	x.Age = now.Sub(d.at)
+	return x.Over()
 }
 
 // addServers adds servers that are not there yet and reports whether there were any.
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -11,6 +11,7 @@
 
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/core/wire"
 )
 
@@ -43,6 +44,8 @@
 	CommandWithdraw
 	// CommandRegister remembers a backend server that has announced itself.
 	CommandRegister
+	// CommandRule remembers a ruling of the quarantine.
+	CommandRule
 )
 
 // Command is one entry of the replicated log.
@@ -59,6 +62,7 @@
 	Declare   *DeclareCommand     `msgpack:"d,omitempty"`
 	Withdraw  *fleet.Withdrawal   `msgpack:"w,omitempty"`
 	Register  *fleet.Server       `msgpack:"g,omitempty"`
+	Rule      *quarantine.Ruling  `msgpack:"u,omitempty"`
 }
 
 // CallCommand is the subject of the commands about one call.
--- a/core/state/fuzz_test.go
+++ b/core/state/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/quarantine"
 )
 
 // Whatever stands in the log, each replica applies it without failing, and comes to
@@ -13,6 +14,7 @@
 		{Type: CommandDeclare, Declare: &DeclareCommand{Version: 3, Declaration: []byte("d"), Source: []byte("s")}},
 		{Type: CommandWithdraw, Withdraw: &fleet.Withdrawal{ServerID: "a", Phase: fleet.Departed}},
 		{Type: CommandRegister, Register: &fleet.Server{ID: "a@7", Name: "a", Born: 7, Pool: "p"}},
+		{Type: CommandRule, Rule: &quarantine.Ruling{Standing: quarantine.Held, Version: 2, Servers: []string{"a"}}},
 		{Type: CommandOrderLease, Lease: &LeaseCommand{Owner: "x"}},
 		{Type: CommandClaim, Call: &CallCommand{CallID: "c", Owner: "o", Key: CallKey{Key: "k", Millis: 5}}},
 	} {
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -11,12 +11,13 @@
 // Machine is the state of one replica. Not safe for concurrent use.
 type Machine struct {
 	// NowMillis is the highest clock value applied.
-	nowMillis int64
-	config    configState
-	audit     auditState
-	calls     callState
-	placement placementState
-	routing   routingState
+	nowMillis  int64
+	config     configState
+	audit      auditState
+	calls      callState
+	placement  placementState
+	routing    routingState
+	quarantine quarantineState
 }
 
 // New returns the empty machine that every group starts from.
@@ -47,6 +48,8 @@
 		return m.routing.withdraw(*c.Withdraw)
 	case c.Type == CommandRegister && c.Register != nil:
 		return m.routing.register(*c.Register)
+	case c.Type == CommandRule && c.Rule != nil:
+		return m.quarantine.rule(*c.Rule, m.nowMillis)
 	case c.Call != nil:
 		m.calls.prune(m.nowMillis)
 		return m.calls.apply(c.Type, c.Call, m.nowMillis)
@@ -63,17 +66,18 @@
 
 // snapshot is the serialized form of a Machine.
 type snapshot struct {
-	NowMillis int64          `msgpack:"n"`
-	Config    configSnapshot `msgpack:"c"`
-	Audit     auditState     `msgpack:"a"`
-	Calls     []*CallRecord  `msgpack:"r"`
-	Placement placementState `msgpack:"p"`
-	Routing   routingState   `msgpack:"t"`
+	NowMillis  int64           `msgpack:"n"`
+	Config     configSnapshot  `msgpack:"c"`
+	Audit      auditState      `msgpack:"a"`
+	Calls      []*CallRecord   `msgpack:"r"`
+	Placement  placementState  `msgpack:"p"`
+	Routing    routingState    `msgpack:"t"`
+	Quarantine quarantineState `msgpack:"q"`
 }
 
 // Snapshot returns the machine's bytes.
 func (m *Machine) Snapshot() []byte {
-	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list(), Placement: m.placement, Routing: m.routing}
+	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list(), Placement: m.placement, Routing: m.routing, Quarantine: m.quarantine}
 	data, err := msgpack.Marshal(&s)
 	if err != nil {
 		panic(err) // plain data; encoding to memory can't fail
@@ -91,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState(), placement: s.Placement, routing: s.Routing}
+	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState(), placement: s.Placement, routing: s.Routing, quarantine: s.Quarantine}
 	for _, r := range s.Calls {
 		m.calls.put(r)
 	}
--- a/daemon/control/news.go
+++ b/daemon/control/news.go
@@ -34,14 +34,14 @@
 			return &watchReply{Members: v.Members, InForce: v.Routing.Held.Version}, nil
 		}
 		if !v.Leading && req.Stale && v.Ready {
-			return staleNews(v), nil
+			return withHolds(staleNews(v), &req, v), nil
 		}
 		if !v.Leading && req.Relays {
 			return &watchReply{Redirect: replica.NotLeaderReply(v)}, nil
 		}
 		reply, changed, news := s.news(&req, v)
 		if news && (gathered || reply.begins(&req)) {
-			return reply, nil
+			return withHolds(reply, &req, v), nil
 		}
 		if news {
 			gathered = true
@@ -123,6 +123,18 @@
 	return l
 }
 
+// withHolds adds the requests that are held, for an entry that has just started.
+func withHolds(reply *watchReply, req *watchRequest, v replica.View) *watchReply {
+	if req.Declaration > 0 {
+		return reply
+	}
+	now := time.Now().UnixMilli()
+	for _, h := range v.Holds {
+		reply.Holds = append(reply.Holds, h.Told(now))
+	}
+	return reply
+}
+
 // staleNews is what a replica without a leader knows: enough for an entry that
 // has just started to serve calls until the group is back.
 func staleNews(v replica.View) *watchReply {
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/replica"
@@ -54,14 +55,20 @@
 	// onFleet is told of each new listing.
 	onFleet func([]fleet.Server)
 	onTable func(*routing.Table)
+	onHolds func([]quarantine.Ruling)
 }
 
 // NewWatch returns a watch that knows nothing yet; the functions are called
 // from its loop with each new declaration and listing.
 func NewWatch(t *frame.Transport, c *replica.Client, onTable func(*routing.Table), onFleet func([]fleet.Server)) *Watch {
-	return &Watch{transport: t, client: c, mirror: fleet.NewMirror(), heard: time.Now(), onFleet: onFleet, onTable: onTable}
+	return &Watch{transport: t, client: c, mirror: fleet.NewMirror(), heard: time.Now(), onFleet: onFleet, onTable: onTable,
+		onHolds: func([]quarantine.Ruling) {}}
 }
 
+// OnHolds sets what is told, before the first declaration, of the requests that the log
+// says are held. Call it before Serve.
+func (w *Watch) OnHolds(f func([]quarantine.Ruling)) { w.onHolds = f }
+
 // String names the service in the supervisor's log.
 func (w *Watch) String() string { return "watch" }
 
@@ -177,6 +184,7 @@
 
 func (w *Watch) take(reply *watchReply) {
 	w.client.Directory().Learn(reply.Members)
+	w.onHolds(reply.Holds) // before the first call is taken
 	if len(reply.Declaration) > 0 {
 		if err := w.takeDeclaration(reply.Declaration); err != nil {
 			log.WithError(err).WithField("step", "take declaration").Error("the declaration held stays")
--- a/daemon/control/wire.go
+++ b/daemon/control/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/daemon/replica"
 )
 
@@ -54,4 +55,6 @@
 	Members []string `msgpack:"m"`
 	// InForce is the version of the declaration in force.
 	InForce uint64 `msgpack:"v,omitempty"`
+	// Holds are the requests that are held, for an instance without a declaration.
+	Holds []quarantine.Ruling `msgpack:"q,omitempty"`
 }
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -8,6 +8,7 @@
 
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/loop"
 )
@@ -28,6 +29,9 @@
 	// judges are the instances that count the endings of a request, so that one may be
 	// lost.
 	judges = 2
+	// rememberTimeout bounds the commit of a ruling. The group may be without a leader
+	// for some seconds; the ruling is in force meanwhile.
+	rememberTimeout = 10 * time.Second
 )
 
 // Options sets up a Keeper.
@@ -36,6 +40,13 @@
 	Transport *frame.Transport
 	// Instances lists all instances, this one included.
 	Instances func() []membership.Instance
+	// Log remembers holds over a restart of all instances; nil where nothing does.
+	Log Log
+}
+
+// Log is the replicated log; replica.Client is one.
+type Log interface {
+	Propose(ctx context.Context, c *state.Command) (state.Result, error)
 }
 
 // Keeper is an instance's part in the quarantine: it reports what ended here, counts
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -1,13 +1,16 @@
 package quarantine
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/core/state"
 	"cardamomwick.example/core/wire"
 )
 
@@ -115,6 +118,9 @@
 	for _, x := range rulings {
 		log.WithFields(log.Fields{"step": "rule on request", "request": x.Digest.String(), "standing": x.Standing.String(), "servers": x.Servers,
 			"version": x.Version, "left_s": int(x.Left().Seconds())}).Warn("standing of a request under which servers ended")
+		if x.Standing != quarantine.Suspected && x.Age == 0 { // of age 0: it has just been made
+			go k.remember(x)
+		}
 	}
 	if k.opt.Transport == nil {
 		return
@@ -126,8 +132,21 @@
 	}
 }
 
-// takeRulings takes what another instance tells.
-func (k *Keeper) takeRulings(list []quarantine.Ruling) {
+// remember puts a ruling into the log. A lost one costs, after a restart of all
+// instances, the servers that must end again to tell.
+func (k *Keeper) remember(x quarantine.Ruling) {
+	if k.opt.Log == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), rememberTimeout)
+	defer cancel()
+	if _, err := k.opt.Log.Propose(ctx, &state.Command{Type: state.CommandRule, Rule: &x}); err != nil {
+		log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "remember ruling", "request": x.Digest.String()}).Warn("it is in force, but does not outlive a restart of all instances")
+	}
+}
+
+// TakeRulings takes what another instance, or the log, tells.
+func (k *Keeper) TakeRulings(list []quarantine.Ruling) {
 	now := time.Now()
 	k.mu.Lock()
 	for _, x := range list {
@@ -175,7 +194,7 @@
 func (k *Keeper) handleRulings(from string, body []byte) {
 	var list []quarantine.Ruling
 	if decode(from, body, &list) {
-		k.takeRulings(list)
+		k.TakeRulings(list)
 	}
 }
 
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -81,10 +81,10 @@
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	seeds := s.Peers.SeedAddresses()
 	d.gossip = gossip.New(d.transport, self, seeds)
-	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances})
-	d.services = append(d.services, d.keeper)
 	d.directory = replica.NewSeedDirectory(seeds, s.Replicas.Bootstrap)
 	client := replica.NewClient(d.transport, d.directory)
+	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances, Log: client})
+	d.services = append(d.services, d.keeper)
 	if s.Instance.DataFolder != "" {
 		if err := d.addReplica(a, client); err != nil {
 			return nil, err
@@ -138,6 +138,7 @@
 		Entries: func() int { return len(d.gossip.Entries()) },
 		Retry:   router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.keeper})
 	d.watch = control.NewWatch(d.transport, client, d.takeTable, d.router.SetFleet)
+	d.watch.OnHolds(d.keeper.TakeRulings)
 	self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
 	exchange := router.NewExchange(d.router, d.transport, self, d.collectMembers)
 	d.services = append(d.services, d.watch, exchange)
