What ran at a server that ended is told from what came too late

Change: only runs that began before the first break count, nothing within 200 ms after the proof; ends at the same time are 100 ms apart at most; one connection a check. Tests beside it. Kept results of tests that run the programs hold for these programs only (they were served from the cache).

--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,14 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) .*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 PASS_OVER := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
+# Some tests run the programs: a kept result holds only for the same ones.
+PROGRAMS = CARDAMOMWICK_PROGRAMS="$$(cat $(BIN)/cardamomwickd $(BIN)/cardamomctl | sha256sum)"
+
 test: build
-	go test $(PASS_OVER) $(MODULES)
+	$(PROGRAMS) go test $(PASS_OVER) $(MODULES)
 
 race: build
-	go test -race $(PASS_OVER) ./core/... ./daemon/... ./platform/...
+	$(PROGRAMS) go test -race $(PASS_OVER) ./core/... ./daemon/... ./platform/...
 
 vet:
 	go vet $(MODULES)
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -23,8 +23,10 @@
 // Ends of many servers at the same time, as a power cut, a mass kill or a release
 // gone wrong bring them, have a cause of their own.
 const (
-	// SameTime is how far apart ends at the same time may be.
-	SameTime = 500 * time.Millisecond
+	// SameTime is how far apart ends at the same time may be: all connections of a
+	// process break within milliseconds. Requests that end servers by themselves, some
+	// each second, must not excuse each other.
+	SameTime = 100 * time.Millisecond
 	// MostOthers bounds the servers named in an ending: enough to tell a mass of ends,
 	// though the request itself may account for some of them.
 	MostOthers = 4
--- a/daemon/quarantine/broken.go
+++ b/daemon/quarantine/broken.go
@@ -13,6 +13,8 @@
 	// proofTime is how long runs that broke off wait for the proof that their server
 	// has ended: it may be a newer start that announces itself some seconds later.
 	proofTime = 10 * time.Second
+	// deadTime is how long after the proof no start of the same server can run a call.
+	deadTime = 200 * time.Millisecond
 )
 
 // run is a run that broke off.
@@ -23,8 +25,10 @@
 
 // brokenServer is a server that broke off runs.
 type brokenServer struct {
-	last time.Time
-	runs []run
+	// first is when the first run broke off since the server was last seen alive, last
+	// when the latest did.
+	first, last time.Time
+	runs        []run
 	// ended is when there was proof that it has ended; zero without.
 	ended time.Time
 }
@@ -48,9 +52,14 @@
 	return s
 }
 
-// add notes a run.
+// add notes a run. One that began after the server had ended has not run there.
 func (b broken) add(now time.Time, id string, r run) {
-	if s := b.server(now, id); len(s.runs) < mostRuns {
+	s := b.server(now, id)
+	if len(s.runs) == 0 || s.first.IsZero() {
+		s.first = now
+	}
+	dead := !s.ended.IsZero() && !r.began.Before(s.ended) && r.began.Before(s.ended.Add(deadTime))
+	if !dead && r.began.Before(s.first) && len(s.runs) < mostRuns {
 		s.runs = append(s.runs, r)
 	}
 }
@@ -63,6 +72,14 @@
 	return runs
 }
 
+// alive notes that a server took a connection. What broke off there still waits for
+// proof: something else may listen for the server.
+func (b broken) alive(id string) {
+	if s := b[id]; s != nil {
+		s.first = time.Time{}
+	}
+}
+
 // endedSince reports whether there was proof that a server has ended since a run
 // began. A later run was at the next start, where both have the same ID.
 func (b broken) endedSince(id string, began time.Time) bool {
--- a/daemon/quarantine/ended.go
+++ b/daemon/quarantine/ended.go
@@ -11,15 +11,14 @@
 	"time"
 )
 
-// Checks of a server whose connection broke. A process that ends closes its
-// connections and its listener within milliseconds, in any order: the second check is
-// for a listener that went later. Both come before a process that is started again
-// can listen.
+// The check of a server whose connection broke.
 const (
-	firstCheck  = 10 * time.Millisecond
-	secondCheck = 150 * time.Millisecond
-	// checkTimeout bounds a check's dial. A host that does not answer may be cut off:
-	// that proves nothing.
+	// checkPause passes first: a process that ends closes its connections and its
+	// listener within milliseconds, in any order. A process that is started again takes
+	// longer to listen.
+	checkPause = 30 * time.Millisecond
+	// checkTimeout bounds the dial. A host that does not answer may be cut off: that
+	// proves nothing.
 	checkTimeout = 300 * time.Millisecond
 )
 
@@ -30,11 +29,23 @@
 type checker struct {
 	mu      sync.Mutex
 	running map[string]bool
-	// after is told of each check's end, and whether the server has ended.
-	after func(server string, ended bool)
+	// after is told of each check's finding.
+	after func(server string, found finding)
 }
 
-func newChecker(after func(server string, ended bool)) *checker {
+// finding is what a check found out.
+type finding uint8
+
+const (
+	// unknown: the server's host did not answer.
+	unknown finding = iota
+	// taken: somebody took the connection.
+	taken
+	// refused: the host says that nobody listens; the server has ended.
+	refused
+)
+
+func newChecker(after func(server string, found finding)) *checker {
 	return &checker{running: map[string]bool{}, after: after}
 }
 
@@ -48,30 +59,23 @@
 	}
 	c.running[server] = true
 	go func() {
-		ended := refusesSoon(address)
+		time.Sleep(checkPause)
+		found := look(address)
 		c.mu.Lock()
 		delete(c.running, server)
 		c.mu.Unlock()
-		c.after(server, ended)
+		c.after(server, found)
 	}()
 }
 
-func refusesSoon(address string) bool {
-	for _, pause := range []time.Duration{firstCheck, secondCheck} {
-		time.Sleep(pause)
-		if refuses(address) {
-			return true
-		}
-	}
-	return false
-}
-
-// refuses reports whether nobody listens at an address, by its host's own word.
-func refuses(address string) bool {
+func look(address string) finding {
 	conn, err := net.DialTimeout("tcp", address, checkTimeout)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return refused
+	}
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return unknown
 	}
-	conn.Close() // the server lives
-	return false
+	conn.Close()
+	return taken
 }
--- /dev/null
+++ b/daemon/quarantine/keeper_test.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"cardamomwick.example/core/quarantine"
+)
+
+func request(name string) func() quarantine.Digest {
+	r := quarantine.Request{URI: name}
+	return r.Digest
+}
+
+// server listens until it is ended.
+func server(t *testing.T) (address string, end func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String(), func() { l.Close() }
+}
+
+// breaks tells of a run that broke off and waits for what comes of it.
+func breaks(k *Keeper, id, address, name string) {
+	k.Broke(id, address, request(name)(), time.Now().Add(-time.Millisecond))
+	time.Sleep(2*checkPause + quarantine.SameTime)
+}
+
+func TestThreeEndedServersHoldARequest(t *testing.T) {
+	k := New(Options{})
+	for _, id := range []string{"a", "b", "c"} {
+		if _, held := k.Held(request("q")); held {
+			t.Fatalf("held before %s has ended", id)
+		}
+		address, end := server(t)
+		end()
+		breaks(k, id, address, "q")
+	}
+	if left, held := k.Held(request("q")); !held || left > quarantine.HoldTime || left < quarantine.HoldTime-time.Minute {
+		t.Errorf("held %v for %v", held, left)
+	}
+	if _, held := k.Held(request("other")); held {
+		t.Error("another request is held")
+	}
+	k.Succeeded(request("q"))
+	if _, held := k.Held(request("q")); held {
+		t.Error("still held after a success")
+	}
+}
+
+// Answers are cut short, reset and lost while their servers live on.
+func TestBrokenConnectionsAreNoProof(t *testing.T) {
+	k := New(Options{})
+	address, _ := server(t)
+	for range 5 {
+		breaks(k, "a", address, "q")
+	}
+	if k.ServersEnded() != 0 || k.Holding() != 0 {
+		t.Errorf("%d servers ended, %d requests held", k.ServersEnded(), k.Holding())
+	}
+}
+
+// Something listens for the servers all the time; only their newer starts show that
+// they have ended.
+func TestNewerStartsAreProof(t *testing.T) {
+	k := New(Options{})
+	address, _ := server(t)
+	for _, id := range []string{"a", "b", "c"} {
+		breaks(k, id, address, "q")
+		k.Ended(id)
+	}
+	if _, held := k.Held(request("q")); !held {
+		t.Error("not held")
+	}
+}
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -18,11 +18,15 @@
 // connection.
 func (k *Keeper) Ended(server string) { k.report(server) }
 
-// checked takes the outcome of a check. A server that took a connection may stand
-// behind something that listens for it: what broke off there still waits for proof.
-func (k *Keeper) checked(server string, ended bool) {
-	if ended {
+// checked takes the outcome of a check.
+func (k *Keeper) checked(server string, found finding) {
+	switch found {
+	case refused:
 		k.report(server)
+	case taken:
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.broken.alive(server)
 	}
 }
 
