A message that its handler panics at no longer ends the process

The same class elsewhere: a panic in a frame handler ended the instance, and its sender went on to the next one with the same message. Measured: TestMessageThatPanicsEndsNothing ended the test's process before (panic: broken by its content), green after. HTTP handlers recover already.

--- a/daemon/frame/frame_test.go
+++ b/daemon/frame/frame_test.go
@@ -217,3 +217,35 @@
 		io.Copy(io.Discard, a)
 	})
 }
+
+// A message that its handler panics at ended the process that took it. Its sender went
+// on to the next peer with the same message, and that ended too: one request could end
+// a whole group. It must cost an error and nothing else.
+func TestMessageThatPanicsEndsNothing(t *testing.T) {
+	a, _ := serve(t, []Key{keyA}, nil)
+	b := NewTransport(freeAddress(t), []Key{keyA}, nil)
+	b.HandleRequest("boom", func(context.Context, string, []byte) (any, error) { panic("broken by its content") })
+	b.HandleOneWay("boom too", func(string, []byte) { panic("broken by its content") })
+	b.HandleRequest("echo", func(context.Context, string, []byte) (any, error) { return "still here", nil })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	go func() { _ = b.Serve(ctx) }()
+	for ctx.Err() == nil {
+		if _, err := call(a, b.Self(), "is it there"); err == nil {
+			break
+		}
+	}
+	var remote *RemoteError
+	if err := a.Call(ctx, b.Self(), "boom", "x", new(string)); !errors.As(err, &remote) {
+		t.Errorf("got %v, want the peer's error", err)
+	}
+	if err := a.Send(b.Self(), "boom too", "x"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := call(a, b.Self(), "hello"); err != nil || got != "still here" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if n := b.Panics.Load(); n != 2 {
+		t.Errorf("%d panics counted", n)
+	}
+}
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +47,8 @@
 	ErrLost = eris.New("connection to peer was lost")
 	// ErrQueueFull: too many messages wait for the peer.
 	ErrQueueFull = eris.New("queue to peer is full")
+	// errPanicked: the peer's handler broke down over the message.
+	errPanicked = eris.New("the handler panicked")
 	// errEnded: the link was idle and has ended; a new one takes its place.
 	errEnded = errors.New("link has ended")
 )
@@ -84,6 +88,8 @@
 	closed bool
 	// BadFrames counts connections closed for a protocol violation.
 	BadFrames atomic.Int64
+	// Panics counts messages that their handlers panicked at.
+	Panics atomic.Int64
 	// BytesSent and MessagesSent count outgoing traffic.
 	BytesSent, MessagesSent atomic.Int64
 }
@@ -178,7 +184,7 @@
 		switch m.Kind {
 		case OneWay:
 			if h := t.oneWays[m.Method]; h != nil {
-				h(c.PeerAddress, m.Body)
+				t.take(h, c.PeerAddress, m)
 			}
 		case Request:
 			busy <- struct{}{}
@@ -202,7 +208,7 @@
 	h := t.requests[m.Method]
 	if h == nil {
 		resp.Error = "unknown method " + m.Method
-	} else if v, err := h(ctx, from, m.Body); err != nil {
+	} else if v, err := t.serveRequest(ctx, h, from, m); err != nil {
 		resp.Error = err.Error()
 	} else if resp.Body, err = msgpack.Marshal(v); err != nil {
 		resp.Error = err.Error()
@@ -216,6 +222,34 @@
 	}
 }
 
+// take runs the handler of a one-way message.
+func (t *Transport) take(h OneWayHandler, from string, m *Message) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.notePanic(from, m.Method, p)
+		}
+	}()
+	h(from, m.Body)
+}
+
+// serveRequest runs the handler of a request. A panic is its sender's error: ending
+// the process would send the message on to the next one, and end that too.
+func (t *Transport) serveRequest(ctx context.Context, h RequestHandler, from string, m *Message) (v any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.notePanic(from, m.Method, p)
+			err = errPanicked
+		}
+	}()
+	return h(ctx, from, m.Body)
+}
+
+func (t *Transport) notePanic(from, method string, p any) {
+	t.Panics.Add(1)
+	log.WithFields(log.Fields{"step": "handle message", "peer": from, "method": method, "panic": fmt.Sprint(p), "stack": string(debug.Stack())}).
+		Error("the handler panicked; the message is dropped")
+}
+
 // writeLoop writes queued messages and flushes when the queue is empty.
 func (t *Transport) writeLoop(c *Conn, out <-chan *Message, done <-chan struct{}) {
 	for {
