Calls that are alike are not held beside a request that ends servers

Three faults of the first mend: (1) calls sent to a server that had ended, but for which something still listened, counted as in flight at its end, and at the same start again and again; (2) a success counted only after a suspicion was known, and ends can follow each other faster than word of it; (3) a hold by mistake lasted ten minutes, in which no success could clear it. Change: only runs that began before the first break since the server last answered count, and a start ends once; instances remember when requests last succeeded and say so when they hear of a suspicion, which is at least 150 ms before a hold; successes have a time, and outdate only what was before them. The first hold is a minute, each further one four times as long, 16 minutes at most: six ends in the first hour. Ruled out: load (the lines show the same start reported four times within 2 ms). TestHoldWaitsForWordOfSuccesses is red without the deliberation.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -11,6 +11,8 @@
 	Request Digest `msgpack:"d"`
 	// Server is the start of the server that ended.
 	Server string `msgpack:"s"`
+	// KeepsID: the server has the same ID at all its starts.
+	KeepsID bool `msgpack:"k,omitempty"`
 	// Began and Ended are how long ago the run began and broke off, at the moment of
 	// telling.
 	Began time.Duration `msgpack:"b"`
@@ -65,6 +67,8 @@
 	// prior counts the rounds behind a ruling that was there before the record.
 	prior  int
 	rounds []round
+	// suspected is when the request became suspicious; zero before.
+	suspected time.Time
 	// ends are all, whether they count as a round or not.
 	ends []end
 	last time.Time
@@ -91,27 +95,54 @@
 	if j.register.Blamed(now, e.Server, e.Request) {
 		return Ruling{}, false
 	}
-	standing, known := j.register.Ruling(now, e.Request)
-	if known && standing.Standing == Held {
+	if standing, known := j.register.Ruling(now, e.Request); known && standing.Standing == Held {
 		return j.again(now, e)
 	}
 	rec := j.record(now, e.Request)
 	began := now.Add(-e.Began)
-	if rec.knows(e.Server, began) {
+	if rec.knows(&e, began) {
 		return Ruling{}, false
 	}
 	rec.add(began, round{e.Server, now.Add(-e.Ended), e.Others[:min(len(e.Others), MostOthers)]})
+	return j.decide(now, e.Request, rec)
+}
+
+// decide rules on a request by its record.
+func (j *Judge) decide(now time.Time, request Digest, rec *record) (Ruling, bool) {
 	rounds := rec.prior + rec.counted()
-	switch {
-	case rounds >= roundsToHold:
-		delete(j.records, e.Request)
-		return j.rule(now, e.Request, Held, rec.servers())
-	case rounds >= roundsToSuspect && !(known && standing.Standing == Suspected):
-		return j.rule(now, e.Request, Suspected, rec.servers())
+	if rounds < roundsToSuspect {
+		return Ruling{}, false
+	}
+	if rec.suspected.IsZero() {
+		rec.suspected = now
+	}
+	if rounds >= roundsToHold && now.Sub(rec.suspected) >= deliberation {
+		return j.rule(now, request, Held, rec.servers())
+	}
+	if standing, known := j.register.Ruling(now, request); known && standing.Standing == Suspected {
+		return Ruling{}, false
+	}
+	return j.rule(now, request, Suspected, rec.servers())
+}
+
+// Review decides on the requests whose deliberation is over; call it that long after
+// endings were taken.
+func (j *Judge) Review(now time.Time) []Ruling {
+	var out []Ruling
+	for request, rec := range j.records {
+		if standing, known := j.register.Ruling(now, request); known && standing.Standing == Held || rec.prior+rec.counted() < roundsToHold {
+			continue
+		}
+		if x, tell := j.decide(now, request, rec); tell {
+			out = append(out, x)
+		}
 	}
-	return Ruling{}, false
+	return out
 }
 
+// Deliberation is how long after an ending Review may have something to decide.
+const Deliberation = deliberation
+
 // again notes one more server that ended under a held request, by a run that had
 // begun before: it explains that end for the others.
 func (j *Judge) again(now time.Time, e Ending) (Ruling, bool) {
@@ -125,7 +156,13 @@
 
 func (j *Judge) rule(now time.Time, request Digest, s Standing, servers []string) (Ruling, bool) {
 	before, _ := j.register.Ruling(now, request)
-	x := Ruling{Digest: request, Standing: s, Version: before.Version + 1, Servers: servers[max(0, len(servers)-mostServers):]}
+	x := Ruling{Digest: request, Standing: s, Version: before.Version + 1, Holds: before.Holds, Servers: servers[max(0, len(servers)-mostServers):]}
+	switch s {
+	case Held:
+		x.Holds++
+	case Cleared:
+		x.Holds = 0
+	}
 	j.register.Take(now, x)
 	j.Explain(x)
 	return x, true
@@ -144,17 +181,30 @@
 	}
 }
 
-// Succeeded clears a request that a server has answered; the ruling is to be told if
-// the request was suspected or held.
-func (j *Judge) Succeeded(now time.Time, request Digest) (Ruling, bool) {
-	delete(j.records, request)
+// Succeeded notes that a server has answered a run that began at a time: what is known
+// from before it says nothing any more. The ruling is to be told if that clears the
+// request.
+func (j *Judge) Succeeded(now time.Time, request Digest, began time.Time) (Ruling, bool) {
 	standing, known := j.register.Ruling(now, request)
+	if rec := j.records[request]; rec != nil {
+		rec.prior = 0
+		rec.rounds = slices.DeleteFunc(rec.rounds, func(r round) bool { return r.ended.Before(began) })
+		if rec.counted() >= roundsToSuspect {
+			return Ruling{}, false
+		}
+		rec.suspected = time.Time{}
+	} else if known && began.Before(now.Add(-standing.Age)) {
+		return Ruling{}, false // it may have begun before the ends
+	}
 	if !known || standing.Standing == Cleared {
 		return Ruling{}, false
 	}
 	return j.rule(now, request, Cleared, nil)
 }
 
+// Clear forgets what is known against a request that another judge has cleared.
+func (j *Judge) Clear(request Digest) { delete(j.records, request) }
+
 // Forget drops what is known against requests that no server has ended under lately.
 func (j *Judge) Forget(now time.Time) {
 	for digest, rec := range j.records {
@@ -173,6 +223,7 @@
 		rec = &record{}
 		if standing, known := j.register.Ruling(now, request); known && standing.Standing == Suspected {
 			rec.prior = roundsToHold - 1 // by another judge, or before a hold that is over
+			rec.suspected = now.Add(-standing.Age)
 		}
 		j.records[request] = rec
 	}
@@ -192,10 +243,10 @@
 	delete(j.records, least)
 }
 
-// knows reports whether the end of a run was told before. Where servers keep their IDs
-// over their starts, a run that began after an end belongs to another start.
-func (r *record) knows(server string, began time.Time) bool {
-	return slices.ContainsFunc(r.ends, func(e end) bool { return e.server == server && !began.After(e.at) })
+// knows reports whether an end was told before. Where servers keep their IDs over their
+// starts, a run that began after an end belongs to another start.
+func (r *record) knows(e *Ending, began time.Time) bool {
+	return slices.ContainsFunc(r.ends, func(x end) bool { return x.server == e.Server && !(e.KeepsID && began.After(x.at)) })
 }
 
 // servers names those that ended, the newest last.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -96,7 +96,11 @@
 		w.after(time.Second)
 		w.ends("q", fmt.Sprint("s", i), 100*time.Millisecond)
 	}
-	if x, tell := w.j.Succeeded(w.now, digest("q")); !tell || x.Standing != Cleared {
+	if _, tell := w.j.Succeeded(w.now, digest("q"), w.now.Add(-time.Minute)); tell {
+		t.Error("a success from before the ends cleared the request")
+	}
+	w.after(time.Millisecond)
+	if x, tell := w.j.Succeeded(w.now, digest("q"), w.now); !tell || x.Standing != Cleared {
 		t.Errorf("a success of a suspected request gave %+v, told %v", x, tell)
 	}
 	for i := range 2 {
@@ -116,12 +120,23 @@
 	w.expect("q", Cleared)
 }
 
+// A start ends once. Calls that are sent to it later, since something still listens
+// there, break off one after the other and say nothing.
+func TestAStartEndsOnce(t *testing.T) {
+	w := newWorld(t)
+	for range 5 {
+		w.after(time.Second)
+		w.ends("q", "start of s", 100*time.Millisecond)
+	}
+	w.expect("q", Cleared)
+}
+
 // A server that keeps its ID over its starts ends three times.
 func TestEndsOfOneServerOneAfterTheOtherHold(t *testing.T) {
 	w := newWorld(t)
 	for range 3 {
 		w.after(time.Second)
-		w.ends("q", "s", 100*time.Millisecond)
+		w.j.Take(w.now, Ending{Request: digest("q"), Server: "s", KeepsID: true, Began: 100 * time.Millisecond})
 	}
 	w.expect("q", Held)
 }
@@ -158,14 +173,48 @@
 		w.after(time.Second)
 		w.ends("q", fmt.Sprint("s", i), 100*time.Millisecond)
 	}
-	w.after(HoldTime)
+	w.after(FirstHold)
 	w.expect("q", Suspected)
 	w.ends("q", "next", 100*time.Millisecond)
 	w.expect("q", Held)
-	w.after(HoldTime + memoryTime)
+	w.after(holdGrowth*FirstHold + memoryTime)
 	w.expect("q", Cleared)
 }
 
+// A request that ends servers whenever it may costs six of them in an hour.
+func TestHoldsGrow(t *testing.T) {
+	w := newWorld(t)
+	ends := 0
+	for w.now.Sub(t0) < time.Hour {
+		if x, known := w.r.Ruling(w.now, digest("q")); !known || x.Standing != Held {
+			ends++
+			w.ends("q", fmt.Sprint("s", ends), 100*time.Millisecond)
+		}
+		w.after(time.Second)
+	}
+	if ends > roundsToHold+6 {
+		t.Errorf("%d servers ended in an hour", ends)
+	}
+}
+
+// Ends can follow each other so fast that no word of a success comes between.
+func TestHoldWaitsForWordOfSuccesses(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 {
+		w.after(20 * time.Millisecond)
+		w.ends("alike", fmt.Sprint("s", i), 10*time.Millisecond)
+		w.ends("lethal", fmt.Sprint("s", i), 10*time.Millisecond)
+	}
+	w.expect("alike", Suspected)
+	w.after(20 * time.Millisecond)
+	w.j.Succeeded(w.now, digest("alike"), w.now.Add(-time.Millisecond))
+	w.after(deliberation)
+	if list := w.j.Review(w.now); len(list) != 1 || list[0].Digest != digest("lethal") || list[0].Standing != Held {
+		t.Errorf("got %+v", list)
+	}
+	w.expect("alike", Cleared)
+}
+
 // The instance that counted is gone; the next one goes on from the suspicion that all
 // were told of.
 func TestAnotherJudgeGoesOn(t *testing.T) {
@@ -211,7 +260,7 @@
 	one, two := NewRegister(), NewRegister()
 	one.Take(t0, Ruling{Digest: digest("q"), Standing: Held, Version: 1})
 	now := t0
-	for now.Sub(t0) < HoldTime {
+	for now.Sub(t0) < FirstHold {
 		for _, x := range one.Told(now) {
 			two.Take(now.Add(20*time.Millisecond), x)
 		}
--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -25,7 +25,7 @@
 func (r *Register) Held(now time.Time) int {
 	n := 0
 	for _, d := range r.rulings {
-		if d.Standing == Held && now.Sub(d.at) < HoldTime {
+		if x := d.told(now); x.Left() > 0 {
 			n++
 		}
 	}
@@ -41,7 +41,7 @@
 	}
 	out := d.Ruling
 	out.Age = now.Sub(d.at)
-	if out.Standing == Held && out.Age >= HoldTime {
+	if out.Standing == Held && out.Left() == 0 {
 		out.Standing = Suspected
 	}
 	return out, true
--- a/core/quarantine/replay_test.go
+++ b/core/quarantine/replay_test.go
@@ -18,6 +18,34 @@
 	refused map[string]int
 	ends    int
 	calls   int
+	// downtime passes between the end of a server and its next start.
+	downtime  time.Duration
+	successes *Successes
+	// messages are on their way.
+	messages []message
+}
+
+type message struct {
+	at      time.Time
+	deliver func()
+}
+
+// later delivers a message after a delay.
+func (p *replay) later(d time.Duration, deliver func()) {
+	p.messages = append(p.messages, message{p.now.Add(d), deliver})
+}
+
+// deliver delivers what has arrived.
+func (p *replay) deliver() {
+	waiting := p.messages
+	p.messages = nil
+	for _, m := range waiting {
+		if p.now.Before(m.at) {
+			p.messages = append(p.messages, m)
+			continue
+		}
+		m.deliver()
+	}
 }
 
 type server struct {
@@ -36,12 +64,16 @@
 }
 
 const (
-	tick     = 10 * time.Millisecond
-	downtime = 4 * time.Second
+	tick = 10 * time.Millisecond
+	// proofDelay passes until the end of a server is known, tellDelay until another
+	// instance hears of something.
+	proofDelay = 30 * time.Millisecond
+	tellDelay  = 10 * time.Millisecond
 )
 
 func newReplay(t *testing.T, servers int, seed int64) *replay {
-	p := &replay{world: newWorld(t), rnd: rand.New(rand.NewSource(seed)), running: map[*run]bool{}, refused: map[string]int{}}
+	p := &replay{world: newWorld(t), rnd: rand.New(rand.NewSource(seed)), running: map[*run]bool{}, successes: NewSuccesses(), refused: map[string]int{},
+		downtime: 4 * time.Second}
 	for range servers {
 		p.servers = append(p.servers, &server{id: p.newStart()})
 	}
@@ -77,18 +109,33 @@
 	p.ends += len(list)
 	for i, s := range list {
 		others := append(append([]string{}, ids[:i]...), ids[i+1:]...)
-		s.id, s.back = p.newStart(), p.now.Add(downtime)
+		s.id, s.back = p.newStart(), p.now.Add(p.downtime)
 		p.report(s, ids[i], others[:min(len(others), MostOthers)])
 	}
 }
 
+// answer tells the judge of a success of a request that it has ruled on.
+func (p *replay) answer(x Ruling) {
+	if began, known := p.successes.Last(x.Digest); known && x.Standing != Cleared {
+		p.later(tellDelay, func() { p.j.Succeeded(p.now, x.Digest, began) })
+	}
+}
+
 func (p *replay) report(s *server, id string, others []string) {
 	for r := range p.running {
 		if r.server != s {
 			continue
 		}
 		delete(p.running, r)
-		p.j.Take(p.now, Ending{Request: digest(r.request), Server: id, Began: p.now.Sub(r.began), Others: others})
+		e := Ending{Request: digest(r.request), Server: id, Others: others}
+		began, ended := r.began, p.now
+		p.later(proofDelay, func() {
+			e.Began, e.Ended = p.now.Sub(began), p.now.Sub(ended)
+			if x, tell := p.j.Take(p.now, e); tell {
+				p.later(tellDelay, func() { p.answer(x) })
+			}
+			p.later(deliberation, func() { p.j.Review(p.now) })
+		})
 		if r.runs > 1 {
 			p.begin(r.request, r.until.Sub(r.began), r.runs-1)
 		}
@@ -105,6 +152,13 @@
 // step lets the runs of one tick end and new calls come.
 func (p *replay) step() {
 	p.after(tick)
+	p.end()
+	p.comeAnew()
+}
+
+// end lets the runs whose time has come end.
+func (p *replay) end() {
+	p.deliver()
 	for r := range p.running {
 		if p.now.Before(r.until) {
 			continue
@@ -114,10 +168,15 @@
 			continue
 		}
 		delete(p.running, r)
+		p.successes.Note(digest(r.request), r.began)
 		if x, known := p.r.Ruling(p.now, digest(r.request)); known && x.Standing == Suspected {
-			p.j.Succeeded(p.now, digest(r.request))
+			p.later(tellDelay, func() { p.j.Succeeded(p.now, digest(r.request), r.began) })
 		}
 	}
+}
+
+// comeAnew lets new calls come.
+func (p *replay) comeAnew() {
 	for range 3 {
 		p.calls++
 		switch p.rnd.Intn(5) {
@@ -147,6 +206,28 @@
 	}
 }
 
+// A request comes each 150 ms, and each time twice, to four servers that are back after
+// half a second. Beside it all other calls have one of four bodies, as health checks
+// have: any of them may be in flight when one server ends, and when the next does a
+// tenth of a second later.
+func TestCallsThatAreAlikeBesideALethalRequest(t *testing.T) {
+	for seed := range int64(20) {
+		p := newReplay(t, 4, seed)
+		p.downtime = 500 * time.Millisecond
+		for n := range int(20 * time.Second / tick) {
+			p.after(tick)
+			p.end()
+			if n%15 == 0 || n%15 == 4 {
+				p.begin(lethal, 10*time.Millisecond, 1)
+			}
+			if n%2 == 0 {
+				p.begin(fmt.Sprint("alike ", n/2%4), 40*time.Millisecond, 2)
+			}
+		}
+		p.check(20 * int(time.Second/(150*time.Millisecond)))
+	}
+}
+
 // Half of the servers end at once, three times within seconds; no request is to blame.
 func TestInnocentInMassCrashes(t *testing.T) {
 	for seed := range int64(20) {
--- a/core/quarantine/ruling.go
+++ b/core/quarantine/ruling.go
@@ -15,10 +15,18 @@
 	roundsToHold = 3
 	// roundsToSuspect makes instances tell of the request's successes.
 	roundsToSuspect = 2
-	// HoldTime is how long a request is held. After it, one more end is enough for the
-	// next hold: a request that goes on ending servers costs one of them in this time,
-	// beside those that run at the same moment.
-	HoldTime = 10 * time.Minute
+	// FirstHold is how long a request is held at first; each further hold is holdGrowth
+	// times as long, up to mostHold. After a hold, one more end is enough for the next
+	// one: a request that goes on ending servers costs one of them a time, six in the
+	// first hour, beside those that run at the same moment; and one that is held by
+	// mistake is served again after a minute.
+	FirstHold  = time.Minute
+	holdGrowth = 4
+	mostHold   = 16 * time.Minute
+	// deliberation passes at least between a suspicion and a hold: all instances that
+	// have served the request meanwhile can say so in it. Servers can end so fast, one
+	// after the other, that the next end comes before any word of a success.
+	deliberation = 150 * time.Millisecond
 	// memoryTime is how long ends are remembered without a ruling, and a hold after
 	// its end: longer than any usual pause between two repeats of a request.
 	memoryTime = 10 * time.Minute
@@ -56,6 +64,8 @@
 	// Age is how long ago it was decided, at the moment of telling. Instances' clocks
 	// are not compared.
 	Age time.Duration `msgpack:"a"`
+	// Holds counts the holds of the request without a success between.
+	Holds int `msgpack:"n,omitempty"`
 	// Servers are starts of servers that ended under the request, the newest last.
 	Servers []string `msgpack:"e,omitempty"`
 }
@@ -66,8 +76,20 @@
 	at time.Time
 }
 
+// holdTime is how long the request is held from the ruling on.
+func (r *Ruling) holdTime() time.Duration {
+	if r.Standing != Held {
+		return 0
+	}
+	t := FirstHold
+	for n := 1; n < r.Holds && t < mostHold; n++ {
+		t *= holdGrowth
+	}
+	return min(t, mostHold)
+}
+
 // Left is how long the request is still held.
-func (r *Ruling) Left() time.Duration { return max(0, HoldTime-r.Age) }
+func (r *Ruling) Left() time.Duration { return max(0, r.holdTime()-r.Age) }
 
 // told is the ruling as it is passed on.
 func (d *decided) told(now time.Time) Ruling {
@@ -80,12 +102,7 @@
 }
 
 // Over reports whether nothing follows from the ruling any more.
-func (r *Ruling) Over() bool {
-	if r.Standing == Held {
-		return r.Age >= HoldTime+memoryTime
-	}
-	return r.Age >= memoryTime
-}
+func (r *Ruling) Over() bool { return r.Age >= r.holdTime()+memoryTime }
 
 func (d *decided) over(now time.Time) bool {
 	x := d.Ruling
--- a/core/state/quarantine_test.go
+++ b/core/state/quarantine_test.go
@@ -37,8 +37,8 @@
 	if err := restored.Restore(m.Snapshot()); err != nil {
 		t.Fatal(err)
 	}
-	got := restored.Holds()[0].Told(1000 + quarantine.HoldTime.Milliseconds()/2)
-	if got.Age != quarantine.HoldTime/2 || got.Standing != quarantine.Held {
+	got := restored.Holds()[0].Told(1000 + quarantine.FirstHold.Milliseconds()/2)
+	if got.Age != quarantine.FirstHold/2 || got.Standing != quarantine.Held {
 		t.Errorf("got %+v", got)
 	}
 	rule(restored, time.Hour.Milliseconds(), "other", quarantine.Held, 1)
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -17,6 +17,7 @@
 	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/backend"
+	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/scheduler"
 )
 
@@ -72,20 +73,20 @@
 		return r
 	}
 	x.out.attempt(n)
-	began := time.Now()
+	run := quarantine.Run{Server: grant.Server, KeepsID: true, Address: grant.Address, Began: time.Now()}
 	rep, failure := x.e.try(x.run, x.c, x.target(&grant, n), slot, x.out)
 	if failure != nil {
-		x.noteBroken(failure, &grant, began)
+		x.noteBroken(failure, run)
 		return x.failed(failure, grant.Server, n)
 	}
-	x.e.keeper.Succeeded(x.c.requestDigest)
+	x.e.keeper.Succeeded(run, x.c.requestDigest())
 	return rep
 }
 
 // noteBroken tells the quarantine of a run that may have begun and has no answer.
-func (x *execution) noteBroken(f *backend.CallError, g *dispatch.Grant, began time.Time) {
+func (x *execution) noteBroken(f *backend.CallError, r quarantine.Run) {
 	if f.Failure == retry.FailureUncertain && f.Status == 0 && x.run.Err() == nil {
-		x.e.keeper.Broke(g.Server, g.Address, x.c.requestDigest(), began)
+		x.e.keeper.Broke(r, x.c.requestDigest())
 	}
 }
 
--- a/daemon/quarantine/broken.go
+++ b/daemon/quarantine/broken.go
@@ -17,18 +17,19 @@
 	deadTime = 200 * time.Millisecond
 )
 
-// run is a run that broke off.
-type run struct {
+// brokenRun is a run that broke off.
+type brokenRun struct {
 	request      quarantine.Digest
+	keepsID      bool
 	began, ended time.Time
 }
 
 // brokenServer is a server that broke off runs.
 type brokenServer struct {
-	// first is when the first run broke off since the server was last seen alive, last
-	// when the latest did.
+	// first is when the first run broke off since the server last answered one, last when
+	// the latest did.
 	first, last time.Time
-	runs        []run
+	runs        []brokenRun
 	// ended is when there was proof that it has ended; zero without.
 	ended time.Time
 }
@@ -53,7 +54,7 @@
 }
 
 // add notes a run. One that began after the server had ended has not run there.
-func (b broken) add(now time.Time, id string, r run) {
+func (b broken) add(now time.Time, id string, r brokenRun) {
 	s := b.server(now, id)
 	if len(s.runs) == 0 || s.first.IsZero() {
 		s.first = now
@@ -65,16 +66,16 @@
 }
 
 // take returns the runs at a server that has ended, each of them once.
-func (b broken) take(now time.Time, id string) []run {
+func (b broken) take(now time.Time, id string) []brokenRun {
 	s := b.server(now, id)
 	runs := s.runs
 	s.runs, s.ended = nil, now
 	return runs
 }
 
-// alive notes that a server took a connection. What broke off there still waits for
-// proof: something else may listen for the server.
-func (b broken) alive(id string) {
+// answered notes that a server lives: it has answered a run. That it takes connections
+// says nothing, since something else may listen for it.
+func (b broken) answered(id string) {
 	if s := b[id]; s != nil {
 		s.first = time.Time{}
 	}
--- a/daemon/quarantine/broken_test.go
+++ b/daemon/quarantine/broken_test.go
@@ -14,7 +14,7 @@
 
 func (b broken) breaks(began, ended int, name string) {
 	r := quarantine.Request{URI: name}
-	b.add(at(ended), "s", run{r.Digest(), at(began), at(ended)})
+	b.add(at(ended), "s", brokenRun{request: r.Digest(), began: at(began), ended: at(ended)})
 }
 
 // Calls that are sent to a server before others have noticed its end break off too,
@@ -40,17 +40,30 @@
 func TestServerThatBrokeOffBeforeItEnded(t *testing.T) {
 	b := broken{}
 	b.breaks(0, 100, "cut short")
-	b.alive("s")
+	b.answered("s")
 	b.breaks(200, 3000, "ran")
 	if got := b.take(at(3030), "s"); len(got) != 2 {
 		t.Errorf("%d runs", len(got))
 	}
 }
 
+// Something listens for a server that has ended: each call that is sent to it breaks
+// off, for seconds, and never ran there.
+func TestRunsAtADeadServerThatIsListenedFor(t *testing.T) {
+	b := broken{}
+	b.breaks(0, 100, "ran")
+	for i := range 20 {
+		b.breaks(110+i*50, 115+i*50, "never ran")
+	}
+	if got := b.take(at(1500), "s"); len(got) != 1 {
+		t.Errorf("%d runs were in flight", len(got))
+	}
+}
+
 func TestBrokenRunsAreBounded(t *testing.T) {
 	b := broken{}
 	for i := range 3 * mostServers {
-		b.add(at(i), fmt.Sprint(i), run{began: at(i - 1), ended: at(i)})
+		b.add(at(i), fmt.Sprint(i), brokenRun{began: at(i - 1), ended: at(i)})
 		b.breaks(i-100, i, "q")
 	}
 	if len(b) > mostServers || len(b["s"].runs) > mostRuns {
--- a/daemon/quarantine/ended.go
+++ b/daemon/quarantine/ended.go
@@ -29,23 +29,11 @@
 type checker struct {
 	mu      sync.Mutex
 	running map[string]bool
-	// after is told of each check's finding.
-	after func(server string, found finding)
+	// after is told of each check's end, and whether the server has ended.
+	after func(server string, ended bool)
 }
 
-// finding is what a check found out.
-type finding uint8
-
-const (
-	// unknown: the server's host did not answer.
-	unknown finding = iota
-	// taken: somebody took the connection.
-	taken
-	// refused: the host says that nobody listens; the server has ended.
-	refused
-)
-
-func newChecker(after func(server string, found finding)) *checker {
+func newChecker(after func(server string, ended bool)) *checker {
 	return &checker{running: map[string]bool{}, after: after}
 }
 
@@ -60,22 +48,20 @@
 	c.running[server] = true
 	go func() {
 		time.Sleep(checkPause)
-		found := look(address)
+		ended := refuses(address)
 		c.mu.Lock()
 		delete(c.running, server)
 		c.mu.Unlock()
-		c.after(server, found)
+		c.after(server, ended)
 	}()
 }
 
-func look(address string) finding {
+// refuses reports whether nobody listens at an address, by its host's own word.
+func refuses(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, checkTimeout)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return refused
-	}
 	if err != nil {
-		return unknown
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	conn.Close()
-	return taken
+	return false
 }
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -60,16 +60,17 @@
 	// ended counts the servers that were found to have ended under calls.
 	ended atomic.Int64
 
-	mu       sync.Mutex
-	broken   broken
-	register *quarantine.Register
-	judge    *quarantine.Judge
+	mu        sync.Mutex
+	broken    broken
+	successes *quarantine.Successes
+	register  *quarantine.Register
+	judge     *quarantine.Judge
 }
 
 // New returns a keeper and registers its frame handlers.
 func New(o Options) *Keeper {
 	r := quarantine.NewRegister()
-	k := &Keeper{opt: o, broken: broken{}, register: r, judge: quarantine.NewJudge(r)}
+	k := &Keeper{opt: o, broken: broken{}, successes: quarantine.NewSuccesses(), register: r, judge: quarantine.NewJudge(r)}
 	k.checker = newChecker(k.checked)
 	if t := o.Transport; t != nil {
 		t.HandleOneWay(methodEndings, k.handleEndings)
@@ -100,49 +101,52 @@
 // Held reports whether a request is held, and for how long still. The digest is only
 // asked for while there are rulings.
 func (k *Keeper) Held(request func() quarantine.Digest) (time.Duration, bool) {
-	x, known := k.ruling(request)
+	if k.known.Load() == 0 {
+		return 0, false
+	}
+	d := request()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x, known := k.register.Ruling(time.Now(), d)
 	if !known || x.Standing != quarantine.Held {
 		return 0, false
 	}
 	return x.Left(), true
 }
 
-func (k *Keeper) ruling(request func() quarantine.Digest) (quarantine.Ruling, bool) {
-	if k.known.Load() == 0 {
-		return quarantine.Ruling{}, false
-	}
-	d := request()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.register.Ruling(time.Now(), d)
+// Run is one run of a request at a server.
+type Run struct {
+	// Server is the start of a server, or the server where it has one ID for all starts:
+	// KeepsID. Address is where it listens.
+	Server  string
+	KeepsID bool
+	Address string
+	Began   time.Time
 }
 
-// Succeeded notes that a server has answered a request.
-func (k *Keeper) Succeeded(request func() quarantine.Digest) {
-	x, known := k.ruling(request)
-	if !known || x.Standing == quarantine.Cleared {
-		return
-	}
-	for _, judge := range k.judgesOf(x.Digest) {
-		if judge == k.self() {
-			k.takeSuccess(x.Digest)
-			continue
-		}
-		k.send(judge, methodSuccess, x.Digest)
+// Succeeded notes that a server has answered a run.
+func (k *Keeper) Succeeded(r Run, request quarantine.Digest) {
+	k.mu.Lock()
+	k.broken.answered(r.Server)
+	k.successes.Note(request, r.Began)
+	x, known := k.register.Ruling(time.Now(), request)
+	k.mu.Unlock()
+	if known && x.Standing != quarantine.Cleared {
+		k.tellSuccess(request)
 	}
 }
 
-// Broke notes that a run of a request, begun at a time, broke off, for no reason of
-// this instance's or the caller's. Whether its server has ended is looked at.
-func (k *Keeper) Broke(server, address string, request quarantine.Digest, began time.Time) {
+// Broke notes that a run broke off, for no reason of this instance's or the caller's.
+// Whether its server has ended is looked at.
+func (k *Keeper) Broke(r Run, request quarantine.Digest) {
 	now := time.Now()
 	k.mu.Lock()
-	k.broken.add(now, server, run{request, began, now})
-	ended := k.broken.endedSince(server, began)
+	k.broken.add(now, r.Server, brokenRun{request, r.KeepsID, r.Began, now})
+	ended := k.broken.endedSince(r.Server, r.Began)
 	k.mu.Unlock()
 	if ended {
-		k.report(server)
+		k.report(r.Server)
 		return
 	}
-	k.checker.check(server, address)
+	k.checker.check(r.Server, r.Address)
 }
--- a/daemon/quarantine/keeper_test.go
+++ b/daemon/quarantine/keeper_test.go
@@ -26,7 +26,7 @@
 
 // breaks tells of a run that broke off and waits for what comes of it.
 func breaks(k *Keeper, id, address, name string) {
-	k.Broke(id, address, request(name)(), time.Now().Add(-time.Millisecond))
+	k.Broke(Run{Server: id, Address: address, Began: time.Now().Add(-time.Millisecond)}, request(name)())
 	time.Sleep(2*checkPause + quarantine.SameTime)
 }
 
@@ -40,13 +40,13 @@
 		end()
 		breaks(k, id, address, "q")
 	}
-	if left, held := k.Held(request("q")); !held || left > quarantine.HoldTime || left < quarantine.HoldTime-time.Minute {
+	if left, held := k.Held(request("q")); !held || left > quarantine.FirstHold || left < quarantine.FirstHold/2 {
 		t.Errorf("held %v for %v", held, left)
 	}
 	if _, held := k.Held(request("other")); held {
 		t.Error("another request is held")
 	}
-	k.Succeeded(request("q"))
+	k.Succeeded(Run{Server: "d", Began: time.Now()}, request("q")())
 	if _, held := k.Held(request("q")); held {
 		t.Error("still held after a success")
 	}
@@ -77,3 +77,21 @@
 		t.Error("not held")
 	}
 }
+
+// Something listens for servers that have ended, so that calls are sent to them for as
+// long as nobody knows. Calls that are all alike broke off at one such server after the
+// other; they were held, and with them most of the traffic.
+func TestCallsSentAfterTheEndAreNotHeld(t *testing.T) {
+	k := New(Options{})
+	address, _ := server(t)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		breaks(k, id, address, "in flight at "+id)
+		breaks(k, id, address, "alike")
+		breaks(k, id, address, "alike")
+		k.Ended(id)
+	}
+	time.Sleep(2 * quarantine.Deliberation)
+	if _, held := k.Held(request("alike")); held {
+		t.Error("held, though it never ran at a server that ended")
+	}
+}
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -18,15 +18,11 @@
 // connection.
 func (k *Keeper) Ended(server string) { k.report(server) }
 
-// checked takes the outcome of a check.
-func (k *Keeper) checked(server string, found finding) {
-	switch found {
-	case refused:
+// checked takes the outcome of a check. Without proof, what broke off still waits: a
+// newer start may show it.
+func (k *Keeper) checked(server string, ended bool) {
+	if ended {
 		k.report(server)
-	case taken:
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.broken.alive(server)
 	}
 }
 
@@ -46,10 +42,10 @@
 	k.tellEndings(now, server, runs, others)
 }
 
-func (k *Keeper) tellEndings(now time.Time, server string, runs []run, others []string) {
+func (k *Keeper) tellEndings(now time.Time, server string, runs []brokenRun, others []string) {
 	byJudge := map[string][]quarantine.Ending{}
 	for _, r := range runs {
-		e := quarantine.Ending{Request: r.request, Server: server, Began: now.Sub(r.began), Ended: now.Sub(r.ended), Others: others}
+		e := quarantine.Ending{Request: r.request, Server: server, KeepsID: r.keepsID, Began: now.Sub(r.began), Ended: now.Sub(r.ended), Others: others}
 		for _, judge := range k.judgesOf(r.request) {
 			byJudge[judge] = append(byJudge[judge], e)
 		}
@@ -102,17 +98,62 @@
 	}
 	k.mu.Unlock()
 	k.publish(rulings)
+	time.AfterFunc(quarantine.Deliberation, k.review)
 }
 
-func (k *Keeper) takeSuccess(request quarantine.Digest) {
+// review decides what had to wait for word of successes.
+func (k *Keeper) review() {
 	k.mu.Lock()
-	x, tell := k.judge.Succeeded(time.Now(), request)
+	rulings := k.judge.Review(time.Now())
+	k.mu.Unlock()
+	k.publish(rulings)
+}
+
+// takeSuccess takes a success as the judge of its request.
+func (k *Keeper) takeSuccess(s success) {
+	now := time.Now()
+	k.mu.Lock()
+	x, tell := k.judge.Succeeded(now, s.Request, now.Add(-s.Began))
 	k.mu.Unlock()
 	if tell {
 		k.publish([]quarantine.Ruling{x})
 	}
 }
 
+// success says that a server has answered a run of a request.
+type success struct {
+	Request quarantine.Digest `msgpack:"d"`
+	// Began is how long ago the run began, at the moment of telling.
+	Began time.Duration `msgpack:"b"`
+}
+
+// tellSuccess tells a request's judges that it succeeded here, by the latest run.
+func (k *Keeper) tellSuccess(request quarantine.Digest) {
+	k.mu.Lock()
+	began, known := k.successes.Last(request)
+	k.mu.Unlock()
+	if !known {
+		return
+	}
+	s := success{request, time.Since(began)}
+	for _, judge := range k.judgesOf(request) {
+		if judge == k.self() {
+			k.takeSuccess(s)
+			continue
+		}
+		k.send(judge, methodSuccess, &s)
+	}
+}
+
+// answerRulings tells the judges of successes of the requests that are ruled on.
+func (k *Keeper) answerRulings(rulings []quarantine.Ruling) {
+	for _, x := range rulings {
+		if x.Standing != quarantine.Cleared {
+			k.tellSuccess(x.Digest)
+		}
+	}
+}
+
 // publish tells all instances of rulings that this one has just made.
 func (k *Keeper) publish(rulings []quarantine.Ruling) {
 	if len(rulings) == 0 {
@@ -127,6 +168,7 @@
 		}
 	}
 	if k.opt.Transport == nil {
+		k.answerRulings(rulings)
 		return
 	}
 	for _, i := range k.opt.Instances() {
@@ -134,6 +176,7 @@
 			k.send(i.PeerAddress, methodRulings, rulings)
 		}
 	}
+	k.answerRulings(rulings)
 }
 
 // remember puts a ruling into the log. A lost one costs, after a restart of all
@@ -152,14 +195,21 @@
 // TakeRulings takes what another instance, or the log, tells.
 func (k *Keeper) TakeRulings(list []quarantine.Ruling) {
 	now := time.Now()
+	var news []quarantine.Ruling
 	k.mu.Lock()
 	for _, x := range list {
-		if k.register.Take(now, x) {
-			k.judge.Explain(x)
+		if !k.register.Take(now, x) {
+			continue
+		}
+		news = append(news, x)
+		k.judge.Explain(x)
+		if x.Standing == quarantine.Cleared {
+			k.judge.Clear(x.Digest)
 		}
 	}
 	k.mu.Unlock()
 	k.count()
+	k.answerRulings(news)
 }
 
 // count notes how many rulings there are, for those who only ask that.
@@ -203,9 +253,9 @@
 }
 
 func (k *Keeper) handleSuccess(from string, body []byte) {
-	var request quarantine.Digest
-	if decode(from, body, &request) {
-		k.takeSuccess(request)
+	var s success
+	if decode(from, body, &s) {
+		k.takeSuccess(s)
 	}
 }
 
@@ -220,7 +270,7 @@
 // mostTexts bounds the digests in one log line.
 const mostTexts = 16
 
-func texts(runs []run) []string {
+func texts(runs []brokenRun) []string {
 	var out []string
 	for _, r := range runs[:min(len(runs), mostTexts)] {
 		out = append(out, r.request.String())
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -361,7 +361,7 @@
 		}
 	} else {
 		c.router.good(s.ID)
-		c.router.opt.Quarantine.Succeeded(c.digest)
+		c.noteSuccess(s)
 	}
 	if c.stream != nil && c.stream.started {
 		return failed
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -8,6 +8,7 @@
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/quarantine"
+	keeper "cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -30,10 +31,18 @@
 func (c *call) noteBroken(ctx context.Context, s fleet.Server, e *upstream.Error) {
 	startedAgain := errors.Is(context.Cause(ctx), errStartedAgain)
 	if e.Sent && (startedAgain || ctx.Err() == nil && connectionBroke(e)) {
-		c.router.opt.Quarantine.Broke(s.ID, s.Address, c.digest(), c.began)
+		c.router.opt.Quarantine.Broke(c.run(s), c.digest())
 	}
 }
 
+// noteSuccess tells the quarantine that a server has answered.
+func (c *call) noteSuccess(s fleet.Server) { c.router.opt.Quarantine.Succeeded(c.run(s), c.digest()) }
+
+// run is the call's last attempt.
+func (c *call) run(s fleet.Server) keeper.Run {
+	return keeper.Run{Server: s.ID, Address: s.Address, Began: c.began}
+}
+
 // keptBack gives the final answer of a request in quarantine, and reports whether it
 // is there.
 func (c *call) keptBack() bool {
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -100,7 +100,7 @@
 		c.startStream(resp)
 	}
 	c.router.good(s.ID)
-	c.router.opt.Quarantine.Succeeded(c.digest)
+	c.noteSuccess(s)
 	c.router.streamed(c)
 	c.logAnswer(s, resp.Status)
 	return answered
