Judges among the entries, found without sorting; explain tells rulings

Cause, from reading for size: at 376 entries an ended server with 64 calls cost its entry 10.1 ms, each request's ranking being sorted whole; replicas, which have the least to spare, were judges too. Change: the first two of the ranking by one pass; entries count, all instances only while there are none. The line of a kept call bears its request, and cardamomctl explain tells what was ruled on it, by whichever instance and however long ago.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 )
@@ -102,3 +103,18 @@
 		}
 	}
 }
+
+func TestFirstIsTheBeginningOfTheRanking(t *testing.T) {
+	var list []Instance
+	for i := range 50 {
+		for k := range 20 {
+			key := fmt.Sprint("key ", k)
+			want := Rank(key, list)
+			got := First(key, list)
+			if !slices.Equal(got, want[:min(2, len(want))]) {
+				t.Fatalf("of %d instances got %v, want %v", i, got, want[:min(2, len(want))])
+			}
+		}
+		list = append(list, Instance{Name: fmt.Sprint("instance-", i)})
+	}
+}
--- a/core/membership/rendezvous.go
+++ b/core/membership/rendezvous.go
@@ -6,6 +6,39 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// First returns the first instances of the ranking for a key, at most two. It is for
+// keys that are used once: nothing is sorted or kept.
+func First(key string, instances []Instance) []Instance {
+	best, second := -1, -1
+	var bestScore, secondScore uint64
+	for i := range instances {
+		s := score(key, instances[i].Name)
+		switch {
+		case best < 0 || s > bestScore:
+			second, secondScore = best, bestScore
+			best, bestScore = i, s
+		case second < 0 || s > secondScore:
+			second, secondScore = i, s
+		}
+	}
+	var out []Instance
+	for _, i := range []int{best, second} {
+		if i >= 0 {
+			out = append(out, instances[i])
+		}
+	}
+	return out
+}
+
+func score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key) // a hash takes everything
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
 // Rank orders instances by rendezvous hashing (highest random weight) for a
 // key: all who know the same instances agree on the first, and the loss of an
 // instance moves only what it held.
@@ -16,7 +49,7 @@
 	}
 	list := make([]scored, 0, len(instances))
 	for _, i := range instances {
-		list = append(list, scored{xxhash.Sum64String(key + "\x00" + i.Name), i})
+		list = append(list, scored{score(key, i.Name), i})
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].score > list[b].score })
 	out := make([]Instance, len(list))
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -318,6 +318,20 @@
 	}
 }
 
+// What a judge does for an ending while register and records are full.
+func BenchmarkTake(b *testing.B) {
+	r := NewRegister()
+	j := NewJudge(r)
+	for i := range mostRulings {
+		r.Take(t0, Ruling{Digest: digest(fmt.Sprint(i)), Standing: Held, Holds: 1, Version: 1, Servers: []string{"a", "b", "c"}})
+	}
+	n := 0
+	for b.Loop() {
+		n++
+		j.Take(t0, Ending{Request: digest(fmt.Sprint("q", n)), Server: "s"})
+	}
+}
+
 // What an instance does for each call while the register is full.
 func BenchmarkRuling(b *testing.B) {
 	r := NewRegister()
--- a/ctl/explain/explain.go
+++ b/ctl/explain/explain.go
@@ -44,7 +44,8 @@
 	// held: the declaration, the replica group, their own start.
 	Beliefs []Line
 	// Events are lines of any process near the call that name a server it was
-	// sent to, or tell that an instance started or left.
+	// sent to, or tell that an instance started or left; and the rulings of the
+	// quarantine on its request.
 	Events []Line
 	// Unreadable counts lines that are no JSON.
 	Unreadable int
@@ -97,12 +98,15 @@
 func (s *Story) pick(others []Line) {
 	end := s.Call[len(s.Call)-1].Time
 	instances, servers := s.parties()
+	requests := s.requests()
 	held := map[string]Line{}
 	for _, l := range others {
 		instance := l.text("instance")
 		switch {
 		case slices.Contains(instances, instance) && !l.Time.After(end) && isBelief(&l):
 			held[instance+l.Message] = l
+		case !l.Time.After(end) && l.Fields["standing"] != nil && slices.Contains(requests, l.text("request")):
+			s.Events = append(s.Events, l) // however long ago: a hold lasts minutes
 		case l.Time.Sub(end).Abs() <= around && (slices.Contains(servers, l.text("server")) || isArrival(&l)):
 			s.Events = append(s.Events, l)
 		}
@@ -128,6 +132,17 @@
 	return instances, servers
 }
 
+// requests returns the digests of the call's request.
+func (s *Story) requests() []string {
+	var out []string
+	for i := range s.Call {
+		if r := s.Call[i].text("request"); r != "" {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // beliefs are the messages that change what an instance holds.
 var beliefs = []string{"declaration in force", "replica group does not answer", "replica group is back", "instance started", "settings reloaded", "draining"}
 
--- a/ctl/explain/explain_test.go
+++ b/ctl/explain/explain_test.go
@@ -43,6 +43,23 @@
 	}
 }
 
+// A call that is kept from the servers is explained by what was ruled on its request
+// minutes before, at another instance.
+func TestStoryHasTheRulingsOnTheRequest(t *testing.T) {
+	judge := `{"fields":{"instance":"e9","request":"ab12","standing":"held","servers":["s1","s2","s3"]},"timestamp":"2026-12-02T09:50:00Z","message":"standing of a request under which servers ended"}
+{"fields":{"instance":"e9","request":"other","standing":"held","servers":["s7"]},"timestamp":"2026-12-02T09:51:00Z","message":"standing of a request under which servers ended"}
+`
+	kept := `{"fields":{"instance":"e1","call":"c2","status":503,"request":"ab12","reason":"kept from the servers"},"timestamp":"2026-12-02T10:00:06Z","message":"call failed"}
+`
+	s, err := Read("c2", strings.NewReader(kept), strings.NewReader(judge))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Events) != 1 || s.Events[0].text("request") != "ab12" {
+		t.Errorf("got %+v", s.Events)
+	}
+}
+
 func TestUnknownCallIsSaidSo(t *testing.T) {
 	s, err := Read("nobody", strings.NewReader(entryLog))
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,7 +88,7 @@
 	if experiment {
 		d.slots = baseline.New(s.Experiment.Baseline, d.transport)
 	}
-	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances})
+	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances, Judges: d.gossip.Entries})
 	d.entry = entry.New(entry.Options{Settings: s, Holder: d.holder, Gossip: d.gossip, Scheduler: d.slots,
 		Replicas: d.replicas, Metrics: d.metrics, Quarantine: d.keeper, Owner: self.Owner(), SpreadAnnouncements: experiment, IgnoreTiers: experiment})
 	d.admin = &admin.Admin{Settings: s, Holder: d.holder, Gossip: d.gossip, Replicas: d.replicas, Transport: d.transport, Own: d.info}
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -26,9 +26,6 @@
 	// these. With eight rulings of 30 to 200 bytes it is 3 KB/s at most, and nothing
 	// while there are none.
 	tellPeriod = 500 * time.Millisecond
-	// judges are the instances that count the endings of a request, so that one may be
-	// lost.
-	judges = 2
 	// rememberTimeout bounds the commit of a ruling. The group may be without a leader
 	// for some seconds; the ruling is in force meanwhile.
 	rememberTimeout = 10 * time.Second
@@ -38,8 +35,9 @@
 type Options struct {
 	// Transport connects it with the other instances; nil for an instance on its own.
 	Transport *frame.Transport
-	// Instances lists all instances, this one included.
-	Instances func() []membership.Instance
+	// Instances lists all instances, this one included. Judges lists those that may count
+	// for requests: entries, which have more to spare than replicas.
+	Instances, Judges func() []membership.Instance
 	// Log remembers holds over a restart of all instances; nil where nothing does.
 	Log Log
 }
--- a/daemon/quarantine/keeper_test.go
+++ b/daemon/quarantine/keeper_test.go
@@ -1,11 +1,16 @@
 package quarantine
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/membership"
 	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/daemon/frame"
 )
 
 func request(name string) func() quarantine.Digest {
@@ -95,3 +100,32 @@
 		t.Error("held, though it never ran at a server that ended")
 	}
 }
+
+// One server of 2,000 ends at an entry of 376 with all its 64 calls there: what it costs
+// to pick the judges and to build the messages.
+func BenchmarkEndedServerAmong376Entries(b *testing.B) {
+	var entries []membership.Instance
+	for i := range 376 {
+		entries = append(entries, membership.Instance{Name: fmt.Sprint("entry-", i), PeerAddress: fmt.Sprint("10.0.0.1:", i)})
+	}
+	all := func() []membership.Instance { return entries }
+	k := New(Options{Transport: frame.NewTransport("10.0.0.1:0", nil, nil), Instances: all, Judges: all})
+	now := time.Now()
+	var runs []brokenRun
+	for i := range 64 {
+		runs = append(runs, brokenRun{request: request(fmt.Sprint("q", i))(), began: now, ended: now})
+	}
+	others := []string{"i-0000000001", "i-0000000002", "i-0000000003", "i-0000000004"}
+	bytes := 0
+	for b.Loop() {
+		bytes = 0
+		for _, list := range k.endings(now, "i-0000000000", runs, others) {
+			data, err := msgpack.Marshal(list)
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes += len(data)
+		}
+	}
+	b.ReportMetric(float64(bytes), "bytes/end")
+}
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -39,10 +39,17 @@
 	k.ended.Add(1)
 	log.WithFields(log.Fields{"step": "report ended server", "server": server, "broken_calls": len(runs), "requests": texts(runs), "others": others}).
 		Info("server has ended with calls in flight")
-	k.tellEndings(now, server, runs, others)
+	for judge, list := range k.endings(now, server, runs, others) {
+		if judge == k.self() {
+			k.takeEndings(list)
+			continue
+		}
+		k.send(judge, methodEndings, list)
+	}
 }
 
-func (k *Keeper) tellEndings(now time.Time, server string, runs []brokenRun, others []string) {
+// endings returns what is to be told to whom of a server's end, by peer address.
+func (k *Keeper) endings(now time.Time, server string, runs []brokenRun, others []string) map[string][]quarantine.Ending {
 	byJudge := map[string][]quarantine.Ending{}
 	for _, r := range runs {
 		e := quarantine.Ending{Request: r.request, Server: server, KeepsID: r.keepsID, Began: now.Sub(r.began), Ended: now.Sub(r.ended), Others: others}
@@ -50,13 +57,7 @@
 			byJudge[judge] = append(byJudge[judge], e)
 		}
 	}
-	for judge, list := range byJudge {
-		if judge == k.self() {
-			k.takeEndings(list)
-			continue
-		}
-		k.send(judge, methodEndings, list)
-	}
+	return byJudge
 }
 
 // self is this instance's peer address, "" for an instance on its own.
@@ -73,14 +74,18 @@
 	}
 }
 
-// judgesOf returns the peer addresses of a request's judges.
+// judgesOf returns the peer addresses of a request's judges: two, so that one may be
+// lost.
 func (k *Keeper) judgesOf(request quarantine.Digest) []string {
 	if k.opt.Transport == nil {
 		return []string{""}
 	}
-	ranked := membership.Rank(string(request[:]), k.opt.Instances())
+	candidates := k.opt.Judges()
+	if len(candidates) == 0 {
+		candidates = k.opt.Instances() // while entries start
+	}
 	var out []string
-	for _, i := range ranked[:min(judges, len(ranked))] {
+	for _, i := range membership.First(string(request[:]), candidates) {
 		out = append(out, i.PeerAddress)
 	}
 	return out
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -83,7 +83,7 @@
 	d.gossip = gossip.New(d.transport, self, seeds)
 	d.directory = replica.NewSeedDirectory(seeds, s.Replicas.Bootstrap)
 	client := replica.NewClient(d.transport, d.directory)
-	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances, Log: client})
+	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances, Judges: d.gossip.Entries, Log: client})
 	d.services = append(d.services, d.keeper)
 	if s.Instance.DataFolder != "" {
 		if err := d.addReplica(a, client); err != nil {
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -15,7 +15,10 @@
 func (c *call) logFailure(status int, reason string) {
 	entry := c.logEntry().WithFields(log.Fields{"status": status, "reason": reason})
 	if c.last != nil {
-		entry = entry.WithFields(log.Fields{"last_step": c.last.Step, "last_server": c.last.Server, "last_error": c.last.Err.Error(), "request": c.digest().String()})
+		entry = entry.WithFields(log.Fields{"last_step": c.last.Step, "last_server": c.last.Server, "last_error": c.last.Err.Error()})
+	}
+	if c.identity != nil || c.last != nil {
+		entry = entry.WithField("request", c.digest().String())
 	}
 	entry.Info("call failed")
 	c.count(status, reason, 0)
