--- a/core/balance/parts_test.go
+++ b/core/balance/parts_test.go
@@ -13,6 +13,13 @@
 	return Call{Tokens: 9200, Unshared: 2900, MaxOutput: 60, Target: 800 * time.Millisecond, Gap: 500 * time.Millisecond, Home: part}
 }
 
+// seasoned is a pool whose parts have been followed for long enough, and the time then.
+func seasoned() (*Balancer, []fleet.Server, time.Time) {
+	b, list := pool12()
+	b.SumTo(t0, "other")
+	return b, list, t0.Add(2 * seasonTime)
+}
+
 // Another instance gave a part to an engine that is not its home, when the home was
 // behind. A call with the part follows it there, as soon as that was told.
 func TestCallsFollowAPartThatOthersPlaced(t *testing.T) {
@@ -39,9 +46,7 @@
 // Nobody has read the parts of a burst yet: what waits must count whole, and the
 // next calls with a part only their own tokens.
 func TestFirstUseOfAPartCountsWhole(t *testing.T) {
-	b, list := pool12()
-	b.SumTo(t0, "other")
-	now := t0.Add(2 * seasonTime)
+	b, list, now := seasoned()
 	c := longCall("s")
 	s, _ := b.Choose(now, "p", c, nil, middle)
 	first := b.Start(now, s.ID, c)
@@ -57,9 +62,7 @@
 }
 
 func TestPartsAreForgottenInTime(t *testing.T) {
-	b, _ := pool12()
-	b.SumTo(t0, "other")
-	now := t0.Add(2 * seasonTime)
+	b, _, now := seasoned()
 	c := longCall("s")
 	s, _ := b.Choose(now, "p", c, nil, middle)
 	b.Start(now, s.ID, c)
@@ -106,9 +109,7 @@
 // While the long side has no reading to spare, a long prompt waits where its parts
 // are kept, however far behind that engine is.
 func TestPartsAreNotReadAgainWhenReadingIsShort(t *testing.T) {
-	b, _ := pool12()
-	b.SumTo(t0, "other")
-	now := t0.Add(2 * seasonTime)
+	b, _, now := seasoned()
 	kept := longCall("kept")
 	first, _ := b.Choose(now, "p", kept, nil, middle)
 	b.Start(now, first.ID, kept)
--- a/core/balance/peers.go
+++ b/core/balance/peers.go
@@ -20,7 +20,7 @@
 	// running are its calls at all of them.
 	running    int
 	rates      map[string]Rates
-	boundaries map[string]Boundary
+	boundaries map[string]counts.Boundary
 	decides    bool
 	// age is how old its counts were when it told them.
 	age time.Duration
@@ -134,10 +134,10 @@
 	return out
 }
 
-func boundariesOf(list []counts.Boundary) map[string]Boundary {
-	out := make(map[string]Boundary, len(list))
+func boundariesOf(list []counts.Boundary) map[string]counts.Boundary {
+	out := make(map[string]counts.Boundary, len(list))
 	for _, x := range list {
-		out[x.Pool] = Boundary{Share: x.Share, Engines: x.Engines}
+		out[x.Pool] = x
 	}
 	return out
 }
@@ -202,7 +202,7 @@
 
 // begin takes over the boundaries of others while this instance has only its
 // own usual beginning.
-func (b *Balancer) begin(now time.Time, held map[string]Boundary) {
+func (b *Balancer) begin(now time.Time, held map[string]counts.Boundary) {
 	for name, x := range held {
 		if p := b.pool(name); !p.sides.settled(now) {
 			p.sides.take(x)
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -24,13 +24,6 @@
 	r.Reading.add(x.Reading)
 }
 
-// Boundary is a decision on the sides of a pool.
-type Boundary struct {
-	// Share is the part of the engines that long prompts get, Engines are these.
-	Share   float64
-	Engines []string
-}
-
 // ReportTo returns the next message with this instance's counts, and those of the
 // members below it, for its collector.
 func (b *Balancer) ReportTo(now time.Time, collector string) counts.Message {
@@ -95,16 +88,14 @@
 	if s == nil {
 		return "", counts.Row{}
 	}
+	others := s.others
+	if v.below {
+		others = s.below
+	}
 	r := s.ownRow()
-	switch {
-	case !v.below:
-		r.Add(s.others)
-		r.Sub(v.to.row(slot))
-	case v.b.counted(v.to):
-		r.Add(s.below)
+	r.Add(others)
+	if !v.below || v.b.counted(v.to) { // the receiver's own part is among them
 		r.Sub(v.to.row(slot))
-	default:
-		r.Add(s.below)
 	}
 	return s.ID, r
 }
--- a/core/balance/sides.go
+++ b/core/balance/sides.go
@@ -82,7 +82,7 @@
 	return s.taken || !s.since.IsZero() && now.Sub(s.since) >= settleTime
 }
 
-func (s *sides) take(x Boundary) {
+func (s *sides) take(x counts.Boundary) {
 	s.share, s.engines, s.taken = x.Share, x.Engines, true
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -55,6 +55,12 @@
 	return s.Name
 }
 
+// saysSame reports whether two announcements of a server differ in their numbers only.
+func (s Server) saysSame(x Server) bool {
+	s.Sequence = x.Sequence
+	return s == x
+}
+
 // Timing of the registry, from a heartbeat every 1.2 s on the deployments
 // measured, and announcements that arrive seconds late.
 const (
@@ -132,13 +138,8 @@
 
 // Knows reports whether a server is listed as it announces itself now.
 func (r *Registry) Knows(s Server) bool {
-	old := r.servers[s.ID]
-	if old == nil {
-		return false
-	}
-	listed := old.Server
-	listed.Sequence = s.Sequence
-	return listed == s
+	listed := r.servers[s.ID]
+	return listed != nil && listed.saysSame(s)
 }
 
 // Announce takes an announcement. Older news about a server changes nothing,
@@ -164,9 +165,7 @@
 	}
 	s.Phase = max(s.Phase, old.Phase)
 	s.Overdue = false
-	changed := s
-	changed.Sequence = old.Sequence
-	if changed != old.Server {
+	if !s.saysSame(old.Server) {
 		r.changed(s.ID)
 	}
 	*old = record{s, now}
--- a/core/fleet/mirror.go
+++ b/core/fleet/mirror.go
@@ -26,6 +26,15 @@
 	Withdrawals []Withdrawal `msgpack:"w,omitempty"`
 }
 
+// follows reports whether the listing can be taken by who holds a version of a term:
+// it is of no older term, and a difference is one to that version.
+func (l *Listing) follows(term, version uint64) bool {
+	if l.Difference {
+		return l.Term == term && l.Since == version
+	}
+	return l.Term >= term
+}
+
 // adoptTime is how long servers that a new leader has not listed are still
 // believed: it learns of them from their announcements, which may come seconds
 // late.
@@ -55,10 +64,9 @@
 // At returns the term and version last taken.
 func (m *Mirror) At() (term, version uint64) { return m.term, m.version }
 
-// Take takes a listing. One of an older term, and a difference to another version than
-// the one held, is ignored.
+// Take takes a listing that follows what is held, and ignores others.
 func (m *Mirror) Take(now time.Time, l Listing) {
-	if l.Term < m.term || l.Difference && (l.Term != m.term || l.Since != m.version) {
+	if !l.follows(m.At()) {
 		return
 	}
 	if l.Term > m.term {
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -19,23 +19,23 @@
 // At returns the term and version last taken.
 func (r *Relay) At() (term, version uint64) { return r.term, r.changes.Version() }
 
-// Take takes a listing. One of an older term, or a difference to another version than
-// the one held, is ignored.
+// Take takes a listing that follows what is held, and ignores others.
 func (r *Relay) Take(l Listing) {
-	switch {
-	case l.Term < r.term:
-	case !l.Difference:
+	if !l.follows(r.At()) {
+		return
+	}
+	if !l.Difference {
 		r.takeWhole(l)
-	case l.Term == r.term && l.Since == r.changes.Version():
-		r.changes.Advance(l.Version)
-		for _, s := range l.Servers {
-			r.servers[s.ID] = s
-			r.changes.Changed(s.ID)
-		}
-		for _, id := range l.Removed {
-			delete(r.servers, id)
-			r.changes.Removed(id)
-		}
+		return
+	}
+	r.changes.Advance(l.Version)
+	for _, s := range l.Servers {
+		r.servers[s.ID] = s
+		r.changes.Changed(s.ID)
+	}
+	for _, id := range l.Removed {
+		delete(r.servers, id)
+		r.changes.Removed(id)
 	}
 }
 
@@ -55,8 +55,7 @@
 // nobody has to be told but that it is alive.
 func (r *Relay) Knows(s Server) bool {
 	listed, known := r.servers[s.ID]
-	listed.Sequence = s.Sequence
-	return known && listed == s
+	return known && listed.saysSame(s)
 }
 
 // Listing returns what an instance lacks that has a version of a term, nil when it
--- a/daemon/control/alive.go
+++ b/daemon/control/alive.go
@@ -116,7 +116,7 @@
 	s.mu.Unlock()
 	for _, x := range servers {
 		if !logged[x.ID] && x.Phase == fleet.Ready {
-			s.register(v.Routing, x)
+			s.register(x)
 		}
 	}
 }
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -259,16 +259,15 @@
 	}
 	s.follow(v)
 	s.update(func() { s.registry.Announce(time.Now(), server) })
-	s.register(v.Routing, server)
+	if !slices.ContainsFunc(v.Routing.Servers, func(x fleet.Server) bool { return x.ID == server.ID }) {
+		s.register(server)
+	}
 	return announceReply{}, nil
 }
 
-// register puts a server that the log does not know into it, in the background:
-// the announcement is acknowledged without, and repeated.
-func (s *Service) register(r state.Routing, server fleet.Server) {
-	if slices.ContainsFunc(r.Servers, func(x fleet.Server) bool { return x.ID == server.ID }) {
-		return
-	}
+// register puts a server that the log does not know into it, in the background: the
+// announcement is acknowledged without, and registerMissing tries again.
+func (s *Service) register(server fleet.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.registering[server.ID] || len(s.registering) >= mostRegistering {
@@ -280,7 +279,7 @@
 		defer cancel()
 		_, err := s.client.Propose(ctx, &state.Command{Type: state.CommandRegister, Register: &server})
 		if err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "register server", "server": server.ID}).Warn("its next announcement tries again")
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "register server", "server": server.ID}).Warn("will be tried again")
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -80,10 +80,7 @@
 	w.begin(ctx)
 	for ctx.Err() == nil {
 		w.round(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchPause):
-		}
+		wait(ctx, watchPause)
 	}
 	return ctx.Err()
 }
@@ -97,10 +94,7 @@
 		if w.askAll(ctx) {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		wait(ctx, pause)
 	}
 }
 
--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -120,6 +120,16 @@
 	})
 }
 
+func (c *cluster) announce(m *member, s fleet.Server) {
+	c.t.Helper()
+	c.until("an announcement is acknowledged", 5*time.Second, func() bool { return m.control.Announce(context.Background(), s) == nil })
+}
+
+func (c *cluster) depart(m *member, s fleet.Start) {
+	c.t.Helper()
+	c.until("a departure is acknowledged", 5*time.Second, func() bool { return m.control.Depart(context.Background(), s) == nil })
+}
+
 func (c *cluster) expectSource(m *member, version uint64) {
 	c.t.Helper()
 	want := fmt.Sprintf("source %d", version)
@@ -208,13 +218,9 @@
 	go func() { _ = w.Serve(ctx) }()
 	for i := range 20 {
 		id := fmt.Sprint("s", i)
-		c.until("an announcement is acknowledged", 5*time.Second, func() bool {
-			return group[i%3].control.Announce(ctx, fleet.Server{ID: id, Pool: "p", Address: id, Sequence: 1}) == nil
-		})
+		c.announce(group[i%3], fleet.Server{ID: id, Pool: "p", Address: id, Sequence: 1})
 		if i >= 10 {
-			c.until("a departure is acknowledged", 5*time.Second, func() bool {
-				return group[(i+1)%3].control.Depart(ctx, fleet.Start{Name: fmt.Sprint("s", i-10)}) == nil
-			})
+			c.depart(group[(i+1)%3], fleet.Start{Name: fmt.Sprint("s", i-10)})
 		}
 	}
 	c.declare(group[1], 2)
@@ -257,12 +263,11 @@
 	c := newCluster(t)
 	group := c.founders()
 	c.declare(group[0], 1)
-	ctx := context.Background()
 	follower := group[slices.IndexFunc(group, func(m *member) bool { v, _ := m.replica.View(); return !v.Leading })]
 	announce := func(sequence uint64) {
 		for i := range servers {
 			s := fleet.Server{ID: fmt.Sprint("s", i), Pool: "p", Address: fmt.Sprint("s", i), Sequence: sequence}
-			c.until("an announcement is acknowledged", 5*time.Second, func() bool { return follower.control.Announce(ctx, s) == nil })
+			c.announce(follower, s)
 		}
 	}
 	announce(1)
@@ -293,10 +298,9 @@
 	c := newCluster(t)
 	group := c.founders()
 	c.declare(group[0], 1)
-	ctx := context.Background()
 	for i := range servers {
 		s := fleet.Server{ID: fmt.Sprintf("i-%010d", i), Pool: "p", Address: fmt.Sprint("s", i), Sequence: 1}
-		c.until("an announcement is acknowledged", 5*time.Second, func() bool { return group[i%3].control.Announce(ctx, s) == nil })
+		c.announce(group[i%3], s)
 	}
 	c.until("all servers are in the log", 20*time.Second, func() bool {
 		return !slices.ContainsFunc(group, func(m *member) bool { v, _ := m.replica.View(); return len(v.Routing.Servers) < servers })
@@ -323,14 +327,11 @@
 	c := newCluster(t)
 	group := c.founders()
 	c.declare(group[0], 1)
-	ctx := context.Background()
 	for _, id := range []string{"a", "b"} {
-		c.until("an announcement is acknowledged", 5*time.Second, func() bool {
-			return group[1].control.Announce(ctx, fleet.Server{ID: id, Pool: "p", Address: "10.0.0.1:1", Sequence: 1}) == nil
-		})
+		c.announce(group[1], fleet.Server{ID: id, Pool: "p", Address: "10.0.0.1:1", Sequence: 1})
 	}
 	c.until("both servers are in the log", 5*time.Second, func() bool { v, _ := group[2].replica.View(); return len(v.Routing.Servers) == 2 })
-	c.until("a departure is acknowledged", 5*time.Second, func() bool { return group[1].control.Depart(ctx, fleet.Start{Name: "a"}) == nil })
+	c.depart(group[1], fleet.Start{Name: "a"})
 	left := c.killLeader(group)
 	// An entry that starts now knows only what the new leader has from the log.
 	got := c.watchFleet(left[0])
@@ -346,16 +347,11 @@
 	c := newCluster(t)
 	group := c.founders()
 	c.declare(group[0], 1)
-	ctx := context.Background()
 	start := func(born int64, sequence uint64) fleet.Server {
 		return fleet.Server{ID: fleet.StartID(fleet.Start{Name: "a", Born: born}), Name: "a", Born: born, Pool: "p", Address: "10.0.0.1:1", Sequence: sequence}
 	}
-	announce := func(m *member, s fleet.Server) {
-		t.Helper()
-		c.until("an announcement is acknowledged", 5*time.Second, func() bool { return m.control.Announce(ctx, s) == nil })
-	}
-	announce(group[1], start(100, 9))
-	announce(group[1], start(200, 1))
+	c.announce(group[1], start(100, 9))
+	c.announce(group[1], start(200, 1))
 	c.until("the new start is in every log", 5*time.Second, func() bool {
 		for _, m := range group {
 			v, _ := m.replica.View()
@@ -366,7 +362,7 @@
 		return true
 	})
 	left := c.killLeader(group)
-	announce(left[0], start(100, 10))
+	c.announce(left[0], start(100, 10))
 	got := c.watchFleet(left[0])
 	for range 5 {
 		if list := <-got; len(list) != 1 || list[0].Born != 200 {
@@ -374,7 +370,7 @@
 		}
 	}
 	// A departure without a time means the newest start.
-	c.until("a departure is acknowledged", 5*time.Second, func() bool { return left[1].control.Depart(ctx, fleet.Start{Name: "a"}) == nil })
+	c.depart(left[1], fleet.Start{Name: "a"})
 	c.until("nothing is listed", 5*time.Second, func() bool { return len(<-got) == 0 })
 }
 
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -135,10 +135,9 @@
 func (r *Router) logMoves() {
 	r.mu.Lock()
 	moves := r.balancer.Moves()
-	age := r.balancer.CountsAge(time.Now())
 	r.mu.Unlock()
 	for _, m := range moves {
 		log.WithFields(log.Fields{"step": "move boundary", "pool": m.Pool, "from": rounded(m.From), "to": rounded(m.To), "engines": m.Engines,
-			"short_need": rounded(m.Short), "long_need": rounded(m.Long), "tokens_per_second": int(m.TokensPerSecond), "counts_age_ms": age.Milliseconds()}).Info("more engines for one side of a pool")
+			"short_need": rounded(m.Short), "long_need": rounded(m.Long), "tokens_per_second": int(m.TokensPerSecond), "counts_age_ms": r.CountsAge().Milliseconds()}).Info("more engines for one side of a pool")
 	}
 }
