--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"cardamomwick.example/core/balance"
@@ -17,23 +15,11 @@
 	"cardamomwick.example/daemon/upstream"
 )
 
-// Limits of one call's attempts.
+// mostPause and pauseShare (of the target) bound the wait before a second attempt: two
+// exchanges of load counts, and never much of the target.
 const (
-	// maxRefusals bounds the servers that are asked in vain by one call, where
-	// each has certainly not run it.
-	maxRefusals = 4
-	// refusalPause is when a caller may come back after a refusal for want of
-	// room, and its spread, so that not all come back at once.
-	refusalPause  = 400 * time.Millisecond
-	refusalSpread = 600 * time.Millisecond
-	// leastTime is the least time left that a second attempt is worth.
-	leastTime = 30 * time.Millisecond
-	// mostPause and pauseShare (of the target) bound the wait before a second
-	// attempt: two exchanges of load counts, and never much of the target.
 	mostPause  = 200 * time.Millisecond
 	pauseShare = 0.15
-	// maxAnswer bounds a plain answer's body.
-	maxAnswer = 8 << 20
 )
 
 // call is one attempt of a caller, from its arrival to its final answer.
@@ -243,36 +229,6 @@
 	r.balancer.Began(time.Now(), &c.ticket)
 }
 
-// request builds what the server gets: the caller's bytes and headers, less
-// what concerns one connection or is the system's to set.
-func (c *call) request(s fleet.Server) *upstream.Request {
-	h := endToEnd(c.req.Header)
-	c.router.opt.Protocol.Strip(h)
-	stamp := upstream.Stamp{TimeLeft: time.Until(c.until), ServerName: s.OwnName(), After: c.said.After}
-	if c.customer != nil {
-		stamp.Customer = c.customer.Name
-	}
-	if c.pool.Engine != nil {
-		urgency := c.urgency()
-		stamp.Priority = &urgency
-	}
-	if c.stream != nil && c.stream.lastID != "" {
-		stamp.After = c.stream.lastID
-	}
-	c.router.opt.Protocol.Stamp(h, stamp)
-	hasBody := len(c.body) > 0 || c.req.Method == http.MethodPost || c.req.Method == http.MethodPut
-	return &upstream.Request{CallID: c.said.ID, Method: c.req.Method, URI: requestURI(c.req), Host: c.req.Host,
-		Header: h, Body: c.body, HasBody: hasBody}
-}
-
-// requestURI returns path and query as they came.
-func requestURI(req *http.Request) string {
-	if req.URL.Host == "" {
-		return req.RequestURI
-	}
-	return req.URL.RequestURI() // the absolute form names the host as well
-}
-
 func (c *call) noteError(ctx context.Context, s fleet.Server, err error) verdict {
 	var e *upstream.Error
 	if !errors.As(err, &e) {
@@ -304,140 +260,3 @@
 	defer r.mu.Unlock()
 	r.balancer.Good(time.Now(), id)
 }
-
-// pass passes a server's answer on, or says why there is none to pass on.
-func (c *call) pass(ctx context.Context, s fleet.Server, resp *upstream.Response) verdict {
-	if resp.Answer.WrongServer || resp.Answer.NotRun {
-		return c.noteRefusal(s, resp)
-	}
-	c.runs++
-	success := resp.Status >= 200 && resp.Status < 300
-	if success && (!resp.Answer.Signed || resp.Answer.CallID != c.said.ID || resp.Header.Get("Content-Encoding") != "") {
-		c.last = &upstream.Error{Sent: true, Step: "check answer", Server: s.ID, Err: errors.New("the answer is not this call's")}
-		c.router.bad(s.ID, false)
-		return failed
-	}
-	if success && c.route.Semantics == routing.Stream {
-		return c.passStream(ctx, s, resp)
-	}
-	return c.passWhole(ctx, s, resp)
-}
-
-func (c *call) noteRefusal(s fleet.Server, resp *upstream.Response) verdict {
-	c.refusals++
-	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
-	_, _ = io.Copy(io.Discard, resp.Body) // only to keep the connection; a broken one is closed
-	r := c.router
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	if resp.Answer.WrongServer {
-		r.balancer.Bad(now, s.ID, true)
-		return notRun
-	}
-	r.balancer.Full(now, s.ID)
-	return notRun
-}
-
-var errRefused = errors.New("the server did not run the call")
-
-// passWhole passes a whole answer on, once all of it is there.
-func (c *call) passWhole(ctx context.Context, s fleet.Server, resp *upstream.Response) verdict {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		c.last = &upstream.Error{Sent: true, Step: "read answer", Server: s.ID, Err: err}
-		c.noteBroken(ctx, s, c.last)
-		if time.Now().Before(c.until) && c.req.Context().Err() == nil {
-			c.router.bad(s.ID, false)
-		}
-		return failed
-	}
-	serverFailed := resp.Status >= http.StatusInternalServerError
-	if serverFailed {
-		c.router.bad(s.ID, false)
-		if c.mayTryAgain(failed) {
-			c.paid = true
-			return failed
-		}
-	} else {
-		c.router.good(s.ID)
-		c.noteSuccess(s)
-	}
-	if c.stream != nil && c.stream.started {
-		return failed
-	}
-	copyHeader(c.w.Header(), resp.Header)
-	c.w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
-	c.w.WriteHeader(resp.Status)
-	if _, err := c.w.Write(body); err != nil {
-		c.logEnd("caller left during the answer")
-	}
-	c.logAnswer(s, resp.Status)
-	return answered
-}
-
-// mayTryAgain reports whether another attempt is allowed and worth it.
-func (c *call) mayTryAgain(v verdict) bool {
-	if time.Until(c.until) < leastTime {
-		return false
-	}
-	switch v {
-	case notRun:
-		if c.refusals >= maxRefusals {
-			return false
-		}
-		if c.last != nil && c.last.Step == "connect" {
-			return true // nothing arrived there
-		}
-	case failed:
-		if !c.route.Repeatable() || c.runs >= c.route.MaxAttempts {
-			return false
-		}
-	default:
-		return false
-	}
-	if c.paid {
-		c.paid = false
-		return true
-	}
-	return c.router.takeRepeat(c.pool.Name)
-}
-
-func (r *Router) takeRepeat(pool string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.budget(pool).Take(time.Now(), r.opt.Entries())
-}
-
-// giveUp gives the final answer of a call that has none from a server.
-func (c *call) giveUp(reason string) {
-	if c.stream != nil && c.stream.started {
-		c.logFailure(0, "stream broken: "+reason)
-		panic(http.ErrAbortHandler) // the stream must not look complete
-	}
-	switch {
-	case c.runs == 0:
-		if c.comeBack == 0 {
-			c.comeBack = refusalPause + time.Duration(rand.Float64()*float64(refusalSpread))
-		}
-		c.refuse(http.StatusServiceUnavailable, reason, c.comeBack)
-	case !time.Now().Before(c.until):
-		c.refuse(http.StatusGatewayTimeout, "time is over", 0)
-	default:
-		c.refuse(http.StatusBadGateway, "the server's answer is lost", 0)
-	}
-}
-
-// refuse answers the call with a failure of this system's own.
-func (c *call) refuse(status int, reason string, after time.Duration) {
-	if after > 0 {
-		c.router.opt.Protocol.SetRetryAfter(c.w.Header(), after)
-	}
-	c.logFailure(status, reason)
-	c.w.Header().Set("Content-Type", "application/json")
-	c.w.WriteHeader(status)
-	_, err := io.WriteString(c.w, `{"error":"`+reason+`"}`+"\n")
-	if err != nil {
-		c.logEnd("caller left during the answer")
-	}
-}
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"syscall"
+	"time"
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/quarantine"
@@ -12,6 +14,36 @@
 	"cardamomwick.example/daemon/upstream"
 )
 
+// request builds what the server gets: the caller's bytes and headers, less
+// what concerns one connection or is the system's to set.
+func (c *call) request(s fleet.Server) *upstream.Request {
+	h := endToEnd(c.req.Header)
+	c.router.opt.Protocol.Strip(h)
+	stamp := upstream.Stamp{TimeLeft: time.Until(c.until), ServerName: s.OwnName(), After: c.said.After}
+	if c.customer != nil {
+		stamp.Customer = c.customer.Name
+	}
+	if c.pool.Engine != nil {
+		urgency := c.urgency()
+		stamp.Priority = &urgency
+	}
+	if c.stream != nil && c.stream.lastID != "" {
+		stamp.After = c.stream.lastID
+	}
+	c.router.opt.Protocol.Stamp(h, stamp)
+	hasBody := len(c.body) > 0 || c.req.Method == http.MethodPost || c.req.Method == http.MethodPut
+	return &upstream.Request{CallID: c.said.ID, Method: c.req.Method, URI: requestURI(c.req), Host: c.req.Host,
+		Header: h, Body: c.body, HasBody: hasBody}
+}
+
+// requestURI returns path and query as they came.
+func requestURI(req *http.Request) string {
+	if req.URL.Host == "" {
+		return req.RequestURI
+	}
+	return req.URL.RequestURI() // the absolute form names the host as well
+}
+
 // digest identifies the request. It is made when it is first asked for: calls that
 // nothing happens to don't need it.
 func (c *call) digest() quarantine.Digest {
