A hold that is over needs another end for the next one

Cause, from reading the judge: what had led to a hold stood in its record, so that the next review, of any other request's ends, held the request again without a try; the same for a hold by another judge. A request held by mistake would never have been served again. Change: rounds that led to a hold are spent. Measured: TestHoldThatIsOverNeedsAnotherEnd red before, green after.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -69,6 +69,8 @@
 	rounds []round
 	// suspected is when the request became suspicious; zero before.
 	suspected time.Time
+	// held: its rounds have led to a hold. Only a further end leads to the next one.
+	held bool
 	// ends are all, whether they count as a round or not.
 	ends []end
 	last time.Time
@@ -130,7 +132,7 @@
 func (j *Judge) Review(now time.Time) []Ruling {
 	var out []Ruling
 	for request, rec := range j.records {
-		if standing, known := j.register.Ruling(now, request); known && standing.Standing == Held || rec.prior+rec.counted() < roundsToHold {
+		if rec.held || rec.prior+rec.counted() < roundsToHold {
 			continue
 		}
 		if x, tell := j.decide(now, request, rec); tell {
@@ -150,7 +152,7 @@
 	if !d.addServers([]string{e.Server}) {
 		return Ruling{}, false
 	}
-	j.Explain(d.Ruling)
+	j.explain(d.Ruling)
 	return d.told(now), true
 }
 
@@ -160,17 +162,33 @@
 	switch s {
 	case Held:
 		x.Holds++
+		if rec := j.records[request]; rec != nil {
+			rec.held = true
+		}
 	case Cleared:
 		x.Holds = 0
 	}
 	j.register.Take(now, x)
-	j.Explain(x)
+	j.explain(x)
 	return x, true
 }
 
-// Explain takes the ends of a held request's servers from what is known against other
+// Took follows a ruling that came from another judge into the register.
+func (j *Judge) Took(x Ruling) {
+	switch x.Standing {
+	case Cleared:
+		delete(j.records, x.Digest)
+	case Held:
+		if rec := j.records[x.Digest]; rec != nil {
+			rec.held = true
+		}
+		j.explain(x)
+	}
+}
+
+// explain takes the ends of a held request's servers from what is known against other
 // requests.
-func (j *Judge) Explain(x Ruling) {
+func (j *Judge) explain(x Ruling) {
 	if x.Standing != Held {
 		return
 	}
@@ -202,9 +220,6 @@
 	return j.rule(now, request, Cleared, nil)
 }
 
-// Clear forgets what is known against a request that another judge has cleared.
-func (j *Judge) Clear(request Digest) { delete(j.records, request) }
-
 // Forget drops what is known against requests that no server has ended under lately.
 func (j *Judge) Forget(now time.Time) {
 	for digest, rec := range j.records {
@@ -260,6 +275,9 @@
 
 // add counts an end as a round of its own if its run began after the last round.
 func (r *record) add(began time.Time, x round) {
+	if r.held {
+		r.held, r.prior, r.rounds = false, roundsToHold-1, nil
+	}
 	r.ends = append(r.ends, end{x.server, x.ended})
 	r.ends = r.ends[max(0, len(r.ends)-keptEnds):]
 	if n := len(r.rounds); n == 0 || began.After(r.rounds[n-1].ended) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -191,12 +191,39 @@
 			w.ends("q", fmt.Sprint("s", ends), 100*time.Millisecond)
 		}
 		w.after(time.Second)
+		w.j.Review(w.now)
 	}
 	if ends > roundsToHold+6 {
 		t.Errorf("%d servers ended in an hour", ends)
 	}
 }
 
+// A hold that is over is not taken up again before another server has ended, whatever
+// is decided on others meanwhile; also where another judge had ruled.
+func TestHoldThatIsOverNeedsAnotherEnd(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 {
+		w.after(time.Second)
+		w.ends("q", fmt.Sprint("s", i), 100*time.Millisecond)
+	}
+	for i := range 3 {
+		w.after(20 * time.Millisecond)
+		w.ends("other's", fmt.Sprint("t", i), 10*time.Millisecond)
+	}
+	x := Ruling{Digest: digest("other's"), Standing: Held, Version: 2, Holds: 1}
+	w.r.Take(w.now, x)
+	w.j.Took(x)
+	w.after(FirstHold)
+	if list := w.j.Review(w.now); len(list) != 0 {
+		t.Errorf("held again without an end: %+v", list)
+	}
+	for _, name := range []string{"q", "other's"} {
+		w.expect(name, Suspected)
+		w.ends(name, "next of "+name, 100*time.Millisecond)
+		w.expect(name, Held)
+	}
+}
+
 // Ends can follow each other so fast that no word of a success comes between.
 func TestHoldWaitsForWordOfSuccesses(t *testing.T) {
 	w := newWorld(t)
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -207,10 +207,7 @@
 			continue
 		}
 		news = append(news, x)
-		k.judge.Explain(x)
-		if x.Standing == quarantine.Cleared {
-			k.judge.Clear(x.Digest)
-		}
+		k.judge.Took(x)
 	}
 	k.mu.Unlock()
 	k.count()
