Ends that are told late and in any order count

Where only newer starts prove an end, proof comes seconds late and in any order: an end that was told after a later one did not count; and servers that go on breaking off calls passed for ends at the same time as any other, so that the rule on mass ends took the weight from all. Change: ends are kept by their time and counted in that order; ends at the same time are those that began to break off runs together and have answered none since. Ruled out: load, by the logs' own times. The replay of mass crashes had lost its power when proof got a delay in it (repeats were sent before); they wait now.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -37,11 +37,10 @@
 	massOthers = 2
 )
 
-// Bounds of a judge's memory: a record takes 200 bytes, at most 3 KB.
+// Bounds of a judge's memory: a record takes 300 bytes, at most 6 KB.
 const (
 	mostRecords = 4096
 	keptEnds    = 32
-	keptRounds  = 8
 )
 
 // Judge counts the servers that end under requests, and decides. All endings of a
@@ -65,28 +64,23 @@
 // record is what is known against a request.
 type record struct {
 	// prior counts the rounds behind a ruling that was there before the record.
-	prior  int
-	rounds []round
+	prior int
+	// ends are all that were told, by their time.
+	ends []end
 	// suspected is when the request became suspicious; zero before.
 	suspected time.Time
 	// held: its rounds have led to a hold. Only a further end leads to the next one.
 	held bool
-	// ends are all, whether they count as a round or not.
-	ends []end
 	last time.Time
 }
 
 // end is the end of a server under the request.
 type end struct {
-	server string
-	at     time.Time
-}
-
-// round is one end; the next one counts if its run began later.
-type round struct {
-	server string
-	ended  time.Time
-	others []string
+	server    string
+	began, at time.Time
+	others    []string
+	// spent: it counts for nothing any more, and is kept to know it again.
+	spent bool
 }
 
 // NewJudge returns a judge that puts its rulings into a register.
@@ -101,17 +95,17 @@
 		return j.again(now, e)
 	}
 	rec := j.record(now, e.Request)
-	began := now.Add(-e.Began)
-	if rec.knows(&e, began) {
+	x := end{server: e.Server, began: now.Add(-e.Began), at: now.Add(-e.Ended), others: e.Others[:min(len(e.Others), MostOthers)]}
+	if rec.knows(&x, e.KeepsID) {
 		return Ruling{}, false
 	}
-	rec.add(began, round{e.Server, now.Add(-e.Ended), e.Others[:min(len(e.Others), MostOthers)]})
+	rec.add(x)
 	return j.decide(now, e.Request, rec)
 }
 
 // decide rules on a request by its record.
 func (j *Judge) decide(now time.Time, request Digest, rec *record) (Ruling, bool) {
-	rounds := rec.prior + rec.counted()
+	rounds := rec.prior + rec.rounds()
 	if rounds < roundsToSuspect {
 		return Ruling{}, false
 	}
@@ -132,7 +126,7 @@
 func (j *Judge) Review(now time.Time) []Ruling {
 	var out []Ruling
 	for request, rec := range j.records {
-		if rec.held || rec.prior+rec.counted() < roundsToHold {
+		if rec.held || rec.prior+rec.rounds() < roundsToHold {
 			continue
 		}
 		if x, tell := j.decide(now, request, rec); tell {
@@ -194,7 +188,7 @@
 	}
 	for digest, rec := range j.records {
 		if digest != x.Digest {
-			rec.rounds = slices.DeleteFunc(rec.rounds, func(r round) bool { return slices.Contains(x.Servers, r.server) })
+			rec.spend(func(e *end) bool { return slices.Contains(x.Servers, e.server) })
 		}
 	}
 }
@@ -206,8 +200,8 @@
 	standing, known := j.register.Ruling(now, request)
 	if rec := j.records[request]; rec != nil {
 		rec.prior = 0
-		rec.rounds = slices.DeleteFunc(rec.rounds, func(r round) bool { return r.ended.Before(began) })
-		if rec.counted() >= roundsToSuspect {
+		rec.spend(func(e *end) bool { return e.at.Before(began) })
+		if rec.rounds() >= roundsToSuspect {
 			return Ruling{}, false
 		}
 		rec.suspected = time.Time{}
@@ -246,12 +240,12 @@
 	return rec
 }
 
-// dropOne makes room: what has the fewest rounds goes first, then the oldest.
+// dropOne makes room: what has the fewest ends goes first, then the oldest.
 func (j *Judge) dropOne() {
 	var least Digest
 	var worst *record
 	for digest, rec := range j.records {
-		if worst == nil || len(rec.rounds) < len(worst.rounds) || len(rec.rounds) == len(worst.rounds) && rec.last.Before(worst.last) {
+		if worst == nil || len(rec.ends) < len(worst.ends) || len(rec.ends) == len(worst.ends) && rec.last.Before(worst.last) {
 			least, worst = digest, rec
 		}
 	}
@@ -260,8 +254,8 @@
 
 // knows reports whether an end was told before. Where servers keep their IDs over their
 // starts, a run that began after an end belongs to another start.
-func (r *record) knows(e *Ending, began time.Time) bool {
-	return slices.ContainsFunc(r.ends, func(x end) bool { return x.server == e.Server && !(e.KeepsID && began.After(x.at)) })
+func (r *record) knows(x *end, keepsID bool) bool {
+	return slices.ContainsFunc(r.ends, func(e end) bool { return e.server == x.server && !(keepsID && x.began.After(e.at)) })
 }
 
 // servers names those that ended, the newest last.
@@ -273,32 +267,49 @@
 	return out
 }
 
-// add counts an end as a round of its own if its run began after the last round.
-func (r *record) add(began time.Time, x round) {
+// add puts an end into its place: proof comes late and in any order.
+func (r *record) add(x end) {
 	if r.held {
-		r.held, r.prior, r.rounds = false, roundsToHold-1, nil
+		r.held, r.prior = false, roundsToHold-1
+		r.spend(func(*end) bool { return true })
 	}
-	r.ends = append(r.ends, end{x.server, x.ended})
+	at, _ := slices.BinarySearchFunc(r.ends, x, func(a, b end) int { return a.at.Compare(b.at) })
+	r.ends = slices.Insert(r.ends, at, x)
 	r.ends = r.ends[max(0, len(r.ends)-keptEnds):]
-	if n := len(r.rounds); n == 0 || began.After(r.rounds[n-1].ended) {
-		r.rounds = append(r.rounds, x)
-		r.rounds = r.rounds[max(0, len(r.rounds)-keptRounds):]
+}
+
+// spend takes the weight from ends.
+func (r *record) spend(which func(*end) bool) {
+	for i := range r.ends {
+		if which(&r.ends[i]) {
+			r.ends[i].spent = true
+		}
 	}
 }
 
-// counted is the number of rounds that tell something about the request.
-func (r *record) counted() int {
+// rounds counts the ends one after the other: each by a run that began after the end
+// before it.
+func (r *record) rounds() int {
 	n := 0
-	for _, x := range r.rounds {
-		others := 0
-		for _, server := range x.others {
-			if !slices.ContainsFunc(r.ends, func(e end) bool { return e.server == server }) {
-				others++
-			}
-		}
-		if others < massOthers {
+	var last time.Time
+	for i := range r.ends {
+		e := &r.ends[i]
+		if !e.spent && e.began.After(last) && !r.amongMany(e) {
 			n++
+			last = e.at
 		}
 	}
 	return n
 }
+
+// amongMany reports whether so many other servers ended at the same time, without the
+// request, that the end says nothing about it.
+func (r *record) amongMany(e *end) bool {
+	others := 0
+	for _, server := range e.others {
+		if !slices.ContainsFunc(r.ends, func(x end) bool { return x.server == server }) {
+			others++
+		}
+	}
+	return others >= massOthers
+}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -72,6 +72,18 @@
 	w.expect("q", Held)
 }
 
+// Proof that a server has ended may come seconds later, and in any order.
+func TestEndsToldOutOfOrderAreHeld(t *testing.T) {
+	w := newWorld(t)
+	w.after(time.Minute)
+	for i := range 3 {
+		w.after(deliberation)
+		ended := time.Duration(i+1) * time.Second // the newest first
+		w.j.Take(w.now, Ending{Request: digest("q"), Server: fmt.Sprint("s", i), Began: ended + 100*time.Millisecond, Ended: ended})
+	}
+	w.expect("q", Held)
+}
+
 // Four copies at a time, at as many entries, each of which sees the other servers end
 // as well: the request itself accounts for them.
 func TestCopiesAtManyEntriesAreHeld(t *testing.T) {
--- a/core/quarantine/replay_test.go
+++ b/core/quarantine/replay_test.go
@@ -69,6 +69,8 @@
 	// instance hears of something.
 	proofDelay = 30 * time.Millisecond
 	tellDelay  = 10 * time.Millisecond
+	// retryPause passes until a run that broke off is repeated.
+	retryPause = 60 * time.Millisecond
 )
 
 func newReplay(t *testing.T, servers int, seed int64) *replay {
@@ -137,7 +139,7 @@
 			p.later(deliberation, func() { p.j.Review(p.now) })
 		})
 		if r.runs > 1 {
-			p.begin(r.request, r.until.Sub(r.began), r.runs-1)
+			p.later(retryPause, func() { p.begin(r.request, r.until.Sub(r.began), r.runs-1) })
 		}
 	}
 }
--- a/daemon/quarantine/broken.go
+++ b/daemon/quarantine/broken.go
@@ -87,15 +87,16 @@
 	return b[id] != nil && b[id].ended.After(began)
 }
 
-// others lists servers that broke off runs at the same time as the given one.
+// others lists servers that seem to have ended at the same time as the given one: they
+// began to break off runs then, and have answered none since.
 func (b broken) others(id string) []string {
 	var out []string
 	at := b[id]
-	if at == nil {
+	if at == nil || at.first.IsZero() {
 		return nil
 	}
 	for other, s := range b {
-		if other != id && len(out) < quarantine.MostOthers && s.last.Sub(at.last).Abs() <= quarantine.SameTime {
+		if other != id && len(out) < quarantine.MostOthers && !s.first.IsZero() && s.first.Sub(at.first).Abs() <= quarantine.SameTime {
 			out = append(out, other)
 		}
 	}
--- a/daemon/quarantine/broken_test.go
+++ b/daemon/quarantine/broken_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// Servers that have ended break off calls again and again while something listens for
+// them. That is no end at the same time as another one's; nor is an answer cut short.
+func TestOthersEndedAtTheSameTime(t *testing.T) {
+	b := broken{}
+	breaks := func(id string, ended int) { b.add(at(ended), id, brokenRun{began: at(ended - 50), ended: at(ended)}) }
+	breaks("earlier", 0)
+	breaks("lives", 980)
+	b.answered("lives")
+	breaks("together", 1010)
+	breaks("s", 1000)
+	breaks("earlier", 1005)
+	if got := b.others("s"); len(got) != 1 || got[0] != "together" {
+		t.Errorf("got %v", got)
+	}
+}
+
 func TestBrokenRunsAreBounded(t *testing.T) {
 	b := broken{}
 	for i := range 3 * mostServers {
