--- a/core/crashserver/crashserver.go
+++ b/core/crashserver/crashserver.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,6 +27,9 @@
 	mu      sync.Mutex
 	current *http.Server
 	stopped bool
+	// started is when the present or last start began.
+	started time.Time
+	crashes []time.Time
 }
 
 // Start listens at an address; a port of 0 means any free one.
@@ -46,13 +50,36 @@
 // the server.
 func (s *Server) serve(l net.Listener) {
 	current := &http.Server{Handler: s.handler}
-	s.current = current
+	s.current, s.started = current, time.Now()
 	go func() { _ = current.Serve(l) }() // it ends with Crash or Stop
 }
 
-// Crash breaks all connections and refuses new ones. After a time the server
-// listens again, and back is called; not when it is stopped before.
-func (s *Server) Crash(pause time.Duration, back func()) {
+// Crashes lists when the server crashed.
+func (s *Server) Crashes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashes)
+}
+
+// Down reports whether the server has crashed and does not listen again yet, or has
+// been stopped.
+func (s *Server) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current == nil
+}
+
+// Started is when the present start of the server began, or the last one while it is
+// down.
+func (s *Server) Started() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
+// Crash breaks all connections and refuses new ones. After a time the server listens
+// again; not when it is stopped before.
+func (s *Server) Crash(pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.current == nil {
@@ -60,13 +87,14 @@
 	}
 	s.current.Close()
 	s.current = nil
-	time.AfterFunc(pause, func() { s.revive(back) })
+	s.crashes = append(s.crashes, time.Now())
+	time.AfterFunc(pause, s.revive)
 }
 
 // listenPause passes between two tries to get the address back.
 const listenPause = 20 * time.Millisecond
 
-func (s *Server) revive(back func()) {
+func (s *Server) revive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
@@ -74,11 +102,10 @@
 	}
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
-		time.AfterFunc(listenPause, func() { s.revive(back) })
+		time.AfterFunc(listenPause, s.revive)
 		return
 	}
 	s.serve(l)
-	go back()
 }
 
 // Stop ends the server for good.
--- a/ctl/fake/control.go
+++ b/ctl/fake/control.go
@@ -75,8 +75,8 @@
 	for k, v := range w.retired {
 		out.Retired[k] = v
 	}
-	for k, v := range w.crashes {
-		out.Crashes[k] = append([]time.Time(nil), v...)
+	for k, s := range w.servers {
+		out.Crashes[k] = s.Crashes()
 	}
 	return out
 }
--- a/ctl/fake/world.go
+++ b/ctl/fake/world.go
@@ -56,11 +56,7 @@
 	mu      sync.Mutex
 	retired map[string]time.Time
 	starts  map[string]time.Time
-	// servers are listening, by ID; crashes are the times at which each has crashed,
-	// down those that have not come back yet.
 	servers map[string]*crashserver.Server
-	crashes map[string][]time.Time
-	down    map[string]bool
 }
 
 // downtime passes between a crash and the next start.
@@ -69,7 +65,7 @@
 // NewWorld prepares the stand-ins.
 func NewWorld(cfg *Config) *World {
 	return &World{cfg: cfg, engines: map[string]*Engine{}, retired: map[string]time.Time{}, starts: map[string]time.Time{},
-		servers: map[string]*crashserver.Server{}, crashes: map[string][]time.Time{}, down: map[string]bool{}}
+		servers: map[string]*crashserver.Server{}}
 }
 
 // Run serves until the context ends.
@@ -115,7 +111,7 @@
 			return
 		}
 		if crashserver.Lethal(body) {
-			w.crash(id)
+			w.server(id).Crash(downtime)
 			panic(http.ErrAbortHandler)
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
@@ -123,29 +119,16 @@
 	})
 }
 
-// crash ends a server for some time.
-func (w *World) crash(id string) {
+func (w *World) server(id string) *crashserver.Server {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down[id] {
-		return
-	}
-	w.down[id] = true
-	w.crashes[id] = append(w.crashes[id], time.Now())
-	w.servers[id].Crash(downtime, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.down[id] = false
-	})
+	return w.servers[id]
 }
 
 // whileUp returns announcements of a server while it has not crashed.
 func (w *World) whileUp(id string, next func() *api.Announcement) func() *api.Announcement {
 	return func() *api.Announcement {
-		w.mu.Lock()
-		down := w.down[id]
-		w.mu.Unlock()
-		if down {
+		if w.server(id).Down() {
 			return nil
 		}
 		return next()
