Quarantine: one way to judge and publish, one to tell a judge

Cause, from reading the change whole: three places locked, asked the judge, unlocked, counted and published; two told a judge or took the message themselves; the age of a ruling was worked out in three places; the judge reached into the register's map; the words for callers stood on both paths; and each round of a watch, two a second, took the keeper's lock for an empty list of holds. Change: judged, tellJudge, aged, addServer, KeptBack, a check before the hand-over; a check's outcome and a newer start end in the same call. Behaviour and assertions as before; a comment that said the digest is mostly not made is put right.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -112,7 +112,7 @@
 	if rec.suspected.IsZero() {
 		rec.suspected = now
 	}
-	if rounds >= roundsToHold && now.Sub(rec.suspected) >= deliberation {
+	if rounds >= roundsToHold && now.Sub(rec.suspected) >= Deliberation {
 		return j.rule(now, request, Held, rec.servers())
 	}
 	if standing, known := j.register.Ruling(now, request); known && standing.Standing == Suspected {
@@ -121,7 +121,7 @@
 	return j.rule(now, request, Suspected, rec.servers())
 }
 
-// Review decides on the requests whose deliberation is over; call it that long after
+// Review decides on the requests whose Deliberation is over; call it that long after
 // endings were taken.
 func (j *Judge) Review(now time.Time) []Ruling {
 	var out []Ruling
@@ -136,14 +136,11 @@
 	return out
 }
 
-// Deliberation is how long after an ending Review may have something to decide.
-const Deliberation = deliberation
-
 // again notes one more server that ended under a held request, by a run that had
 // begun before: it explains that end for the others.
 func (j *Judge) again(now time.Time, e Ending) (Ruling, bool) {
-	d := j.register.rulings[e.Request]
-	if !d.addServers([]string{e.Server}) {
+	d, added := j.register.addServer(e.Request, e.Server)
+	if !added {
 		return Ruling{}, false
 	}
 	j.explain(d.Ruling)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -31,6 +31,14 @@
 	w.j.Take(w.now, Ending{Request: digest(request), Server: server, Began: running})
 }
 
+// endInTurn tells of ends under "q", one each second, at servers whose names begin so.
+func (w *world) endInTurn(servers string, n int) {
+	for i := range n {
+		w.after(time.Second)
+		w.ends("q", fmt.Sprint(servers, i), 100*time.Millisecond)
+	}
+}
+
 func (w *world) expect(request string, want Standing) {
 	w.t.Helper()
 	got, _ := w.r.Ruling(w.now, digest(request))
@@ -77,7 +85,7 @@
 	w := newWorld(t)
 	w.after(time.Minute)
 	for i := range 3 {
-		w.after(deliberation)
+		w.after(Deliberation)
 		ended := time.Duration(i+1) * time.Second // the newest first
 		w.j.Take(w.now, Ending{Request: digest("q"), Server: fmt.Sprint("s", i), Began: ended + 100*time.Millisecond, Ended: ended})
 	}
@@ -104,10 +112,7 @@
 
 func TestSuccessClears(t *testing.T) {
 	w := newWorld(t)
-	for i := range 2 {
-		w.after(time.Second)
-		w.ends("q", fmt.Sprint("s", i), 100*time.Millisecond)
-	}
+	w.endInTurn("s", 2)
 	if _, tell := w.j.Succeeded(w.now, digest("q"), w.now.Add(-time.Minute)); tell {
 		t.Error("a success from before the ends cleared the request")
 	}
@@ -115,10 +120,7 @@
 	if x, tell := w.j.Succeeded(w.now, digest("q"), w.now); !tell || x.Standing != Cleared {
 		t.Errorf("a success of a suspected request gave %+v, told %v", x, tell)
 	}
-	for i := range 2 {
-		w.after(time.Second)
-		w.ends("q", fmt.Sprint("later", i), 100*time.Millisecond)
-	}
+	w.endInTurn("later", 2)
 	w.expect("q", Suspected)
 }
 
@@ -181,10 +183,7 @@
 // A held request comes free, and one more end is enough for the next hold.
 func TestOneEndAfterAHoldIsEnough(t *testing.T) {
 	w := newWorld(t)
-	for i := range 3 {
-		w.after(time.Second)
-		w.ends("q", fmt.Sprint("s", i), 100*time.Millisecond)
-	}
+	w.endInTurn("s", 3)
 	w.after(FirstHold)
 	w.expect("q", Suspected)
 	w.ends("q", "next", 100*time.Millisecond)
@@ -214,10 +213,7 @@
 // is decided on others meanwhile; also where another judge had ruled.
 func TestHoldThatIsOverNeedsAnotherEnd(t *testing.T) {
 	w := newWorld(t)
-	for i := range 3 {
-		w.after(time.Second)
-		w.ends("q", fmt.Sprint("s", i), 100*time.Millisecond)
-	}
+	w.endInTurn("s", 3)
 	for i := range 3 {
 		w.after(20 * time.Millisecond)
 		w.ends("other's", fmt.Sprint("t", i), 10*time.Millisecond)
@@ -247,7 +243,7 @@
 	w.expect("alike", Suspected)
 	w.after(20 * time.Millisecond)
 	w.j.Succeeded(w.now, digest("alike"), w.now.Add(-time.Millisecond))
-	w.after(deliberation)
+	w.after(Deliberation)
 	if list := w.j.Review(w.now); len(list) != 1 || list[0].Digest != digest("lethal") || list[0].Standing != Held {
 		t.Errorf("got %+v", list)
 	}
@@ -258,10 +254,7 @@
 // were told of.
 func TestAnotherJudgeGoesOn(t *testing.T) {
 	w := newWorld(t)
-	for i := range 2 {
-		w.after(time.Second)
-		w.ends("q", fmt.Sprint("s", i), 100*time.Millisecond)
-	}
+	w.endInTurn("s", 2)
 	w.j = NewJudge(w.r)
 	w.after(time.Second)
 	w.ends("q", "s2", 100*time.Millisecond)
--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -25,7 +26,7 @@
 func (r *Register) Held(now time.Time) int {
 	n := 0
 	for _, d := range r.rulings {
-		if x := d.told(now); x.Left() > 0 {
+		if x := d.aged(now); x.Left() > 0 {
 			n++
 		}
 	}
@@ -39,8 +40,7 @@
 	if d == nil || d.over(now) {
 		return Ruling{}, false
 	}
-	out := d.Ruling
-	out.Age = now.Sub(d.at)
+	out := d.aged(now)
 	if out.Standing == Held && out.Left() == 0 {
 		out.Standing = Suspected
 	}
@@ -103,17 +103,19 @@
 	return a.at.Before(b.at)
 }
 
+// addServer notes one more server that ended under a request with a ruling, and reports
+// whether it is new.
+func (r *Register) addServer(request Digest, server string) (*decided, bool) {
+	d := r.rulings[request]
+	return d, d.addServers([]string{server})
+}
+
 // Blamed reports whether a held request other than the given one explains the end of
 // a server.
 func (r *Register) Blamed(now time.Time, server string, besides Digest) bool {
 	for digest, d := range r.rulings {
-		if digest == besides || d.Standing != Held || now.Sub(d.at) >= blameTime {
-			continue
-		}
-		for _, s := range d.Servers {
-			if s == server {
-				return true
-			}
+		if digest != besides && d.Standing == Held && now.Sub(d.at) < blameTime && slices.Contains(d.Servers, server) {
+			return true
 		}
 	}
 	return false
--- a/core/quarantine/replay_test.go
+++ b/core/quarantine/replay_test.go
@@ -136,7 +136,7 @@
 			if x, tell := p.j.Take(p.now, e); tell {
 				p.later(tellDelay, func() { p.answer(x) })
 			}
-			p.later(deliberation, func() { p.j.Review(p.now) })
+			p.later(Deliberation, func() { p.j.Review(p.now) })
 		})
 		if r.runs > 1 {
 			p.later(retryPause, func() { p.begin(r.request, r.until.Sub(r.began), r.runs-1) })
--- a/core/quarantine/ruling.go
+++ b/core/quarantine/ruling.go
@@ -23,10 +23,10 @@
 	FirstHold  = time.Minute
 	holdGrowth = 4
 	mostHold   = 16 * time.Minute
-	// deliberation passes at least between a suspicion and a hold: all instances that
+	// Deliberation passes at least between a suspicion and a hold: all instances that
 	// have served the request meanwhile can say so in it. Servers can end so fast, one
 	// after the other, that the next end comes before any word of a success.
-	deliberation = 150 * time.Millisecond
+	Deliberation = 150 * time.Millisecond
 	// memoryTime is how long ends are remembered without a ruling, and a hold after
 	// its end: longer than any usual pause between two repeats of a request.
 	memoryTime = 10 * time.Minute
@@ -91,10 +91,16 @@
 // Left is how long the request is still held.
 func (r *Ruling) Left() time.Duration { return max(0, r.holdTime()-r.Age) }
 
-// told is the ruling as it is passed on.
-func (d *decided) told(now time.Time) Ruling {
+// aged is the ruling with its age at a time.
+func (d *decided) aged(now time.Time) Ruling {
 	out := d.Ruling
 	out.Age = now.Sub(d.at)
+	return out
+}
+
+// told is the ruling as it is passed on.
+func (d *decided) told(now time.Time) Ruling {
+	out := d.aged(now)
 	if out.Age >= blameTime {
 		out.Servers = nil
 	}
@@ -105,8 +111,7 @@
 func (r *Ruling) Over() bool { return r.Age >= r.holdTime()+memoryTime }
 
 func (d *decided) over(now time.Time) bool {
-	x := d.Ruling
-	x.Age = now.Sub(d.at)
+	x := d.aged(now)
 	return x.Over()
 }
 
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -178,7 +178,9 @@
 
 func (w *Watch) take(reply *watchReply) {
 	w.client.Directory().Learn(reply.Members)
-	w.onHolds(reply.Holds) // before the first call is taken
+	if len(reply.Holds) > 0 {
+		w.onHolds(reply.Holds) // before the first call is taken
+	}
 	if len(reply.Declaration) > 0 {
 		if err := w.takeDeclaration(reply.Declaration); err != nil {
 			log.WithError(err).WithField("step", "take declaration").Error("the declaration held stays")
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -54,8 +54,7 @@
 	// Attempts, repeats and rounds of recorded calls all come here: without this, one
 	// that ends its servers would end one after the other.
 	if left, held := x.e.keeper.Held(x.c.requestDigest); held {
-		return failed(giveUp(http.StatusServiceUnavailable, api.ErrorQuarantined,
-			"kept from the servers: this request has ended several that ran it", x.uncertain).after(left))
+		return failed(giveUp(http.StatusServiceUnavailable, api.ErrorQuarantined, quarantine.KeptBack, x.uncertain).after(left))
 	}
 	t := x.c.ticket()
 	t.Attempt = n
--- a/daemon/quarantine/ended.go
+++ b/daemon/quarantine/ended.go
@@ -29,12 +29,13 @@
 type checker struct {
 	mu      sync.Mutex
 	running map[string]bool
-	// after is told of each check's end, and whether the server has ended.
-	after func(server string, ended bool)
+	// ended is told of each server that has ended. Without proof nothing is said: a newer
+	// start may still show it.
+	ended func(server string)
 }
 
-func newChecker(after func(server string, ended bool)) *checker {
-	return &checker{running: map[string]bool{}, after: after}
+func newChecker(ended func(server string)) *checker {
+	return &checker{running: map[string]bool{}, ended: ended}
 }
 
 // check looks, in the background, whether a server has ended. Only one check of a
@@ -52,7 +53,9 @@
 		c.mu.Lock()
 		delete(c.running, server)
 		c.mu.Unlock()
-		c.after(server, ended)
+		if ended {
+			c.ended(server)
+		}
 	}()
 }
 
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -31,6 +31,9 @@
 	rememberTimeout = 10 * time.Second
 )
 
+// KeptBack is what callers are told of a request that is held.
+const KeptBack = "kept from the servers: this request has ended several that ran it"
+
 // Options sets up a Keeper.
 type Options struct {
 	// Transport connects it with the other instances; nil for an instance on its own.
@@ -69,7 +72,7 @@
 func New(o Options) *Keeper {
 	r := quarantine.NewRegister()
 	k := &Keeper{opt: o, broken: broken{}, successes: quarantine.NewSuccesses(), register: r, judge: quarantine.NewJudge(r)}
-	k.checker = newChecker(k.checked)
+	k.checker = newChecker(k.Ended)
 	if t := o.Transport; t != nil {
 		t.HandleOneWay(methodEndings, k.handleEndings)
 		t.HandleOneWay(methodRulings, k.handleRulings)
@@ -143,7 +146,7 @@
 	ended := k.broken.endedSince(r.Server, r.Began)
 	k.mu.Unlock()
 	if ended {
-		k.report(r.Server)
+		k.Ended(r.Server)
 		return
 	}
 	k.checker.check(r.Server, r.Address)
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -14,20 +14,9 @@
 	"cardamomwick.example/core/wire"
 )
 
-// Ended notes that a start of a server has ended, by other proof than a refused
-// connection.
-func (k *Keeper) Ended(server string) { k.report(server) }
-
-// checked takes the outcome of a check. Without proof, what broke off still waits: a
-// newer start may show it.
-func (k *Keeper) checked(server string, ended bool) {
-	if ended {
-		k.report(server)
-	}
-}
-
-// report tells the judges what broke off when a server ended.
-func (k *Keeper) report(server string) {
+// Ended notes the proof that a start of a server has ended, and tells the judges what
+// broke off there.
+func (k *Keeper) Ended(server string) {
 	now := time.Now()
 	k.mu.Lock()
 	others := k.broken.others(server)
@@ -40,14 +29,19 @@
 	log.WithFields(log.Fields{"step": "report ended server", "server": server, "broken_calls": len(runs), "requests": texts(runs), "others": others}).
 		Info("server has ended with calls in flight")
 	for judge, list := range k.endings(now, server, runs, others) {
-		if judge == k.self() {
-			k.takeEndings(list)
-			continue
-		}
-		k.send(judge, methodEndings, list)
+		k.tellJudge(judge, methodEndings, list, func() { k.takeEndings(list) })
 	}
 }
 
+// tellJudge sends a judge a message; take takes it where this instance is the judge.
+func (k *Keeper) tellJudge(judge, method string, v any, take func()) {
+	if judge == k.self() {
+		take()
+		return
+	}
+	k.send(judge, method, v)
+}
+
 // endings returns what is to be told to whom of a server's end, by peer address.
 func (k *Keeper) endings(now time.Time, server string, runs []brokenRun, others []string) map[string][]quarantine.Ending {
 	byJudge := map[string][]quarantine.Ending{}
@@ -68,6 +62,14 @@
 	return k.opt.Transport.Self()
 }
 
+// instances are those that may be told something.
+func (k *Keeper) instances() []membership.Instance {
+	if k.opt.Transport == nil {
+		return nil
+	}
+	return k.opt.Instances()
+}
+
 func (k *Keeper) send(address, method string, v any) {
 	if err := k.opt.Transport.Send(address, method, v); err != nil {
 		log.WithError(err).WithFields(log.Fields{"step": "tell quarantine", "peer": address}).Debug("message lost; the other judge and the next telling remain")
@@ -82,7 +84,7 @@
 	}
 	candidates := k.opt.Judges()
 	if len(candidates) == 0 {
-		candidates = k.opt.Instances() // while entries start
+		candidates = k.instances() // while entries start
 	}
 	var out []string
 	for _, i := range membership.First(string(request[:]), candidates) {
@@ -93,35 +95,36 @@
 
 // takeEndings counts endings as the judge of their requests.
 func (k *Keeper) takeEndings(list []quarantine.Ending) {
-	now := time.Now()
-	var rulings []quarantine.Ruling
-	k.mu.Lock()
-	for _, e := range list {
-		if x, tell := k.judge.Take(now, e); tell {
-			rulings = append(rulings, x)
+	k.judged(func(now time.Time) (rulings []quarantine.Ruling) {
+		for _, e := range list {
+			if x, tell := k.judge.Take(now, e); tell {
+				rulings = append(rulings, x)
+			}
 		}
-	}
-	k.mu.Unlock()
-	k.publish(rulings)
-	time.AfterFunc(quarantine.Deliberation, k.review)
-}
-
-// review decides what had to wait for word of successes.
-func (k *Keeper) review() {
-	k.mu.Lock()
-	rulings := k.judge.Review(time.Now())
-	k.mu.Unlock()
-	k.publish(rulings)
+		return rulings
+	})
+	// What has to wait for word of successes is decided then.
+	time.AfterFunc(quarantine.Deliberation, func() { k.judged(k.judge.Review) })
 }
 
 // takeSuccess takes a success as the judge of its request.
 func (k *Keeper) takeSuccess(s success) {
-	now := time.Now()
+	k.judged(func(now time.Time) []quarantine.Ruling {
+		if x, tell := k.judge.Succeeded(now, s.Request, now.Add(-s.Began)); tell {
+			return []quarantine.Ruling{x}
+		}
+		return nil
+	})
+}
+
+// judged publishes what the judge decides.
+func (k *Keeper) judged(decide func(now time.Time) []quarantine.Ruling) {
 	k.mu.Lock()
-	x, tell := k.judge.Succeeded(now, s.Request, now.Add(-s.Began))
+	rulings := decide(time.Now())
+	k.count()
 	k.mu.Unlock()
-	if tell {
-		k.publish([]quarantine.Ruling{x})
+	if len(rulings) > 0 {
+		k.publish(rulings)
 	}
 }
 
@@ -142,11 +145,7 @@
 	}
 	s := success{request, time.Since(began)}
 	for _, judge := range k.judgesOf(request) {
-		if judge == k.self() {
-			k.takeSuccess(s)
-			continue
-		}
-		k.send(judge, methodSuccess, &s)
+		k.tellJudge(judge, methodSuccess, &s, func() { k.takeSuccess(s) })
 	}
 }
 
@@ -161,10 +160,6 @@
 
 // publish tells all instances of rulings that this one has just made.
 func (k *Keeper) publish(rulings []quarantine.Ruling) {
-	if len(rulings) == 0 {
-		return
-	}
-	k.count()
 	for _, x := range rulings {
 		log.WithFields(log.Fields{"step": "rule on request", "request": x.Digest.String(), "standing": x.Standing.String(), "servers": x.Servers,
 			"version": x.Version, "left_s": int(x.Left().Seconds())}).Warn("standing of a request under which servers ended")
@@ -172,11 +167,7 @@
 			go k.remember(x)
 		}
 	}
-	if k.opt.Transport == nil {
-		k.answerRulings(rulings)
-		return
-	}
-	for _, i := range k.opt.Instances() {
+	for _, i := range k.instances() {
 		if i.PeerAddress != k.self() {
 			k.send(i.PeerAddress, methodRulings, rulings)
 		}
@@ -209,17 +200,14 @@
 		news = append(news, x)
 		k.judge.Took(x)
 	}
-	k.mu.Unlock()
 	k.count()
+	k.mu.Unlock()
 	k.answerRulings(news)
 }
 
-// count notes how many rulings there are, for those who only ask that.
-func (k *Keeper) count() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.known.Store(int64(k.register.Len()))
-}
+// count notes how many rulings there are, for those who only ask that. Call with the
+// lock held.
+func (k *Keeper) count() { k.known.Store(int64(k.register.Len())) }
 
 // tellSomeone tells an instance by lot of some rulings, and forgets what is over.
 func (k *Keeper) tellSomeone(now time.Time) {
@@ -228,12 +216,9 @@
 	k.judge.Forget(now)
 	k.broken.forget(now, proofTime)
 	told := k.register.Told(now)
-	k.mu.Unlock()
 	k.count()
-	if len(told) == 0 || k.opt.Transport == nil {
-		return
-	}
-	if all := k.opt.Instances(); len(all) > 0 {
+	k.mu.Unlock()
+	if all := k.instances(); len(told) > 0 && len(all) > 0 {
 		if to := all[rand.IntN(len(all))].PeerAddress; to != k.self() {
 			k.send(to, methodRulings, told)
 		}
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -44,8 +44,8 @@
 	return req.URL.RequestURI() // the absolute form names the host as well
 }
 
-// digest identifies the request. It is made when it is first asked for: calls that
-// nothing happens to don't need it.
+// digest identifies the request. It is made when it is first asked for: calls that are
+// refused don't need it.
 func (c *call) digest() quarantine.Digest {
 	if c.identity == nil {
 		r := quarantine.Request{Method: c.req.Method, Host: c.req.Host, URI: requestURI(c.req), Body: c.body}
@@ -81,7 +81,7 @@
 	left, held := c.router.opt.Quarantine.Held(c.digest)
 	if held {
 		c.comeBack = left
-		c.giveUp("kept from the servers: this request has ended several that ran it")
+		c.giveUp(keeper.KeptBack)
 	}
 	return held
 }
