Tests: an address is the test's own until it ends, and a failed test tells what was logged

Cause: tests took a port that was free a moment ago and listened on it later; another test's process could have it by then, and instances with the same keys talked to the wrong group. The suite failed once in TestFollowersPassTheFleetOn with nothing in its output that tells why. Ruled out: load alone (72 runs side by side on a busy machine: none failed). Change: addresses come from below the ports that the system gives away, held by a UDP socket until the test ends; the log lines of a failed test are printed.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +22,7 @@
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/internal/testport"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/settings"
 )
@@ -39,21 +39,11 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // single runs one instance that is the only replica.
 func single(t *testing.T) (d *Daemon, url string) {
 	t.Helper()
 	log.SetHandler(discard.New())
-	peer, callers := freePort(t), freePort(t)
+	peer, callers := testport.Reserve(t), testport.Reserve(t)
 	text := fmt.Sprintf("[instance]\nname=\"i1\"\navailability_zone=\"a\"\ndata_folder=%q\n[callers]\naddress=%q\naddress_ttl=\"100ms\"\nmax_body_bytes=4096\n[peers]\naddress=%q\nseeds=[%q]\n"+
 		"[[peers.keys]]\nid=\"k\"\nsecret=\"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\"\n[replicas]\naddresses=[%q]\n[trust.operators]\nana=%q\n[metrics]\ntoken=\"m\"\n",
 		t.TempDir(), callers, peer, peer, peer, base64.StdEncoding.EncodeToString(operatorKey.Public().(ed25519.PublicKey)))
--- a/daemon/frame/frame_test.go
+++ b/daemon/frame/frame_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/daemon/internal/testport"
 )
 
 var (
@@ -18,20 +20,10 @@
 	keyB = Key{"b", bytes.Repeat([]byte{2}, 32)}
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // serve runs a transport with an echo request and a one-way counter.
 func serve(t *testing.T, keys []Key, filter Filter) (*Transport, chan string) {
 	t.Helper()
-	tr := NewTransport(freeAddress(t), keys, filter)
+	tr := NewTransport(testport.Reserve(t), keys, filter)
 	got := make(chan string, 100)
 	tr.HandleRequest("echo", func(_ context.Context, from string, body []byte) (any, error) {
 		var s string
@@ -223,7 +215,7 @@
 // a whole group. It must cost an error and nothing else.
 func TestMessageThatPanicsEndsNothing(t *testing.T) {
 	a, _ := serve(t, []Key{keyA}, nil)
-	b := NewTransport(freeAddress(t), []Key{keyA}, nil)
+	b := NewTransport(testport.Reserve(t), []Key{keyA}, nil)
 	b.HandleRequest("boom", func(context.Context, string, []byte) (any, error) { panic("broken by its content") })
 	b.HandleOneWay("boom too", func(string, []byte) { panic("broken by its content") })
 	b.HandleRequest("echo", func(context.Context, string, []byte) (any, error) { return "still here", nil })
--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -11,11 +11,12 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/control"
+	"cardamomwick.example/daemon/internal/testport"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/settings"
 	"cardamomwick.example/daemon/upstream"
@@ -59,17 +60,30 @@
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	log.SetHandler(discard.New())
-	return &cluster{t: t, seeds: []string{freePort(t), freePort(t), freePort(t)}}
+	logged := memory.New()
+	log.SetHandler(logged)
+	c := &cluster{t: t, seeds: []string{testport.Reserve(t), testport.Reserve(t), testport.Reserve(t)}}
+	t.Cleanup(func() { c.tell(logged.Entries) }) // the last one: every instance has ended
+	return c
+}
+
+// tell writes what the instances logged into the output of a test that failed.
+func (c *cluster) tell(logged []*log.Entry) {
+	if !c.t.Failed() {
+		return
+	}
+	for _, e := range logged {
+		c.t.Logf("%s %s %s %v", e.Timestamp.Format("05.000"), e.Level, e.Message, e.Fields)
+	}
 }
 
 func (c *cluster) start(name, peer, folder string, bootstrap bool) *member {
 	c.t.Helper()
 	callers, controlAddress := "", ""
 	if folder == "" {
-		callers = freePort(c.t)
+		callers = testport.Reserve(c.t)
 	} else {
-		controlAddress = freePort(c.t)
+		controlAddress = testport.Reserve(c.t)
 	}
 	text := fmt.Sprintf("[instance]\nname=%q\navailability_zone=\"z\"\ndata_folder=%q\n[callers]\naddress=%q\naddress_ttl=\"100ms\"\ndrain_timeout=\"1s\"\n"+
 		"[peers]\naddress=%q\nseeds=[\"%s\"]\n[[peers.keys]]\nid=\"k\"\nsecret=\"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\"\n"+
@@ -151,7 +165,7 @@
 func TestDeclarationIsInForceAtEntriesAndReadBackAnywhere(t *testing.T) {
 	c := newCluster(t)
 	group := c.founders()
-	entry := c.start("e0", freePort(t), "", false)
+	entry := c.start("e0", testport.Reserve(t), "", false)
 	if entry.ready() {
 		t.Error("an entry without a declaration is ready")
 	}
@@ -385,7 +399,7 @@
 	group := c.founders()
 	c.declare(group[0], 1)
 	group[2].kill()
-	fresh := c.start("r9", freePort(t), t.TempDir(), false)
+	fresh := c.start("r9", testport.Reserve(t), t.TempDir(), false)
 	c.declare(group[0], 2)
 	c.until("the new replica has the declaration", 15*time.Second, func() bool {
 		v, _ := fresh.replica.View()
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"cardamomwick.example/daemon/internal/testport"
 )
 
 // plainProtocol names the call in one header, as an adapter would.
@@ -98,13 +100,7 @@
 }
 
 func TestNothingIsSentWhereNobodyListens(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	l.Close()
-	_, err = send(t, NewClient(plainProtocol{}), Target{ID: "s", Address: address}, "a", "x")
+	_, err := send(t, NewClient(plainProtocol{}), Target{ID: "s", Address: testport.Reserve(t)}, "a", "x")
 	var e *Error
 	if !errors.As(err, &e) || e.Sent {
 		t.Errorf("got %v; want certainty that nothing was sent", err)
