--- a/core/fleet/relay_test.go
+++ b/core/fleet/relay_test.go
@@ -106,3 +106,35 @@
 		t.Errorf("%d servers were told for %d that were replaced", told, engines)
 	}
 }
+
+// An entry went on using a server that had departed, for six seconds after the
+// departure was acknowledged. The entry began with what a replica's log held, where the
+// server still stood, and then got the fleet from a replica that follows the leader.
+// That one named as withdrawn only what was so when it first heard of the leader; the
+// entry took the server for one that the leader had yet to hear of. In the log of a
+// test whose entry started while servers left:
+//
+//	18.277 server leaves  phase=departed server=s0
+//	18.294 declaration in force  version=1
+//	20.538 listed: [s0 s10 s11 s12 s13 s14 s15 s16 s17 s18 s19]
+func TestServerThatDepartsDuringATermIsNotAdopted(t *testing.T) {
+	leader, relay, entry := NewRegistry(), &Relay{}, NewMirror()
+	follow := func() {
+		term, version := relay.At()
+		l := leader.Listing(term == 2, version)
+		l.Term = 2
+		relay.Take(*l)
+	}
+	leader.Announce(t0, server("a", 1))
+	leader.Announce(t0, server("b", 1))
+	follow()
+	fromLog := Listing{Servers: leader.Servers()}
+	leader.Depart("a")
+	follow()
+
+	entry.Take(t0, fromLog)
+	entry.Take(t0, *relay.Listing(entry.At()))
+	if got := entry.Servers(t0); len(got) != 1 || got[0].ID != "b" {
+		t.Errorf("the entry lists %v; a has departed", got)
+	}
+}
