A server that departs during a leader's term is not taken back by entries

Cause: an entry keeps for 6 s what it knew from elsewhere (a replica's log, the leader before) and the leader does not list, unless it is among the withdrawals. A replica that follows the leader named those of the beginning of the term only, and a departure of a server that the leader had never known was told to nobody. So an entry that starts, or that was away over a change of the leader, could use a departed server for 6 s. Change: a following replica adds what departs to the withdrawals; whole listings always carry them; a leader tells of departures of servers it did not know; an entry forgets what it is told has departed, wherever it knew it from.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -71,8 +71,9 @@
 	// than any partition that a server is expected to serve through.
 	ForgetAfter = 30 * time.Second
 	// keptDepartures bounds the IDs remembered as departed, against late
-	// announcements.
-	keptDepartures = 1024
+	// announcements. It is twice what the log keeps: a departure that is read there
+	// again must not count as news each time.
+	keptDepartures = 2048
 	// maxServers bounds what a faulty writer can make an instance remember: twice
 	// the servers of the largest deployment aimed at.
 	maxServers = 4096
@@ -261,16 +262,15 @@
 	}
 }
 
-// Depart forgets a server for good.
+// Depart forgets a server for good, and tells so of one that was never announced
+// here: those that watch may know it from an earlier leader.
 func (r *Registry) Depart(id string) {
-	if _, known := r.servers[id]; known {
-		delete(r.servers, id)
-		r.changes.Advance(r.changes.Version() + 1)
-		r.changes.Removed(id)
-	}
 	if r.departed[id] {
 		return
 	}
+	delete(r.servers, id)
+	r.changes.Advance(r.changes.Version() + 1)
+	r.changes.Removed(id)
 	r.departed[id] = true
 	r.order = append(r.order, id)
 	if len(r.order) > keptDepartures {
--- a/core/fleet/mirror.go
+++ b/core/fleet/mirror.go
@@ -22,7 +22,8 @@
 	Difference bool     `msgpack:"d,omitempty"`
 	Since      uint64   `msgpack:"n,omitempty"`
 	Removed    []string `msgpack:"r,omitempty"`
-	// Withdrawals is filled in the first listing of a term.
+	// Withdrawals come with all servers: whoever takes those may know others from
+	// elsewhere, which have left.
 	Withdrawals []Withdrawal `msgpack:"w,omitempty"`
 }
 
@@ -71,14 +72,15 @@
 	}
 	if l.Term > m.term {
 		m.adoptAll(now)
-		m.noteWithdrawals(l.Withdrawals)
 	}
 	m.term, m.version = l.Term, l.Version
 	if !l.Difference {
+		m.noteWithdrawals(l.Withdrawals)
 		m.listed = make(map[string]Server, len(l.Servers))
 	}
 	for _, id := range l.Removed {
 		delete(m.listed, id)
+		delete(m.adopted, id)
 	}
 	for _, s := range l.Servers {
 		m.starts.Note(s.Start())
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -7,11 +7,18 @@
 	"sort"
 )
 
+// toldWithdrawals bounds the withdrawals that go with all servers, as the log bounds
+// its own: 1,024 are some 20 KB for each entry that starts.
+const toldWithdrawals = 1024
+
 // Relay is a leader's fleet as an instance that passes it on has it. It gives the
 // difference between two versions as the leader does. Not safe for concurrent use.
 type Relay struct {
-	term        uint64
-	servers     map[string]Server
+	term    uint64
+	servers map[string]Server
+	// withdrawals are the leader's, and the servers that have departed since it named
+	// them: an entry may know those from elsewhere, and must not take them for servers
+	// that the leader has yet to hear of.
 	withdrawals []Withdrawal
 	changes     Changes
 }
@@ -36,14 +43,19 @@
 	for _, id := range l.Removed {
 		delete(r.servers, id)
 		r.changes.Removed(id)
+		r.noteDeparted(id)
 	}
 }
 
-func (r *Relay) takeWhole(l Listing) {
-	if l.Term != r.term {
-		r.withdrawals = l.Withdrawals
+func (r *Relay) noteDeparted(id string) {
+	r.withdrawals = append(r.withdrawals, Withdrawal{ServerID: id, Phase: Departed})
+	if extra := len(r.withdrawals) - toldWithdrawals; extra > 0 {
+		r.withdrawals = slices.Clone(r.withdrawals[extra:])
 	}
-	r.term = l.Term
+}
+
+func (r *Relay) takeWhole(l Listing) {
+	r.term, r.withdrawals = l.Term, slices.Clone(l.Withdrawals)
 	r.servers = make(map[string]Server, len(l.Servers))
 	r.changes.Restart(l.Version)
 	for _, s := range l.Servers {
@@ -66,8 +78,8 @@
 	}
 	l := difference(&r.changes, maps.Values(r.servers), func(id string) Server { return r.servers[id] }, term == r.term, version)
 	l.Term = r.term
-	if term != r.term {
-		l.Withdrawals = r.withdrawals
+	if !l.Difference {
+		l.Withdrawals = slices.Clone(r.withdrawals)
 	}
 	return l
 }
--- a/core/fleet/relay_test.go
+++ b/core/fleet/relay_test.go
@@ -138,3 +138,51 @@
 		t.Errorf("the entry lists %v; a has departed", got)
 	}
 }
+
+// A server announces itself to a leader that is lost before its log had it, and departs
+// under the next one, which never knew it. Entries that did must hear of it.
+func TestDepartureOfAServerTheLeaderNeverKnew(t *testing.T) {
+	first, second := NewRegistry(), NewRegistry()
+	relay, entry := &Relay{}, NewMirror()
+	first.Announce(t0, server("a", 1))
+	listing := func(r *Registry, term uint64) Listing {
+		heldTerm, version := relay.At()
+		l := r.Listing(term == heldTerm, version)
+		l.Term = term
+		return *l
+	}
+	take := func(l Listing) {
+		relay.Take(l)
+		entry.Take(t0, *relay.Listing(entry.At()))
+	}
+	take(listing(first, 1))
+	second.Announce(t0, server("b", 1))
+	take(listing(second, 2))
+	if got := len(entry.Servers(t0)); got != 2 {
+		t.Fatalf("%d servers are listed; the new leader may yet hear of a", got)
+	}
+	second.Depart("a")
+	take(listing(second, 2))
+	if got := entry.Servers(t0); len(got) != 1 || got[0].ID != "b" {
+		t.Errorf("the entry lists %v; a has departed", got)
+	}
+}
+
+// Departures that the log names again with each of its changes are no news.
+func TestDepartureReadAgainChangesNothing(t *testing.T) {
+	r := NewRegistry()
+	read := func() {
+		for i := range toldWithdrawals {
+			r.Withdraw(fmt.Sprint("gone", i), Departed)
+		}
+	}
+	read()
+	for i := range toldWithdrawals / 2 {
+		r.Depart(fmt.Sprint("other", i))
+	}
+	before := r.Version()
+	read()
+	if r.Version() != before {
+		t.Errorf("%d changes", r.Version()-before)
+	}
+}
--- a/daemon/control/news.go
+++ b/daemon/control/news.go
@@ -117,7 +117,7 @@
 	}
 	l := s.registry.Listing(sameTerm && req.Differences, req.Version)
 	l.Term = v.Term
-	if !sameTerm {
+	if !l.Difference {
 		l.Withdrawals = v.Routing.Withdrawals
 	}
 	return l
