A connection between instances that brings no answers is left after 1.2 s

Ruled out: a time-out of the questions alone: a peer may answer late for good reasons, and leaving it makes an overloaded one dial, prove keys and answer again. Change: core/silence decides; 0.6 s after a question that nothing has come back after (2 s after messages without answers) the connection itself is asked, which a peer answers without work; 0.6 s later it is left.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -211,6 +211,7 @@
 	d.metrics.Gauge("cardamomwick_instances", func() float64 { return float64(len(d.gossip.Instances())) })
 	d.metrics.Gauge("cardamomwick_bad_frames_total", func() float64 { return float64(d.transport.BadFrames.Load()) })
 	d.metrics.Gauge("cardamomwick_handler_panics_total", func() float64 { return float64(d.transport.Panics.Load()) })
+	d.metrics.Gauge("cardamomwick_silent_connections_total", func() float64 { return float64(d.transport.Silent.Load()) })
 	d.metrics.Gauge("cardamomwick_frame_bytes_sent_total", func() float64 { return float64(d.transport.BytesSent.Load()) })
 	d.metrics.Gauge("cardamomwick_frames_sent_total", func() float64 { return float64(d.transport.MessagesSent.Load()) })
 }
--- a/daemon/frame/link.go
+++ b/daemon/frame/link.go
@@ -5,7 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
+
+	"cardamomwick.example/core/silence"
 )
 
 // pendingCall waits for a response; done is closed once body or err is set.
@@ -35,6 +38,7 @@
 	// fail fast for a while.
 	failedAt time.Time
 	failures int
+	silence  silence.Watch
 }
 
 func (l *link) close() { l.once.Do(func() { close(l.closing) }) }
@@ -56,6 +60,7 @@
 	if p != nil {
 		l.pending[m.ID] = p
 	}
+	l.silence.Sent(time.Now(), p != nil)
 	return nil
 }
 
@@ -113,9 +118,7 @@
 		l.down(ErrUnreachable)
 		return false
 	}
-	l.mu.Lock()
-	l.failures = 0
-	l.mu.Unlock()
+	l.connected()
 	broken := make(chan struct{})
 	go l.readLoop(c, broken)
 	idle = l.writeUntilBroken(c, first, broken)
@@ -127,8 +130,17 @@
 	return idle
 }
 
-// writeUntilBroken writes queued messages until the connection breaks or has
-// been idle, which it reports.
+// connected notes a new connection, on which what is queued is sent at once.
+func (l *link) connected() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = 0
+	l.silence.Connected()
+	l.silence.Sent(time.Now(), len(l.pending) > 0)
+}
+
+// writeUntilBroken writes queued messages until the connection breaks, is silent, or
+// has been idle, which it reports.
 func (l *link) writeUntilBroken(c *Conn, m *Message, broken <-chan struct{}) (idle bool) {
 	timer := time.NewTimer(l.t.idle)
 	defer timer.Stop()
@@ -136,8 +148,20 @@
 		if err := l.t.writeBatch(c, m, l.out); err != nil {
 			return false
 		}
-		timer.Reset(l.t.idle)
+		idleAt := time.Now().Add(l.t.idle)
 		for m = nil; m == nil; {
+			step, wait := l.due(idleAt)
+			switch step {
+			case silence.Leave:
+				return false
+			case silence.Ask:
+				m = &Message{Kind: Request, Method: methodPresent}
+				continue
+			}
+			if wait <= 0 {
+				return true
+			}
+			timer.Reset(wait)
 			select {
 			case m = <-l.out:
 			case <-broken:
@@ -145,20 +169,30 @@
 			case <-l.closing:
 				return false
 			case <-timer.C:
-				if l.quiet() {
-					return true
-				}
-				timer.Reset(l.t.idle)
 			}
 		}
 	}
 }
 
-// quiet reports whether no response is awaited.
-func (l *link) quiet() bool {
+// due returns what to do about a silence, and how long to wait for the next look;
+// nothing to wait for means that the connection is idle.
+func (l *link) due(idleAt time.Time) (silence.Step, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pending) == 0
+	now := time.Now()
+	step, wait := l.silence.Due(now)
+	if step == silence.Leave {
+		l.t.Silent.Add(1)
+		log.WithFields(log.Fields{"step": "keep connection", "peer": l.address, "questions": len(l.pending)}).Warn("the connection brings no answers; a new one is made")
+	}
+	untilIdle := idleAt.Sub(now)
+	if untilIdle <= 0 && len(l.pending) > 0 {
+		untilIdle = l.t.idle
+	}
+	if wait == 0 || untilIdle < wait {
+		wait = untilIdle
+	}
+	return step, wait
 }
 
 // drain drops queued messages that belong to the broken connection.
@@ -201,10 +235,7 @@
 		if m.Kind != Response || l.t.filter(l.address, true) {
 			continue
 		}
-		l.mu.Lock()
-		p := l.pending[m.ID]
-		delete(l.pending, m.ID)
-		l.mu.Unlock()
+		p := l.answered(m.ID)
 		if p == nil {
 			continue
 		}
@@ -215,3 +246,14 @@
 		close(p.done)
 	}
 }
+
+// answered notes a response and returns the call that it is for, nil for one that
+// nobody waits for any more.
+func (l *link) answered(id uint64) *pendingCall {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.pending[id]
+	delete(l.pending, id)
+	l.silence.Heard(time.Now(), len(l.pending) > 0)
+	return p
+}
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -39,6 +39,9 @@
 	maxConcurrent = 512
 )
 
+// methodPresent is asked to learn whether a connection still works; the answer is empty.
+const methodPresent = "frame.present"
+
 // Errors of a Transport.
 var (
 	// ErrUnreachable: the message certainly did not reach the peer.
@@ -90,6 +93,8 @@
 	BadFrames atomic.Int64
 	// Panics counts messages that their handlers panicked at.
 	Panics atomic.Int64
+	// Silent counts outgoing connections that were left because nothing came back.
+	Silent atomic.Int64
 	// BytesSent and MessagesSent count outgoing traffic.
 	BytesSent, MessagesSent atomic.Int64
 }
@@ -103,6 +108,7 @@
 	t := &Transport{self: self, listen: self, idle: idleTimeout, filter: others, links: map[string]*link{},
 		requests: map[string]RequestHandler{}, oneWays: map[string]OneWayHandler{}}
 	t.SetKeys(keys)
+	t.HandleRequest(methodPresent, func(context.Context, string, []byte) (any, error) { return nil, nil })
 	return t
 }
 
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -11,6 +11,7 @@
 	gauge("cardamomwick_entries", func() float64 { return float64(len(d.gossip.Entries())) })
 	gauge("cardamomwick_bad_frames_total", func() float64 { return float64(d.transport.BadFrames.Load()) })
 	gauge("cardamomwick_handler_panics_total", func() float64 { return float64(d.transport.Panics.Load()) })
+	gauge("cardamomwick_silent_connections_total", func() float64 { return float64(d.transport.Silent.Load()) })
 	gauge("cardamomwick_frame_bytes_sent_total", func() float64 { return float64(d.transport.BytesSent.Load()) })
 	gauge("cardamomwick_requests_held", func() float64 { return float64(d.keeper.Holding()) })
 	if d.router != nil {
