What waits for a leader asks seldom, and goes on once one call was served

Cause: the same as for announcements: whatever goes through the log asked a replica every 15 ms while there was no leader. Change: the pause doubles up to 120 ms; a call that is served ends the pauses of all others of the instance, so that a failover is not noticed later by them. Ruled out: one search for all calls: its own call may be held for long, by a watch.

--- a/daemon/replica/client.go
+++ b/daemon/replica/client.go
@@ -19,7 +19,11 @@
 	// attemptTimeout bounds one try at one replica: a replica that is cut off
 	// silently does not answer at all.
 	attemptTimeout = 700 * time.Millisecond
+	// retryPause is the pause before a replica is asked again, twice as long each time up
+	// to mostRetryPause. While there is no leader, everything that waits for one asks so;
+	// once one call has been served, the others go on at once.
 	retryPause     = 15 * time.Millisecond
+	mostRetryPause = 120 * time.Millisecond
 )
 
 // Client reaches the leader of the replica group from any instance. Safe for
@@ -29,11 +33,14 @@
 	directory *Directory
 	mu        sync.Mutex
 	leader    string
+	// pausing counts the calls that pause; served is closed for them.
+	pausing int
+	served  chan struct{}
 }
 
 // NewClient returns a client that looks for replicas in the directory.
 func NewClient(t *frame.Transport, d *Directory) *Client {
-	return &Client{transport: t, directory: d}
+	return &Client{transport: t, directory: d, served: make(chan struct{})}
 }
 
 // Directory returns where the client looks for replicas.
@@ -79,6 +86,7 @@
 func call[T redirected](ctx context.Context, c *Client, method string, in any) (T, error) {
 	var none T
 	var last error
+	wait := retryPause
 	for redirects := 0; ctx.Err() == nil; {
 		target := c.target()
 		out, err := attempt[T](ctx, c.transport, target, method, in)
@@ -88,11 +96,12 @@
 		if err != nil {
 			last = err
 			c.moveOn(target, "")
-			pause(ctx)
+			c.pause(ctx, &wait)
 			continue
 		}
 		d := out.where()
 		if !d.NotLeader && !d.Retry {
+			c.goOn()
 			return out, nil
 		}
 		last = eris.Errorf("%s: peer %s is not the leader", method, target)
@@ -102,7 +111,7 @@
 		// The first hint is followed at once; two replicas that name each other
 		// are not asked in turn without end.
 		if redirects++; redirects > 1 || d.Leader == "" {
-			pause(ctx)
+			c.pause(ctx, &wait)
 		}
 	}
 	if last == nil {
@@ -119,10 +128,32 @@
 	return out, err
 }
 
-func pause(ctx context.Context) {
+// pause waits before the next try, longer each time, or until another call was served.
+func (c *Client) pause(ctx context.Context, wait *time.Duration) {
+	c.mu.Lock()
+	served := c.served
+	c.pausing++
+	c.mu.Unlock()
+	timer := time.NewTimer(*wait)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
+	case <-served:
+	case <-timer.C:
+	}
+	*wait = min(mostRetryPause, 2**wait)
+	c.mu.Lock()
+	c.pausing--
+	c.mu.Unlock()
+}
+
+// goOn ends the pauses of the other calls: there is a leader.
+func (c *Client) goOn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pausing > 0 {
+		close(c.served)
+		c.served = make(chan struct{})
 	}
 }
 
--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -329,7 +329,30 @@
 // Each announcement looked for the leader by itself, some sixty times a second; the
 // replicas had no time left to elect one.
 func TestAnnouncementsThatWaitForALeaderLookForItTogether(t *testing.T) {
-	const servers = 200
+	sent := messagesWithoutALeader(t, func(c ControlAPI, id string) error {
+		return c.Announce(context.Background(), fleet.Server{ID: id, Pool: "p", Address: id, Sequence: 1})
+	})
+	if sent > askingWithoutALeader {
+		t.Errorf("%d messages were sent", sent)
+	}
+}
+
+// What goes through the log can't be told together so simply. Departures while there is
+// no leader cost 7,600 messages for 200 of them within their 0.9 s.
+func TestDeparturesThatWaitForALeaderAskSeldom(t *testing.T) {
+	sent := messagesWithoutALeader(t, func(c ControlAPI, id string) error {
+		return c.Depart(context.Background(), fleet.Start{Name: id, Born: 1})
+	})
+	if sent > 20*askingWithoutALeader {
+		t.Errorf("%d messages were sent", sent)
+	}
+}
+
+const askingWithoutALeader = 200
+
+// messagesWithoutALeader returns how many messages a replica sends that has no leader,
+// while as many ask it for something together.
+func messagesWithoutALeader(t *testing.T, ask func(c ControlAPI, id string) error) int64 {
 	c := newCluster(t)
 	group := c.founders()
 	c.declare(group[0], 1)
@@ -340,20 +363,17 @@
 	c.until("there is no leader", 5*time.Second, func() bool { v, _ := alone.replica.View(); return !v.Leading })
 	before := alone.transport.MessagesSent.Load()
 	var asking sync.WaitGroup
-	for i := range servers {
-		id := fmt.Sprint("s", i)
+	for i := range askingWithoutALeader {
 		asking.Go(func() {
-			if err := alone.control.Announce(context.Background(), fleet.Server{ID: id, Pool: "p", Address: id, Sequence: 1}); err == nil {
-				t.Errorf("%s was acknowledged without a leader", id)
+			if err := ask(alone.control, fmt.Sprint("s", i)); err == nil {
+				t.Errorf("%d was acknowledged without a leader", i)
 			}
 		})
 	}
 	asking.Wait()
 	sent := alone.transport.MessagesSent.Load() - before
-	t.Logf("%d messages for %d announcements", sent, servers)
-	if sent > servers {
-		t.Errorf("%d messages were sent", sent)
-	}
+	t.Logf("%d messages", sent)
+	return sent
 }
 
 // An entry that starts must not be sent everything by each replica: with 1,000 engines
