--- a/daemon/routed_test.go
+++ b/daemon/routed_test.go
@@ -55,11 +55,11 @@
 }
 
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	seeds []string
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	logged := memory.New()
 	log.SetHandler(logged)
