Idle connections to control, directory, readiness and metrics are closed after 15 s

Cause: they were kept as long as callers' connections, two minutes. At 3,003 engines the busiest replica had 3,777 to 7,239 connections, more than there are engines: those that had gone on to other replicas; one replica ended for its memory. Change: 15 s, above a dozen heartbeats; callers' connections stay as they were.

--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -19,13 +19,21 @@
 // connection that is just being closed.
 const idleTimeout = 2 * time.Minute
 
+// shortIdleTimeout is the same for the other listeners: those who ask there come back
+// within seconds or not at all, since they have gone on to another instance. Kept as
+// long as callers' connections, what thousands of engines leave behind on such a move
+// fills an instance's memory and descriptors: 30 KB each.
+const shortIdleTimeout = 15 * time.Second
+
 // httpListener serves HTTP at one address. It is a suture service.
 type httpListener struct {
 	name string
 	rest *rest.Server
 	// lastAnswers is how long calls that crossed the end of the drain may take.
 	lastAnswers time.Duration
-	server      atomic.Pointer[http.Server]
+	// idle is how long an idle connection is kept.
+	idle   time.Duration
+	server atomic.Pointer[http.Server]
 }
 
 // direct is a go-zero router that hands every request to one handler. None of
@@ -44,7 +52,7 @@
 
 var _ httpx.Router = direct{}
 
-func newHTTPListener(name, address string, h http.Handler) (*httpListener, error) {
+func newHTTPListener(name, address string, h http.Handler, idle time.Duration) (*httpListener, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "parse address of %s", name)
@@ -60,7 +68,7 @@
 		return nil, eris.Wrapf(err, "make HTTP server of %s", name)
 	}
 	logx.Disable()
-	return &httpListener{name: name, rest: s, lastAnswers: crossedAnswers}, nil
+	return &httpListener{name: name, rest: s, lastAnswers: crossedAnswers, idle: idle}, nil
 }
 
 // String names the service in the supervisor's log.
@@ -75,7 +83,7 @@
 		defer close(stopped)
 		l.rest.StartWithOpts(func(s *http.Server) {
 			s.ReadHeaderTimeout = headerTimeout
-			s.IdleTimeout = idleTimeout
+			s.IdleTimeout = l.idle
 			s.MaxHeaderBytes = maxHeaderBytes
 			l.server.Store(s)
 		})
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -44,7 +44,7 @@
 	logx.Disable()
 	s.AddRoutes([]rest.Route{{Method: http.MethodPost, Path: api.PathChat, Handler: d.entry.Chat}}, rest.WithSSE())
 	s.AddRoutes(d.routes())
-	return &httpListener{name: "callers' listener", rest: s, lastAnswers: stopTimeout}, nil
+	return &httpListener{name: "callers' listener", rest: s, lastAnswers: stopTimeout, idle: idleTimeout}, nil
 }
 
 func (d *Daemon) routes() []rest.Route {
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -96,19 +96,19 @@
 		}
 	}
 	if s.Routing.DirectoryAddress != "" {
-		if err := d.listen("directory", s.Routing.DirectoryAddress, a.Directory(d)); err != nil {
+		if err := d.listen("directory", s.Routing.DirectoryAddress, a.Directory(d), shortIdleTimeout); err != nil {
 			return nil, err
 		}
 	}
 	d.registerGauges()
 	if s.Metrics.Address != "" {
-		err = d.listen("metrics", s.Metrics.Address, http.HandlerFunc(d.metricsPage))
+		err = d.listen("metrics", s.Metrics.Address, http.HandlerFunc(d.metricsPage), shortIdleTimeout)
 	}
 	return d, err
 }
 
-func (d *Routed) listen(name, address string, h http.Handler) error {
-	l, err := newHTTPListener(name, address, h)
+func (d *Routed) listen(name, address string, h http.Handler, idle time.Duration) error {
+	l, err := newHTTPListener(name, address, h, idle)
 	if err != nil {
 		return err
 	}
@@ -127,7 +127,7 @@
 	if d.settings.Routing.ControlAddress == "" {
 		return nil
 	}
-	return d.listen("control", d.settings.Routing.ControlAddress, a.Control(d.control))
+	return d.listen("control", d.settings.Routing.ControlAddress, a.Control(d.control), shortIdleTimeout)
 }
 
 func (d *Routed) addEntry(a Adapter, client *replica.Client) error {
@@ -142,13 +142,13 @@
 	self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
 	exchange := router.NewExchange(d.router, d.transport, self, d.collectMembers)
 	d.services = append(d.services, d.watch, exchange)
-	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router); err != nil {
+	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router, idleTimeout); err != nil {
 		return err
 	}
 	if r.ReadinessAddress == "" {
 		return nil
 	}
-	return d.listen("readiness", r.ReadinessAddress, a.Readiness(d.ready))
+	return d.listen("readiness", r.ReadinessAddress, a.Readiness(d.ready), shortIdleTimeout)
 }
 
 // takeTable makes this instance take calls by a new declaration.
