--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -155,7 +155,12 @@
 // Knows reports whether a server is listed as it announces itself now.
 func (r *Registry) Knows(s Server) bool {
 	listed := r.servers[s.ID]
-	return listed != nil && listed.saysSame(s)
+	if listed == nil {
+		return false
+	}
+	x := listed.Server
+	x.Overdue = s.Overdue
+	return x.saysSame(s)
 }
 
 // Announce takes an announcement. Older news about a server changes nothing,
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -132,9 +132,11 @@
 }
 
 // Knows reports whether the leader lists a server as it announces itself now, so that
-// nobody has to be told but that it is alive.
+// nobody has to be told but that it is alive. That holds for overdue ones as well: when
+// the leader is late, all are, and to tell it of each would make it later.
 func (r *Relay) Knows(s Server) bool {
 	listed, known := r.servers[s.ID]
+	listed.Overdue = s.Overdue
 	return known && listed.saysSame(s)
 }
 
--- a/core/fleet/relay_test.go
+++ b/core/fleet/relay_test.go
@@ -296,3 +296,21 @@
 		t.Errorf("%d changes", r.Version()-before)
 	}
 }
+
+// When the leader is late, servers count as overdue all at once. Their heartbeats must
+// not each be told to it for that.
+func TestHeartbeatsOfOverdueServersSayNothingNew(t *testing.T) {
+	leader, relay := NewRegistry(), &Relay{}
+	leader.Announce(t0, server("a", 1))
+	leader.Expire(t0.Add(OverdueAfter))
+	l := leader.Listing(false, 0)
+	l.Term = 1
+	relay.Take(*l)
+	if !relay.Knows(server("a", 2)) || !leader.Knows(server("a", 2)) {
+		t.Error("an overdue server's heartbeat counts as news")
+	}
+	leader.Heard(t0.Add(OverdueAfter), "a", 2)
+	if leader.Servers()[0].Overdue {
+		t.Error("the server is overdue though it was heard")
+	}
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -42,7 +42,7 @@
 	CommandDeclare
 	// CommandWithdraw notes that a backend server leaves.
 	CommandWithdraw
-	// CommandRegister remembers a backend server that has announced itself.
+	// CommandRegister remembers backend servers that have announced themselves.
 	CommandRegister
 	// CommandRule remembers a ruling of the quarantine.
 	CommandRule
@@ -61,8 +61,11 @@
 	Engine    *EngineOrder        `msgpack:"e,omitempty"`
 	Declare   *DeclareCommand     `msgpack:"d,omitempty"`
 	Withdraw  *fleet.Withdrawal   `msgpack:"w,omitempty"`
-	Register  *fleet.Server       `msgpack:"g,omitempty"`
-	Rule      *quarantine.Ruling  `msgpack:"u,omitempty"`
+	// Register is one server, as in logs that older versions wrote; Servers are any
+	// number.
+	Register *fleet.Server      `msgpack:"g,omitempty"`
+	Servers  []fleet.Server     `msgpack:"v,omitempty"`
+	Rule     *quarantine.Ruling `msgpack:"u,omitempty"`
 }
 
 // CallCommand is the subject of the commands about one call.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -48,6 +48,11 @@
 		return m.routing.withdraw(*c.Withdraw)
 	case c.Type == CommandRegister && c.Register != nil:
 		return m.routing.register(*c.Register)
+	case c.Type == CommandRegister:
+		for _, s := range c.Servers {
+			m.routing.register(s)
+		}
+		return Result{Code: CodeOK}
 	case c.Type == CommandRule && c.Rule != nil:
 		return m.quarantine.rule(*c.Rule, m.nowMillis)
 	case c.Call != nil:
--- a/core/state/routing_test.go
+++ b/core/state/routing_test.go
@@ -86,3 +86,12 @@
 		t.Errorf("the next start is not registered: %+v", got.Servers)
 	}
 }
+
+func TestServersAreRegisteredTogether(t *testing.T) {
+	m := New()
+	m.Apply((&Command{Type: CommandWithdraw, Withdraw: &fleet.Withdrawal{ServerID: "c", Phase: fleet.Departed}}).Encode())
+	m.Apply((&Command{Type: CommandRegister, Servers: []fleet.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "a"}}}).Encode())
+	if got := m.Routing().Servers; len(got) != 2 || got[0].ID != "a" || got[1].ID != "b" {
+		t.Errorf("registered are %+v", got)
+	}
+}
--- a/daemon/control/alive.go
+++ b/daemon/control/alive.go
@@ -18,11 +18,6 @@
 	// nothing new, before it tells the leader: a twelfth of the time after which a
 	// server without news counts as overdue.
 	alivePeriod = 300 * time.Millisecond
-	// registerPeriod is how often the leader looks for servers that its log lacks.
-	registerPeriod = time.Second
-	// mostRegistering bounds the registrations under way, so that a restart of all
-	// servers does not fill the log's batches with them.
-	mostRegistering = 256
 )
 
 // alive are the servers that announced themselves here as the leader lists them, with
@@ -103,12 +98,3 @@
 	})
 	return announceReply{}, nil
 }
-
-// registerMissing puts the servers into the log that it lacks: their first
-// registration may have failed, and their heartbeats come without it.
-func (s *Service) registerMissing(v replica.View) {
-	s.mu.Lock()
-	servers := s.registry.Servers()
-	s.mu.Unlock()
-	s.registerUnlogged(v, servers)
-}
--- a/daemon/control/announce.go
+++ b/daemon/control/announce.go
@@ -66,10 +66,7 @@
 	}
 	told := make(chan error, 1)
 	s.announcing.waiting = append(s.announcing.waiting, told)
-	select {
-	case s.announced <- struct{}{}:
-	default:
-	}
+	signal(s.announced)
 	return told, nil
 }
 
@@ -116,19 +113,14 @@
 			s.registry.Announce(now, server)
 		}
 	})
-	s.registerUnlogged(v, servers)
+	signal(s.unlogged)
 	return announceReply{}, nil
 }
 
-// registerUnlogged puts the servers into the log that it lacks.
-func (s *Service) registerUnlogged(v replica.View, servers []fleet.Server) {
-	logged := make(map[string]bool, len(v.Routing.Servers))
-	for _, x := range v.Routing.Servers {
-		logged[x.ID] = true
-	}
-	for _, x := range servers {
-		if !logged[x.ID] && x.Phase == fleet.Ready {
-			s.register(x)
-		}
+// signal wakes the loop that waits on a channel of one element.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -46,21 +46,21 @@
 	changed  chan struct{}
 	// ledTerm is the last term that this replica led.
 	ledTerm uint64
-	// registering are the servers whose registration is under way.
-	registering map[string]bool
-	foreign     foreign
-	relay       relay
-	alive       alive
-	announcing  announcing
-	// announced wakes the loop that tells the leader what is announced.
-	announced chan struct{}
-	// registeredAt is when the leader last looked for servers that its log lacks.
-	registeredAt time.Time
+	foreign foreign
+	relay   relay
+	alive   alive
+	// watching counts the instances that are kept waiting for news.
+	watching   int
+	announcing announcing
+	// announced wakes the loop that tells the leader what is announced, unlogged the
+	// one that looks for servers that the log lacks.
+	announced, unlogged chan struct{}
 }
 
 // New registers the frame handlers.
 func New(t *frame.Transport, r *replica.Replica, c *replica.Client) *Service {
-	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{}), registering: map[string]bool{}, alive: alive{}, announced: make(chan struct{}, 1)}
+	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{}), alive: alive{},
+		announced: make(chan struct{}, 1), unlogged: make(chan struct{}, 1)}
 	t.HandleRequest(methodAnnounce, s.handleAnnounce)
 	t.HandleRequest(methodAlive, s.handleAlive)
 	t.HandleRequest(methodNewest, s.handleNewest)
@@ -76,6 +76,7 @@
 func (s *Service) Serve(ctx context.Context) error {
 	go s.followLeader(ctx)
 	go s.tellAnnounced(ctx)
+	go s.registerServers(ctx)
 	go func() { _ = s.tellAlive(ctx) }() // ends with the context
 	return loop.Every(ctx, expirePeriod, func(now time.Time) {
 		v, _ := s.replica.View()
@@ -86,10 +87,6 @@
 		}
 		s.update(func() { s.registry.Expire(now) })
 		s.departSilent(ctx, now)
-		if now.Sub(s.registeredAt) >= registerPeriod {
-			s.registeredAt = now
-			s.registerMissing(v)
-		}
 	})
 }
 
@@ -247,28 +244,6 @@
 	return false
 }
 
-// register puts a server that the log does not know into it, in the background: the
-// announcement is acknowledged without, and registerMissing tries again.
-func (s *Service) register(server fleet.Server) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.registering[server.ID] || len(s.registering) >= mostRegistering {
-		return
-	}
-	s.registering[server.ID] = true
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), declareTimeout)
-		defer cancel()
-		_, err := s.client.Propose(ctx, &state.Command{Type: state.CommandRegister, Register: &server})
-		if err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "register server", "server": server.ID}).Warn("will be tried again")
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.registering, server.ID)
-	}()
-}
-
 // follow applies what the log says to the registry. At the beginning of a term
 // that this replica leads, all servers count as just heard.
 func (s *Service) follow(v replica.View) {
--- a/daemon/control/news.go
+++ b/daemon/control/news.go
@@ -11,10 +11,22 @@
 	"cardamomwick.example/daemon/replica"
 )
 
-// gatherTime is how long a replica waits after a change before it tells the entries
-// that watch: while every engine is replaced, changes come some ten milliseconds
-// apart, and each would wake all of them.
-const gatherTime = 50 * time.Millisecond
+// A replica waits after a change before it tells the entries that watch: while every
+// engine is replaced, changes come some ten milliseconds apart, and each would wake all
+// of them.
+const (
+	// gatherTime is the least that it waits.
+	gatherTime = 50 * time.Millisecond
+	// gatherEach is what it waits for each instance that watches: an answer takes a
+	// tenth of a millisecond, and all of them may take 2% of a core.
+	gatherEach = 5 * time.Millisecond
+	// mostGatherTime leaves most of the 2 s in which a change must be in force.
+	mostGatherTime = 250 * time.Millisecond
+)
+
+func gatherFor(watching int) time.Duration {
+	return min(mostGatherTime, max(gatherTime, time.Duration(watching)*gatherEach))
+}
 
 // handleWatch answers an instance that watches, once there is something new or its
 // hold is over. The leader answers from its registry, other replicas from what they
@@ -26,6 +38,7 @@
 	}
 	timeout := time.NewTimer(min(req.Hold, maxHold))
 	defer timeout.Stop()
+	defer s.noteWatching()()
 	var outOfTouch <-chan time.Time
 	for gathered := req.atOnce(); ; {
 		v, viewChanged := s.replica.View()
@@ -45,7 +58,7 @@
 		}
 		if news {
 			gathered = true
-			if !wait(ctx, gatherTime) {
+			if !wait(ctx, s.gatherTime()) {
 				return nil, ctx.Err()
 			}
 			continue
@@ -66,6 +79,23 @@
 	}
 }
 
+// noteWatching counts an instance that watches until the function returned is called.
+func (s *Service) noteWatching() (done func()) {
+	add := func(n int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.watching += n
+	}
+	add(1)
+	return func() { add(-1) }
+}
+
+func (s *Service) gatherTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return gatherFor(s.watching)
+}
+
 // atOnce reports whether the first change is told without waiting for more: an entry
 // without a declaration serves nobody, and who passes changes on gathers itself.
 func (r *watchRequest) atOnce() bool { return r.Relays || r.Stale || r.Declaration == 0 }
