A leader does not help to replace itself, and a vote is given time to take effect

Change: a leader denies pre-votes; it notices by its quorum when it no longer leads. Who has granted a vote since its start denies other candidates' pre-votes for a heartbeat and a tick, 0.15 s. Ruled out: full election time-outs after a vote: a split vote would cost half a second.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -58,8 +58,7 @@
 func (n *Node) handleVoteRequest(m Message) {
 	fresh := n.log.upToDate(m.Index, m.LogTerm)
 	if m.Type == MsgPreVote {
-		heard := n.leader != None && n.elapsed < n.cfg.ElectionTicks
-		grant := m.Term > n.term && fresh && !heard
+		grant := m.Term > n.term && fresh && !n.hearsLeader() && !n.hasJustVoted(m.From)
 		reply := Message{Type: MsgPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
 		if !grant {
 			reply.Term = n.term
@@ -69,12 +68,24 @@
 	}
 	grant := m.Term == n.term && fresh && (n.vote == None || n.vote == m.From) && n.role == Follower
 	if grant {
-		n.vote = m.From
+		n.vote, n.granted = m.From, m.From
 		n.elapsed = 0
 	}
 	n.send(Message{Type: MsgVoteReply, To: m.From, Term: n.term, Reject: !grant})
 }
 
+// hearsLeader reports whether there is a leader as far as this replica knows. One that
+// leads notices by its quorum when it no longer does.
+func (n *Node) hearsLeader() bool {
+	return n.role == Leader || n.leader != None && n.elapsed < n.cfg.ElectionTicks
+}
+
+// hasJustVoted reports whether another candidate may have won with this replica's vote
+// and has had no time to say so: its first heartbeat, and a tick for the way.
+func (n *Node) hasJustVoted(candidate uint64) bool {
+	return n.granted != None && n.granted != candidate && n.elapsed <= n.cfg.HeartbeatTicks
+}
+
 func (n *Node) handleVoteReply(m Message) {
 	want := MsgVoteReply
 	if n.role == PreCandidate {
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -40,13 +40,16 @@
 
 // Node is one replica's consensus state. Not safe for concurrent use.
 type Node struct {
-	cfg    Config
-	id     uint64
-	role   Role
-	term   uint64
-	vote   uint64
-	leader uint64
-	log    *raftLog
+	cfg  Config
+	id   uint64
+	role Role
+	term uint64
+	vote uint64
+	// granted is who got the vote since the start of the process; an older one was used
+	// up before.
+	granted uint64
+	leader  uint64
+	log     *raftLog
 
 	elapsed         int
 	electionTimeout int
@@ -170,7 +173,7 @@
 func (n *Node) becomeFollower(term, leader uint64) {
 	if term > n.term {
 		n.term = term
-		n.vote = None
+		n.vote, n.granted = None, None
 	}
 	n.role = Follower
 	n.leader = leader
