Changes are gathered no longer than an instance's hold

Cause, found on reading: 0.25 s of gathering begun at the end of a hold of 0.45 s end when the watching instance gives its question up, 0.7 s. Change: what is left of the hold bounds the gathering, 50 ms at least. Measured: the test.

--- a/daemon/control/news.go
+++ b/daemon/control/news.go
@@ -24,8 +24,11 @@
 	mostGatherTime = 250 * time.Millisecond
 )
 
-func gatherFor(watching int) time.Duration {
-	return min(mostGatherTime, max(gatherTime, time.Duration(watching)*gatherEach))
+// gatherFor returns how long to gather for an instance that watches beside others, of
+// whose hold so much is left: it does not wait for its answer much longer than that.
+func gatherFor(watching int, holdLeft time.Duration) time.Duration {
+	most := min(mostGatherTime, holdLeft)
+	return max(gatherTime, min(most, time.Duration(watching)*gatherEach))
 }
 
 // handleWatch answers an instance that watches, once there is something new or its
@@ -36,7 +39,9 @@
 	if err := wire.Decode(body, &req); err != nil {
 		return nil, eris.Wrap(err, "decode watch")
 	}
-	timeout := time.NewTimer(min(req.Hold, maxHold))
+	hold := min(req.Hold, maxHold)
+	holdEnd := time.Now().Add(hold)
+	timeout := time.NewTimer(hold)
 	defer timeout.Stop()
 	defer s.noteWatching()()
 	var outOfTouch <-chan time.Time
@@ -58,7 +63,7 @@
 		}
 		if news {
 			gathered = true
-			if !wait(ctx, s.gatherTime()) {
+			if !wait(ctx, s.gatherTime(time.Until(holdEnd))) {
 				return nil, ctx.Err()
 			}
 			continue
@@ -90,10 +95,10 @@
 	return func() { add(-1) }
 }
 
-func (s *Service) gatherTime() time.Duration {
+func (s *Service) gatherTime(holdLeft time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return gatherFor(s.watching)
+	return gatherFor(s.watching, holdLeft)
 }
 
 // atOnce reports whether the first change is told without waiting for more: an entry
--- a/daemon/control/news_test.go
+++ b/daemon/control/news_test.go
@@ -11,7 +11,7 @@
 func TestNewsAreGatheredForAsLongAsThereAreWatchers(t *testing.T) {
 	const answer = 100 * time.Microsecond
 	for _, watching := range []int{1, 10, 42, 50, 376} {
-		gather := gatherFor(watching)
+		gather := gatherFor(watching, watchHold)
 		share := float64(watching) * float64(answer) / float64(gather)
 		t.Logf("%d: %v, %.3f of a core", watching, gather, share)
 		if gather > mostGatherTime || watching <= 50 && share > 0.02 {
@@ -19,3 +19,12 @@
 		}
 	}
 }
+
+// An instance that watches gives an answer up some time after its hold.
+func TestNewsAreNotGatheredPastTheHold(t *testing.T) {
+	for _, left := range []time.Duration{watchHold, 100 * time.Millisecond, 0, -time.Millisecond} {
+		if got := gatherFor(376, left); got > max(gatherTime, left) {
+			t.Errorf("with %v left news are gathered for %v", left, got)
+		}
+	}
+}
