One way for what replicas tell the leader of servers

Cause: announcements and heartbeats were decoded, refused where this replica does not lead, and taken into the registry by two copies of the same code. Change: takeAtLeader serves both; behaviour as before.

--- a/daemon/control/alive.go
+++ b/daemon/control/alive.go
@@ -8,7 +8,6 @@
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/fleet"
-	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/loop"
 	"cardamomwick.example/daemon/replica"
 )
@@ -82,19 +81,9 @@
 
 func (s *Service) handleAlive(_ context.Context, _ string, body []byte) (any, error) {
 	var list alive
-	if err := wire.Decode(body, &list); err != nil {
-		return nil, eris.Wrap(err, "decode heartbeats")
-	}
-	v, _ := s.replica.View()
-	if !v.Leading {
-		return announceReply{replica.NotLeaderReply(v)}, nil
-	}
-	s.follow(v)
-	now := time.Now()
-	s.update(func() {
+	return s.takeAtLeader(body, &list, func(now time.Time) {
 		for id, sequence := range list {
 			s.registry.Heard(now, id, sequence)
 		}
 	})
-	return announceReply{}, nil
 }
--- a/daemon/control/announce.go
+++ b/daemon/control/announce.go
@@ -99,21 +99,26 @@
 
 func (s *Service) handleAnnounce(_ context.Context, _ string, body []byte) (any, error) {
 	var servers []fleet.Server
-	if err := wire.Decode(body, &servers); err != nil {
-		return nil, eris.Wrap(err, "decode announcements")
+	return s.takeAtLeader(body, &servers, func(now time.Time) {
+		for _, server := range servers {
+			s.registry.Announce(now, server)
+		}
+		signal(s.unlogged)
+	})
+}
+
+// takeAtLeader decodes what a replica tells the leader of servers, and takes it into the
+// registry if this replica leads.
+func (s *Service) takeAtLeader(body []byte, told any, take func(now time.Time)) (any, error) {
+	if err := wire.Decode(body, told); err != nil {
+		return nil, eris.Wrap(err, "decode what is told of servers")
 	}
 	v, _ := s.replica.View()
 	if !v.Leading {
 		return announceReply{replica.NotLeaderReply(v)}, nil
 	}
 	s.follow(v)
-	now := time.Now()
-	s.update(func() {
-		for _, server := range servers {
-			s.registry.Announce(now, server)
-		}
-	})
-	signal(s.unlogged)
+	s.update(func() { take(time.Now()) })
 	return announceReply{}, nil
 }
 
