--- a/core/silence/silence.go
+++ b/core/silence/silence.go
@@ -107,17 +107,14 @@
 
 // askAt is when the peer is to be asked, zero for never.
 func (w *Watch) askAt() time.Time {
-	switch {
-	case w.sent.IsZero():
+	if w.sent.IsZero() {
 		return time.Time{}
-	case w.question.IsZero():
-		return w.sent.Add(AskAfterOneWay)
 	}
-	byQuestion, bySent := w.question.Add(AskAfter), w.sent.Add(AskAfterOneWay)
-	if bySent.Before(byQuestion) {
-		return bySent
+	at := w.sent.Add(AskAfterOneWay)
+	if byQuestion := w.question.Add(AskAfter); !w.question.IsZero() && byQuestion.Before(at) {
+		return byQuestion
 	}
-	return byQuestion
+	return at
 }
 
 func (w *Watch) patience() time.Duration { return AnswerWithin << min(w.left, mostDoublings) }
