Fleet: one bound for withdrawals, one word for a heartbeat that confirms

Cause: 1,024 stood in the log's state and in the relay, and 2,048 beside them with twice the first in its comment only; registry and relay each left the overdue mark out; a relay took what only a relay tells, never a leader; a loop over the adopted servers stood twice. Change: fleet.LoggedWithdrawals is the one bound, Server.confirms the one comparison, the dead branch is gone. Behaviour as before. Measured: the tests of core/fleet (the property included) and core/state.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -61,6 +61,14 @@
 	return s == x
 }
 
+// confirms reports whether an announcement says no more of a listed server than that it
+// is alive. That holds for overdue ones as well: when the leader is late, all are, and to
+// tell it of each would make it later.
+func (s Server) confirms(listed Server) bool {
+	listed.Overdue = s.Overdue
+	return listed.saysSame(s)
+}
+
 // Timing of the registry, from a heartbeat every 1.2 s on the deployments
 // measured, and announcements that arrive seconds late.
 const (
@@ -70,10 +78,15 @@
 	// ForgetAfter ends a server that neither announces nor departs. It is longer
 	// than any partition that a server is expected to serve through.
 	ForgetAfter = 30 * time.Second
+	// LoggedWithdrawals bounds the servers that the log remembers as leaving, and those
+	// that go with all servers: 1,024 are some 20 KB for each entry that starts. A server
+	// is gone for good some seconds after it has said so; this many leave in an hour of
+	// rolling replacement at the sizes aimed for.
+	LoggedWithdrawals = 1024
 	// keptWithdrawals bounds the IDs remembered as draining or departed, against late
 	// announcements. It is twice what the log keeps: a withdrawal that is read there
 	// again must not count as news each time.
-	keptWithdrawals = 2048
+	keptWithdrawals = 2 * LoggedWithdrawals
 	// maxServers bounds what a faulty writer can make an instance remember: twice
 	// the servers of the largest deployment aimed at.
 	maxServers = 4096
@@ -155,12 +168,7 @@
 // Knows reports whether a server is listed as it announces itself now.
 func (r *Registry) Knows(s Server) bool {
 	listed := r.servers[s.ID]
-	if listed == nil {
-		return false
-	}
-	x := listed.Server
-	x.Overdue = s.Overdue
-	return x.saysSame(s)
+	return listed != nil && s.confirms(listed.Server)
 }
 
 // Announce takes an announcement. Older news about a server changes nothing,
--- a/core/fleet/mirror.go
+++ b/core/fleet/mirror.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"maps"
 	"sort"
 	"time"
 )
@@ -142,8 +141,10 @@
 	for id, s := range m.adopted {
 		s.Phase = max(s.Phase, m.phases[id])
 		m.adopted[id] = s
+		if s.Phase == Departed {
+			delete(m.adopted, id)
+		}
 	}
-	maps.DeleteFunc(m.adopted, func(_ string, s Server) bool { return s.Phase == Departed })
 }
 
 // Servers lists what is believed to be there, sorted by ID.
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -7,10 +7,6 @@
 	"sort"
 )
 
-// toldWithdrawals bounds the withdrawals that go with all servers, as the log bounds
-// its own: 1,024 are some 20 KB for each entry that starts.
-const toldWithdrawals = 1024
-
 // Relay is a leader's fleet as an instance that passes it on has it. It gives the
 // difference between two points as the leader does, and also across a change of the
 // leader. The load pattern it answers: 3,000 engines, 300 entries and a group that is
@@ -30,11 +26,10 @@
 
 // Take takes a leader's listing that follows what is held, and ignores others.
 func (r *Relay) Take(l Listing) {
-	if !l.follows(r.At()) {
+	if !l.follows(r.At()) || l.Difference && r.servers == nil {
 		return
 	}
 	switch {
-	case l.Difference && r.servers == nil:
 	case l.Difference:
 		r.takeDifference(l)
 	case l.Term > r.At().Term && r.servers != nil:
@@ -61,6 +56,7 @@
 	r.withdrawals = slices.Clone(withdrawals)
 }
 
+// takeDifference takes what has changed within a leader's term; nothing is unlisted there.
 func (r *Relay) takeDifference(l Listing) {
 	r.changes.Advance(Point{l.Term, l.Version})
 	for _, s := range l.Servers {
@@ -72,10 +68,6 @@
 		r.changes.Removed(id)
 		r.noteDeparted(id)
 	}
-	for _, id := range l.Unlisted {
-		delete(r.servers, id)
-		r.changes.Unlisted(id)
-	}
 }
 
 // takeTerm takes the first listing of another leader.
@@ -126,18 +118,16 @@
 
 func (r *Relay) noteDeparted(id string) {
 	r.withdrawals = append(r.withdrawals, Withdrawal{ServerID: id, Phase: Departed})
-	if extra := len(r.withdrawals) - toldWithdrawals; extra > 0 {
+	if extra := len(r.withdrawals) - LoggedWithdrawals; extra > 0 {
 		r.withdrawals = slices.Clone(r.withdrawals[extra:])
 	}
 }
 
 // Knows reports whether the leader lists a server as it announces itself now, so that
-// nobody has to be told but that it is alive. That holds for overdue ones as well: when
-// the leader is late, all are, and to tell it of each would make it later.
+// nobody has to be told but that it is alive.
 func (r *Relay) Knows(s Server) bool {
 	listed, known := r.servers[s.ID]
-	listed.Overdue = s.Overdue
-	return known && listed.saysSame(s)
+	return known && s.confirms(listed)
 }
 
 // Listing returns what an instance lacks that stands at a point, nil when it lacks
--- a/core/fleet/relay_test.go
+++ b/core/fleet/relay_test.go
@@ -282,12 +282,12 @@
 func TestDepartureReadAgainChangesNothing(t *testing.T) {
 	r := NewRegistry()
 	read := func() {
-		for i := range toldWithdrawals {
+		for i := range LoggedWithdrawals {
 			r.Withdraw(fmt.Sprint("gone", i), Departed)
 		}
 	}
 	read()
-	for i := range toldWithdrawals / 2 {
+	for i := range LoggedWithdrawals / 2 {
 		r.Depart(fmt.Sprint("other", i))
 	}
 	before := r.Version()
--- a/core/state/routing.go
+++ b/core/state/routing.go
@@ -6,11 +6,6 @@
 	"cardamomwick.example/core/fleet"
 )
 
-// keptWithdrawals bounds the backend servers remembered as leaving. A server is
-// gone for good some seconds after it has said so; this many leave in an hour
-// of rolling replacement at the sizes aimed for.
-const keptWithdrawals = 1024
-
 // DeclareCommand puts a routing declaration in force if its version is above
 // the one held. It has been checked before it is proposed.
 type DeclareCommand struct {
@@ -104,7 +99,7 @@
 		return Result{Code: CodeOK}
 	}
 	s.Withdrawals = append(s.Withdrawals, w)
-	if extra := len(s.Withdrawals) - keptWithdrawals; extra > 0 {
+	if extra := len(s.Withdrawals) - fleet.LoggedWithdrawals; extra > 0 {
 		s.Withdrawals = append([]fleet.Withdrawal(nil), s.Withdrawals[extra:]...)
 	}
 	s.Revision++
