Duties in the replicated log, and the runner that holds one

The order lease of the bundle path and the new duties share core/duty. A command that records an effect gives out its fence, and closes a window of usage or notes an order.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -10,8 +10,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/duty"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/core/usage"
 	"cardamomwick.example/core/wire"
 )
 
@@ -46,6 +48,12 @@
 	CommandRegister
 	// CommandRule remembers a ruling of the quarantine.
 	CommandRule
+	// CommandDuty claims or releases the lease of a duty.
+	CommandDuty
+	// CommandAct records an effect of a duty before it is sent, and gives it its fence.
+	CommandAct
+	// CommandUsage counts what instances report of runs.
+	CommandUsage
 )
 
 // Command is one entry of the replicated log.
@@ -66,6 +74,9 @@
 	Register *fleet.Server      `msgpack:"g,omitempty"`
 	Servers  []fleet.Server     `msgpack:"v,omitempty"`
 	Rule     *quarantine.Ruling `msgpack:"u,omitempty"`
+	Duty     *DutyCommand       `msgpack:"y,omitempty"`
+	Act      *ActCommand        `msgpack:"a,omitempty"`
+	Reports  []usage.Report     `msgpack:"p,omitempty"`
 }
 
 // CallCommand is the subject of the commands about one call.
@@ -164,7 +175,12 @@
 	Message string      `msgpack:"m,omitempty" json:"message,omitempty"`
 	Order   OrderResult `msgpack:"o,omitempty" json:"order"`
 	Record  *CallRecord `msgpack:"r,omitempty" json:"-"`
-	Lease   *OrderLease `msgpack:"l,omitempty" json:"-"`
+	Lease   *duty.Lease `msgpack:"l,omitempty" json:"-"`
+	// Fence is the token of the effect that was recorded.
+	Fence  uint64        `msgpack:"f,omitempty" json:"-"`
+	Window *usage.Record `msgpack:"w,omitempty" json:"-"`
+	// Counted has the last report that is counted of each process named in the command.
+	Counted map[string]uint64 `msgpack:"n,omitempty" json:"-"`
 }
 
 // OrderResult describes the effect of an operator's order.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -18,6 +18,7 @@
 	placement  placementState
 	routing    routingState
 	quarantine quarantineState
+	duties     dutyState
 }
 
 // New returns the empty machine that every group starts from.
@@ -55,6 +56,12 @@
 		return Result{Code: CodeOK}
 	case c.Type == CommandRule && c.Rule != nil:
 		return m.quarantine.rule(*c.Rule, m.nowMillis)
+	case c.Type == CommandDuty && c.Duty != nil:
+		return m.duties.claim(c.Duty)
+	case c.Type == CommandAct && c.Act != nil:
+		return m.duties.act(c.Act, m.nowMillis)
+	case c.Type == CommandUsage:
+		return m.duties.report(c.Reports)
 	case c.Call != nil:
 		m.calls.prune(m.nowMillis)
 		return m.calls.apply(c.Type, c.Call, m.nowMillis)
@@ -78,11 +85,12 @@
 	Placement  placementState  `msgpack:"p"`
 	Routing    routingState    `msgpack:"t"`
 	Quarantine quarantineState `msgpack:"q"`
+	Duties     dutyState       `msgpack:"d"`
 }
 
 // Snapshot returns the machine's bytes.
 func (m *Machine) Snapshot() []byte {
-	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list(), Placement: m.placement, Routing: m.routing, Quarantine: m.quarantine}
+	s := snapshot{NowMillis: m.nowMillis, Config: m.config.snapshot(), Audit: m.audit, Calls: m.calls.list(), Placement: m.placement, Routing: m.routing, Quarantine: m.quarantine, Duties: m.duties}
 	data, err := msgpack.Marshal(&s)
 	if err != nil {
 		panic(err) // plain data; encoding to memory can't fail
@@ -100,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState(), placement: s.Placement, routing: s.Routing, quarantine: s.Quarantine}
+	*m = Machine{nowMillis: s.NowMillis, config: config, audit: s.Audit, calls: newCallState(), placement: s.Placement, routing: s.Routing, quarantine: s.Quarantine, duties: s.Duties}
 	for _, r := range s.Calls {
 		m.calls.put(r)
 	}
--- a/core/state/placement.go
+++ b/core/state/placement.go
@@ -3,25 +3,15 @@
 import (
 	"fmt"
 	"time"
-)
 
-// OrderLease says who may order engines about. Whoever takes it over must have
-// watched it unchanged for the lease's whole length on its own clock, and names
-// what it saw: a renewal in between makes the take-over stale. No wall clock is
-// compared.
-type OrderLease struct {
-	Owner string `msgpack:"o"`
-	// Fence is the number that orders carry; it rises with each new owner.
-	Fence uint64 `msgpack:"f"`
-	// Renewals counts the owner's renewals.
-	Renewals uint64 `msgpack:"r"`
-}
+	"cardamomwick.example/core/duty"
+)
 
 // LeaseCommand renews or takes over the order lease; an empty Owner only reads.
 type LeaseCommand struct {
 	Owner string `msgpack:"o"`
 	// Expected is what the sender has seen last.
-	Expected OrderLease `msgpack:"e"`
+	Expected duty.Lease `msgpack:"e"`
 }
 
 // EngineOrder tells an engine what to load. It is recorded before it is sent.
@@ -37,7 +27,8 @@
 const keptOrders = 4096
 
 type placementState struct {
-	Lease OrderLease `msgpack:"l"`
+	// Lease says who may order engines about; its term is the number that orders carry.
+	Lease duty.Lease `msgpack:"l"`
 	// Orders holds the latest order per server.
 	Orders map[string]EngineOrder `msgpack:"o"`
 	// Loads is a token bucket over the weight store, as of LoadsAt.
@@ -46,26 +37,20 @@
 }
 
 func (s *placementState) lease(c *LeaseCommand) Result {
-	cur := s.Lease
-	switch {
-	case c.Owner == "":
-	case c.Expected != cur:
-		return Result{Code: CodeStale, Lease: &cur}
-	case c.Owner == cur.Owner:
-		s.Lease.Renewals++
-	default:
-		s.Lease = OrderLease{Owner: c.Owner, Fence: cur.Fence + 1}
+	code := CodeOK
+	if c.Owner != "" && !s.Lease.Take(duty.Claim{Holder: c.Owner, Expected: c.Expected}) {
+		code = CodeStale
 	}
 	out := s.Lease
-	return Result{Code: CodeOK, Lease: &out}
+	return Result{Code: code, Lease: &out}
 }
 
 // order records an engine order of the current leaseholder, within the weight
 // store's rate.
 func (s *placementState) order(o *EngineOrder, perMinute float64, now int64) Result {
 	cur := s.Lease
-	if o.Fence != cur.Fence || o.Fence == 0 {
-		return Result{Code: CodeStale, Lease: &cur, Message: fmt.Sprintf("fence %d is not the current %d", o.Fence, cur.Fence)}
+	if o.Fence != cur.Term || o.Fence == 0 {
+		return Result{Code: CodeStale, Lease: &cur, Message: fmt.Sprintf("fence %d is not the current %d", o.Fence, cur.Term)}
 	}
 	if !s.takeLoad(perMinute, now) {
 		return Result{Code: CodeRefused, Message: "the weight store's rate is used up"}
--- a/core/state/placement_test.go
+++ b/core/state/placement_test.go
@@ -4,27 +4,29 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"cardamomwick.example/core/duty"
 )
 
-func lease(m *Machine, owner string, expected OrderLease) Result {
+func lease(m *Machine, owner string, expected duty.Lease) Result {
 	return m.Apply((&Command{Type: CommandOrderLease, Lease: &LeaseCommand{Owner: owner, Expected: expected}}).Encode())
 }
 
 func TestOrderLeaseMovesOnlyWhenStill(t *testing.T) {
 	m := New()
-	a := *lease(m, "a", OrderLease{}).Lease
-	if a.Fence != 1 || a.Owner != "a" {
+	a := *lease(m, "a", duty.Lease{}).Lease
+	if a.Term != 1 || a.Holder != "a" {
 		t.Fatalf("first: %+v", a)
 	}
 	renewed := *lease(m, "a", a).Lease
-	if r := lease(m, "b", a); r.Code != CodeStale || r.Lease.Owner != "a" {
+	if r := lease(m, "b", a); r.Code != CodeStale || r.Lease.Holder != "a" {
 		t.Fatalf("take-over of a lease that was renewed: %+v", r)
 	}
-	if r := lease(m, "", OrderLease{}); r.Code != CodeOK || *r.Lease != renewed {
+	if r := lease(m, "", duty.Lease{}); r.Code != CodeOK || *r.Lease != renewed {
 		t.Fatalf("read: %+v", r)
 	}
 	b := lease(m, "b", renewed)
-	if b.Code != CodeOK || b.Lease.Fence != 2 {
+	if b.Code != CodeOK || b.Lease.Term != 2 {
 		t.Fatalf("take-over of a still lease: %+v", b)
 	}
 	if r := lease(m, "a", renewed); r.Code != CodeStale {
@@ -41,7 +43,7 @@
 	b := testBundle(1, "")
 	b.WeightStore.LoadsPerMinute = 30
 	applyOrder(m, publishOrder(b, 0))
-	lease(m, "a", OrderLease{})
+	lease(m, "a", duty.Lease{})
 	accepted := 0
 	start := int64(1_000_000)
 	for n := range 600 {
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/duty"
 	"cardamomwick.example/core/placement"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/boottime"
@@ -27,12 +29,6 @@
 // Timing of the order lease.
 const (
 	period = 500 * time.Millisecond
-	// validity counts from the sending of a renewal, on the holder's clock.
-	validity = 4 * time.Second
-	// takeOverAfter is how long a contender must have seen the lease unchanged,
-	// on its own clock. It is longer than validity by more than clocks drift
-	// apart in that time.
-	takeOverAfter = 6 * time.Second
 	// orderTimeout is the longest an order can be on its way.
 	orderTimeout = 3 * time.Second
 	// quiet is how long a new holder leaves engines alone that ignore fencing
@@ -43,6 +39,10 @@
 	role           = "role/placement"
 )
 
+// leaseRules are the order lease's. A contender must have seen it unchanged for longer
+// than it is valid, by more than clocks drift apart in that time.
+var leaseRules = duty.Rules{Validity: 4 * time.Second, TakeOver: 6 * time.Second}
+
 // Service is a suture service.
 type Service struct {
 	Owner    string
@@ -52,11 +52,11 @@
 	// Servers lists all backend servers.
 	Servers func(context.Context) []api.ServerEntry
 
-	seen       state.OrderLease
-	seenAt     time.Time
-	validUntil time.Time
-	heldSince  time.Time
-	planner    *placement.Planner
+	contender *duty.Contender
+	// looked: the lease has been read; before that it looks as if nobody ever had it.
+	looked    bool
+	heldSince time.Time
+	planner   *placement.Planner
 }
 
 // String names the service in the supervisor's log.
@@ -64,6 +64,7 @@
 
 // Serve holds the lease while this instance has the role, and gives orders.
 func (s *Service) Serve(ctx context.Context) error {
+	s.contender = duty.NewContender(s.Owner, leaseRules, boottime.Now(), rand.Float64)
 	return loop.Every(ctx, period, func(time.Time) {
 		if s.wanted() && s.hold(ctx) {
 			s.give(ctx)
@@ -88,26 +89,27 @@
 // hold renews the lease, or takes it over when it has been still long enough.
 func (s *Service) hold(ctx context.Context) bool {
 	sent := boottime.Now()
-	owner := s.Owner
-	if s.seen.Owner != s.Owner && s.seen.Fence != 0 && sent.Sub(s.seenAt) < takeOverAfter {
-		owner = "" // only look
+	before := s.contender.Seen()
+	cmd := state.LeaseCommand{} // only looks
+	if claim, ok := s.contender.Claim(sent); ok && s.looked {
+		cmd = state.LeaseCommand{Owner: claim.Holder, Expected: claim.Expected}
 	}
-	res, err := s.propose(ctx, &state.Command{Type: state.CommandOrderLease, Lease: &state.LeaseCommand{Owner: owner, Expected: s.seen}})
+	res, err := s.propose(ctx, &state.Command{Type: state.CommandOrderLease, Lease: &cmd})
 	if err != nil || res.Lease == nil {
-		return boottime.Now().Before(s.validUntil)
+		return s.contender.Holds(boottime.Now())
 	}
-	if *res.Lease != s.seen {
-		if res.Lease.Owner == s.Owner && s.seen.Owner != s.Owner {
-			s.heldSince = boottime.Now()
-			s.planner = placement.NewPlanner()
-			log.WithFields(log.Fields{"step": "engine orders", "fence": res.Lease.Fence}).Info("order lease taken")
-		}
-		s.seen, s.seenAt = *res.Lease, boottime.Now()
+	s.looked = true
+	now := boottime.Now()
+	s.contender.Observe(now, *res.Lease)
+	if res.Lease.Holder == s.Owner && before.Holder != s.Owner {
+		s.heldSince = now
+		s.planner = placement.NewPlanner()
+		log.WithFields(log.Fields{"step": "engine orders", "fence": res.Lease.Term}).Info("order lease taken")
 	}
-	if res.Code == state.CodeOK && owner != "" && res.Lease.Owner == s.Owner {
-		s.validUntil = sent.Add(validity)
+	if res.Code == state.CodeOK && cmd.Owner != "" {
+		s.contender.Granted(now, sent, *res.Lease)
 	}
-	return s.seen.Owner == s.Owner && boottime.Now().Before(s.validUntil)
+	return s.contender.Holds(now)
 }
 
 func (s *Service) propose(ctx context.Context, c *state.Command) (state.Result, error) {
@@ -128,7 +130,7 @@
 		if !b.Pools[o.Pool].ChecksFencing && boottime.Now().Sub(s.heldSince) < quiet {
 			continue
 		}
-		o.Fence = s.seen.Fence
+		o.Fence = s.contender.Seen().Term
 		if err := s.order(ctx, &o, addresses[o.Server]); err != nil {
 			log.WithError(err).WithFields(log.Fields{"step": "order engine", "peer": o.Server, "fence": o.Fence}).Warn("will be tried again")
 		}
@@ -158,7 +160,7 @@
 		return err
 	}
 	req.GetBody = nil
-	if !boottime.Now().Before(s.validUntil) {
+	if !s.contender.Holds(boottime.Now()) {
 		return eris.New("the order lease has run out")
 	}
 	resp, err := httpc.DoRequest(req)
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -90,6 +90,9 @@
 	// was ended while it was cut off learns of that only by asking to join.
 	leaderless atomic.Bool
 	board      *viewBoard
+	// duties is what the log holds of duties, beside the board: it changes several times
+	// a second, and nobody waits for it.
+	duties atomic.Pointer[state.Duties]
 }
 
 type waiter struct {
--- a/daemon/replica/view.go
+++ b/daemon/replica/view.go
@@ -76,4 +76,17 @@
 	}
 	v.Holds, v.HoldsRevision = r.machine.Holds(), r.machine.HoldsRevision()
 	r.board.put(v)
+	if d := r.duties.Load(); d == nil || d.Revision != r.machine.DutiesRevision() {
+		d := r.machine.Duties()
+		r.duties.Store(&d)
+	}
+}
+
+// Duties returns what this replica's log holds of duties. Read only; safe for concurrent
+// use.
+func (r *Replica) Duties() state.Duties {
+	if d := r.duties.Load(); d != nil {
+		return *d
+	}
+	return state.Duties{}
 }
