Usage is reported and servers are ordered, through the platform's provider

Entries count runs at their first event; the leader gathers reports and agrees on the time of day; one replica closes and reports windows, one orders.

--- a/core/duty/lease_test.go
+++ b/core/duty/lease_test.go
@@ -41,7 +41,7 @@
 	if !claim(b, &s, still.Add(2*exclusive)) {
 		t.Fatal("a lease that was still for its whole length was not taken over")
 	}
-	if a.Holds(still.Add(2*exclusive)) {
+	if a.Holds(still.Add(2 * exclusive)) {
 		t.Fatal("two holders")
 	}
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -45,6 +45,8 @@
 	// Born is when the server started, in Unix milliseconds by its own clock; zero
 	// where it does not say.
 	Born int64 `msgpack:"b,omitempty"`
+	// Reclaimable servers may be taken away by who provides them.
+	Reclaimable bool `msgpack:"r,omitempty"`
 }
 
 // OwnName is what the server calls itself.
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// Servers lists what is held, in no order.
+func (r *Relay) Servers() []Server { return slices.Collect(maps.Values(r.servers)) }
+
 // Knows reports whether the leader lists a server as it announces itself now, so that
 // nobody has to be told but that it is alive.
 func (r *Relay) Knows(s Server) bool {
--- a/core/routing/declaration.go
+++ b/core/routing/declaration.go
@@ -11,6 +11,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cardamomwick.example/core/capacity"
 	"cardamomwick.example/core/wire"
 )
 
@@ -112,6 +113,8 @@
 	MaxConnections int `msgpack:"c"`
 	// Engine is nil for plain services.
 	Engine *Engine `msgpack:"e,omitempty"`
+	// Scaling says what may be ordered for the pool; nil where nothing can.
+	Scaling *capacity.Scaling `msgpack:"s,omitempty"`
 }
 
 // Engine describes the model engines of a pool.
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -12,10 +13,13 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 
+	"cardamomwick.example/core/capacity"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
+	coreusage "cardamomwick.example/core/usage"
 	"cardamomwick.example/daemon/control"
 	"cardamomwick.example/daemon/internal/testport"
+	"cardamomwick.example/daemon/provider"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/settings"
 	"cardamomwick.example/daemon/upstream"
@@ -31,6 +35,13 @@
 func (*stubAdapter) SetRetryAfter(http.Header, time.Duration) {}
 func (*stubAdapter) Directory(Directory) http.Handler         { return http.NotFoundHandler() }
 func (*stubAdapter) Readiness(func() bool) http.Handler       { return http.NotFoundHandler() }
+func (*stubAdapter) Duties([]string) provider.Duties          { return provider.Duties{} }
+func (*stubAdapter) UsageReport(provider.Call, coreusage.Record) (*http.Request, error) {
+	return nil, errors.New("no provider")
+}
+func (*stubAdapter) ServerOrder(provider.Call, capacity.Order) (*http.Request, error) {
+	return nil, errors.New("no provider")
+}
 func (a *stubAdapter) Control(c ControlAPI) http.Handler {
 	a.control = c
 	return http.NotFoundHandler()
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -55,6 +55,8 @@
 	// announced wakes the loop that tells the leader what is announced, unlogged the
 	// one that looks for servers that the log lacks.
 	announced, unlogged chan struct{}
+	// decoded is the declaration that was decoded last.
+	decoded *routing.Declaration
 }
 
 // New registers the frame handlers.
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -15,15 +15,19 @@
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/capacity"
 	"cardamomwick.example/daemon/control"
+	"cardamomwick.example/daemon/duties"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/gossip"
+	"cardamomwick.example/daemon/provider"
 	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/router"
 	"cardamomwick.example/daemon/settings"
 	"cardamomwick.example/daemon/telemetry"
 	"cardamomwick.example/daemon/upstream"
+	"cardamomwick.example/daemon/usage"
 )
 
 // ControlAPI is what operators and backend servers may ask for.
@@ -47,6 +51,7 @@
 // Adapter is a platform's way of speaking HTTP.
 type Adapter interface {
 	upstream.Protocol
+	provider.Protocol
 	Control(ControlAPI) http.Handler
 	Directory(Directory) http.Handler
 	// Readiness answers whether this instance takes calls.
@@ -64,6 +69,9 @@
 	watch     *control.Watch
 	control   *control.Service
 	keeper    *quarantine.Keeper
+	teller    *usage.Teller
+	orderer   *capacity.Orderer
+	runners   []*duties.Runner
 	router    *router.Router
 	services  []suture.Service
 	metrics   *telemetry.Metrics
@@ -85,6 +93,9 @@
 	client := replica.NewClient(d.transport, d.directory)
 	d.keeper = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances, Judges: d.gossip.Entries, Log: client})
 	d.services = append(d.services, d.keeper)
+	if settings.On(s.Usage.Record) {
+		d.addTeller(client)
+	}
 	if s.Instance.DataFolder != "" {
 		if err := d.addReplica(a, client); err != nil {
 			return nil, err
@@ -124,6 +135,7 @@
 	}
 	d.control = control.New(d.transport, d.replica, client)
 	d.services = append(d.services, d.replica, d.control)
+	d.addDuties(a, client)
 	if d.settings.Routing.ControlAddress == "" {
 		return nil
 	}
@@ -136,11 +148,15 @@
 	d.router = router.New(router.Options{Protocol: a, Name: d.settings.Instance.Name,
 		Table:   func() *routing.Table { return d.watch.Table() },
 		Entries: func() int { return len(d.gossip.Entries()) },
+		Usage:   d.usage(),
 		Retry:   router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.keeper})
 	d.watch = control.NewWatch(d.transport, client, d.takeTable, d.router.SetFleet)
 	d.watch.OnHolds(d.keeper.TakeRulings)
 	self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
 	exchange := router.NewExchange(d.router, d.transport, self, d.collectMembers)
+	if d.teller != nil {
+		d.teller.OnDemands(exchange.Demands)
+	}
 	d.services = append(d.services, d.watch, exchange)
 	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router, idleTimeout); err != nil {
 		return err
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -52,8 +52,18 @@
 
 var errRefused = errors.New("the server did not run the call")
 
+// countRun counts the attempt for its customer, as a run that began some time ago.
+func (c *call) countRun(ago time.Duration) {
+	if c.customer != nil {
+		c.router.opt.Usage.Began(c.customer.Name, ago)
+	}
+}
+
 // passWhole passes a whole answer on, once all of it is there.
 func (c *call) passWhole(ctx context.Context, s fleet.Server, resp *upstream.Response) verdict {
+	if c.route.Semantics != routing.Stream {
+		c.countRun(time.Since(c.began))
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		c.last = &upstream.Error{Sent: true, Step: "read answer", Server: s.ID, Err: err}
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"cardamomwick.example/core/capacity"
 	"cardamomwick.example/core/collect"
 	"cardamomwick.example/core/counts"
 	"cardamomwick.example/core/wire"
@@ -84,6 +85,28 @@
 	return out
 }
 
+// Demands returns the demand for the pools that servers can be ordered for, where this
+// instance knows the load of all others.
+func (x *Exchange) Demands() []capacity.Demand {
+	table := x.router.opt.Table()
+	if table == nil || collect.NewPlan(x.self, x.entries()).Level != collect.LevelZone {
+		return nil
+	}
+	now := time.Now()
+	r := x.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []capacity.Demand
+	for _, p := range table.Pools() {
+		if p.Scaling == nil || p.Engine == nil {
+			continue
+		}
+		d := r.balancer.Demand(now, p.Name)
+		out = append(out, capacity.Demand{Pool: p.Name, Short: d.Short, Long: d.Long, Running: d.Running})
+	}
+	return out
+}
+
 func (x *Exchange) pick(now time.Time, plan collect.Plan) (collect.Member, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -43,11 +43,23 @@
 	Retry RetryLimits
 	// Metrics counts calls; New makes a set of its own when it is nil.
 	Metrics *telemetry.Metrics
+	// Usage counts the runs that servers begin; New makes one that counts nothing.
+	Usage Usage
 	// Quarantine says which requests are kept from the servers; New makes one of its
 	// own when it is nil.
 	Quarantine *quarantine.Keeper
 }
 
+// Usage counts the runs that servers begin.
+type Usage interface {
+	// Began counts a run for a customer, "" for none, that began some time ago.
+	Began(customer string, ago time.Duration)
+}
+
+type noUsage struct{}
+
+func (noUsage) Began(string, time.Duration) {}
+
 // RetryLimits are the limits of repeated attempts per pool; see retry.Window.
 type RetryLimits struct {
 	Span         time.Duration
@@ -81,6 +93,9 @@
 	if o.Metrics == nil {
 		o.Metrics = telemetry.New()
 	}
+	if o.Usage == nil {
+		o.Usage = noUsage{}
+	}
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(quarantine.Options{})
 	}
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -72,6 +72,9 @@
 		event, err := readEvent(events)
 		if first {
 			c.router.began(c)
+			if err == nil {
+				c.countRun(0)
+			}
 		}
 		if err == io.EOF {
 			return c.endStream(s, resp)
--- a/daemon/settings/routing.go
+++ b/daemon/settings/routing.go
@@ -73,6 +73,7 @@
 	c.optionalAddress("routing.directory_address", r.DirectoryAddress)
 	c.optionalAddress("metrics.address", s.Metrics.Address)
 	c.require(r.ControlAddress == "" || s.Instance.DataFolder != "", "routing.control_address", "needs instance.data_folder")
+	s.checkDuties(c)
 	s.checkLog(c)
 	return c.list
 }
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -30,6 +30,9 @@
 	Log      Log      `toml:"log"`
 	Metrics  Metrics  `toml:"metrics"`
 	Routing  Routing  `toml:"routing"`
+	Provider Provider `toml:"provider"`
+	Usage    Usage    `toml:"usage"`
+	Capacity Capacity `toml:"capacity"`
 	Faults   Faults   `toml:"faults"`
 	// Experiment switches a baseline policy on; see the type.
 	Experiment Experiment `toml:"experiment"`
--- a/daemon/settings/tuned.go
+++ b/daemon/settings/tuned.go
@@ -28,6 +28,9 @@
 	RetryWindow            time.Duration
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
+	Provider     TunedProvider
+	Usage        TunedUsage
+	Capacity     TunedCapacity
 }
 
 // Bounds of the tuned settings.
@@ -51,6 +54,7 @@
 	t.RetrySlack = n.number("routing.retry_slack", s.Routing.RetrySlack, DefaultRetrySlack, mostRetrySlack)
 	t.RetryWindow = n.time("routing.retry_window", s.Routing.RetryWindow, DefaultRetryWindow, leastRetryWindow)
 	t.DrainTimeout = n.time("callers.drain_timeout", s.Callers.DrainTimeout, DefaultDrainTimeout, 0)
+	s.tuneDuties(n)
 	s.notices = n.list
 }
 
