--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -34,11 +34,19 @@
 
 // Limits of the planner.
 const (
-	// needTime is the time constant with which the highest need that was seen fades.
+	// needTime is the time constant with which the highest need that was seen fades: bursts
+	// come again, and reclaimable servers that wait for the next one cost little.
 	needTime = 60 * time.Second
+	// presentTime is the time constant with which the present need fades, by which regular
+	// servers are kept in the place of others.
+	presentTime = 8 * time.Second
 	// settleTime is how long no further server must have announced itself before the first
 	// plan: somewhat more than a heartbeat.
 	settleTime = 1500 * time.Millisecond
+	// unknownNeed is how many times the servers that were there first may be needed, until
+	// that is known: a burst that comes at once can't be foreseen, and reclaimable servers
+	// cost little for so long.
+	unknownNeed = 4.0 / 3
 	// learnTime is how long a need must have been seen before the servers become fewer
 	// than were there at first: until then the operator's own count stands.
 	learnTime = 10 * time.Second
@@ -100,6 +108,7 @@
 	leaving map[string]int
 	// need fades from the highest that was seen; known since learned.
 	need    float64
+	present float64
 	needAt  time.Time
 	learned time.Time
 	orders  map[Subject]*sent
@@ -213,16 +222,37 @@
 		p.learned = now
 	}
 	if !p.needAt.IsZero() {
-		p.need *= math.Exp(-now.Sub(p.needAt).Seconds() / needTime.Seconds())
+		p.need *= faded(now.Sub(p.needAt), needTime)
+		p.present *= faded(now.Sub(p.needAt), presentTime)
 	}
-	p.need, p.needAt = max(p.need, in.Need), now
+	p.need, p.present, p.needAt = max(p.need, in.Need), max(p.present, in.Need), now
+}
+
+func faded(d, constant time.Duration) float64 { return math.Exp(-d.Seconds() / constant.Seconds()) }
+
+// learning: the need has not been seen for long enough to go by it alone.
+func (p *Planner) learning(now time.Time) bool {
+	return p.learned.IsZero() || now.Sub(p.learned) < learnTime
+}
+
+// enough is how many servers must be there now.
+func (p *Planner) enough(now time.Time) int {
+	enough := enoughShare * p.present
+	if p.learning(now) {
+		enough = max(enough, float64(p.first))
+	}
+	return int(math.Ceil(enough))
 }
 
 // want is how many servers there should be altogether.
 func (p *Planner) want(now time.Time) int {
 	need := p.need
-	if p.learned.IsZero() || now.Sub(p.learned) < learnTime {
-		need = max(need, float64(p.first))
+	if p.learning(now) {
+		unknown := 1.0
+		if p.zoneLoss > 1 {
+			unknown = unknownNeed
+		}
+		need = max(need, unknown*float64(p.first))
 	}
 	return int(math.Ceil(p.policy.Reserve * need * p.zoneLoss))
 }
@@ -239,7 +269,7 @@
 	regular := int(math.Ceil(p.policy.Regular * p.need))
 	spread(min(regular, want), out, func(i int) (*int, int) { return &out[i].regular, in.Scaling.Most })
 	p.reclaimable(in, want-regular, out)
-	p.replace(now, in, want, out)
+	p.replace(now, in, out)
 	for i, z := range in.Zones { // more are not given while the others are there
 		others := max(out[i].regular, z.Regular+z.RegularLeaving)
 		out[i].reclaimable = max(0, min(out[i].reclaimable, in.Scaling.Most-others))
@@ -294,7 +324,7 @@
 
 // replace keeps regular servers that are there while the others are too few, and adds
 // such where the needed ones are neither there nor on the way.
-func (p *Planner) replace(now time.Time, in *Input, want int, out []target) {
+func (p *Planner) replace(now time.Time, in *Input, out []target) {
 	there, coming := 0, 0
 	for _, z := range in.Zones {
 		there += z.ready()
@@ -302,7 +332,7 @@
 		coming += p.booting(now, in, Subject{in.Pool, z.Name, true}, z.Reclaimable)
 	}
 	// What is needed must stay; what goes beyond it may be late.
-	surplus := max(0, there-int(math.Ceil(float64(want)/p.zoneLoss)))
+	surplus := max(0, there-p.enough(now))
 	for i := len(in.Zones) - 1; i >= 0; i-- { // the dearest zones first
 		excess := in.Zones[i].Regular - out[i].regular
 		if excess <= 0 {
@@ -310,11 +340,12 @@
 		}
 		dropped := min(excess, surplus)
 		surplus -= dropped
-		out[i].regular = in.Zones[i].Regular - dropped
+		out[i].regular = min(in.Zones[i].Regular-dropped, in.Scaling.Most)
 	}
-	missing := int(math.Ceil(enoughShare*p.need)) - there - coming
+	missing := p.enough(now) - there - coming
 	for i, z := range in.Zones {
-		if !p.isDry(z.Name) && out[i].regular+z.Reclaimable < in.Scaling.Most {
+		given := z.Reclaimable + p.booting(now, in, Subject{in.Pool, z.Name, true}, z.Reclaimable)
+		if !p.isDry(z.Name) && out[i].regular+given < in.Scaling.Most {
 			return // reclaimable ones are to be had
 		}
 	}
