--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -93,7 +93,6 @@
 func (l *Ledger) Take(r Report) {
 	if l.Tellers == nil {
 		l.Tellers = map[string]teller{}
-		l.Open = map[Window]map[string]uint64{}
 	}
 	known := l.Tellers[r.Teller]
 	if r.Number <= known.Number {
@@ -115,6 +114,9 @@
 	}
 	if open == nil {
 		open = map[string]uint64{}
+		if l.Open == nil { // also after a snapshot without open windows
+			l.Open = map[Window]map[string]uint64{}
+		}
 		l.Open[row.Window] = open
 	}
 	open[row.Customer] += uint64(row.Runs)
