Lowering orders go first; counts are told each 0.4 s

A zone's bound holds for what is ordered of both kinds: ordered after the regular ones are lowered, all reclaimable ones come at once instead of in two steps 4 s apart. A loss of all power cost a window: what the last second of each entry had not told (178 of 2,237 runs, over 5%).

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -165,17 +165,41 @@
 	targets := p.targets(now, &in)
 	var out []Order
 	for i, z := range in.Zones {
-		t := targets[i]
-		// Fewer regular servers are ordered only once others have come in their place.
-		if in.Scaling.ReclaimablePrice > 0 {
-			out = p.order(now, out, &in, Subject{in.Pool, z.Name, true}, t.reclaimable, z.Reclaimable)
-		}
-		out = p.order(now, out, &in, Subject{in.Pool, z.Name, false}, t.regular, z.Regular)
+		out = append(out, p.zoneOrders(now, &in, z, targets[i])...)
 	}
 	p.begun = true
 	return out
 }
 
+// zoneOrders returns the orders for a zone, those that lower a number first: both kinds
+// together are bounded by what is ordered, not by what is there.
+func (p *Planner) zoneOrders(now time.Time, in *Input, z Zone, t target) []Order {
+	regular, reclaimable := Subject{in.Pool, z.Name, false}, Subject{in.Pool, z.Name, true}
+	before := p.ordered(regular, z.Regular)
+	first := p.order(now, in, regular, t.regular, z.Regular)
+	if in.Scaling.ReclaimablePrice <= 0 {
+		return first
+	}
+	others := before
+	if len(first) > 0 {
+		others = t.regular
+	}
+	t.reclaimable = max(0, min(t.reclaimable, in.Scaling.Most-others))
+	second := p.order(now, in, reclaimable, t.reclaimable, z.Reclaimable)
+	if t.regular > before {
+		first, second = second, first
+	}
+	return append(first, second...)
+}
+
+// ordered is the number that stands of a subject: the last one accepted, or what is seen.
+func (p *Planner) ordered(s Subject, seen int) int {
+	if o := p.orders[s]; o != nil && o.accepted {
+		return o.count
+	}
+	return seen
+}
+
 func compareZones(s *Scaling, a, b string) int {
 	pa, pb := s.price(a), s.price(b)
 	switch {
@@ -270,10 +294,6 @@
 	spread(min(regular, want), out, func(i int) (*int, int) { return &out[i].regular, in.Scaling.Most })
 	p.reclaimable(in, want-regular, out)
 	p.replace(now, in, out)
-	for i, z := range in.Zones { // more are not given while the others are there
-		others := max(out[i].regular, z.Regular+z.RegularLeaving)
-		out[i].reclaimable = max(0, min(out[i].reclaimable, in.Scaling.Most-others))
-	}
 	p.bound(in, out)
 	return out
 }
@@ -387,17 +407,17 @@
 	return max(0, o.count-seen)
 }
 
-// order adds the order of a subject, if one is due.
-func (p *Planner) order(now time.Time, out []Order, in *Input, s Subject, want, seen int) []Order {
+// order returns the order of a subject, if one is due.
+func (p *Planner) order(now time.Time, in *Input, s Subject, want, seen int) []Order {
 	o := p.orders[s]
 	if o == nil {
 		o = &sent{count: -1}
 		p.orders[s] = o
 	}
 	if !p.due(now, in, s, o, want, seen) {
-		return out
+		return nil
 	}
-	return append(out, Order{s, want})
+	return []Order{{s, want}}
 }
 
 func (p *Planner) due(now time.Time, in *Input, s Subject, o *sent, want, seen int) bool {
--- a/daemon/usage/collector.go
+++ b/daemon/usage/collector.go
@@ -21,8 +21,8 @@
 // Limits of a collector.
 const (
 	// gatherTime is how long reports gather, so that one entry of the log has all of them:
-	// five entries a second whatever the number of instances.
-	gatherTime = 200 * time.Millisecond
+	// ten entries a second whatever the number of instances.
+	gatherTime = 100 * time.Millisecond
 	// mostGathered bounds the reports that wait.
 	mostGathered = 2048
 	// commitTimeout bounds the commit of what has gathered.
--- a/daemon/usage/teller.go
+++ b/daemon/usage/teller.go
@@ -18,13 +18,13 @@
 const (
 	// tellShare of a window passes between two reports: what a process that ends has not
 	// told is lost.
-	tellShare = 0.2
+	tellShare = 0.08
 	// leastPeriod and mostPeriod bound that time.
-	leastPeriod = time.Second
+	leastPeriod = 400 * time.Millisecond
 	mostPeriod  = 10 * time.Second
-	// periodEach is what each instance adds to the least time: the leader takes a hundred
-	// reports a second, some 2% of its processor.
-	periodEach = 10 * time.Millisecond
+	// periodEach is what each instance adds to the least time: the leader takes two hundred
+	// reports a second, some 2% of a processor.
+	periodEach = 5 * time.Millisecond
 	// tellTimeout bounds one report, the commit included.
 	tellTimeout = 1500 * time.Millisecond
 	// settleTime is how long after its begin a run may be noted: its first event passes
@@ -115,7 +115,7 @@
 
 func (t *Teller) period() time.Duration {
 	if _, ok := t.Now(); !ok {
-		return leastPeriod / 4 // nothing can be told before the first answer
+		return leastPeriod / 2 // nothing can be told before the first answer
 	}
 	share := time.Duration(tellShare * float64(t.opt.Window))
 	return max(min(share, mostPeriod), leastPeriod, time.Duration(t.opt.Instances())*periodEach)
