--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -219,13 +219,15 @@
 	// Closed are the closed windows that are kept. Read only.
 	Closed []Record
 	Late   uint64
+	// Open is how many windows have counts and are not closed.
+	Open int
 	// complete has the last complete window of each process.
 	complete map[string]Window
 }
 
 // View returns a copy of what readers need.
 func (l *Ledger) View() View {
-	v := View{Through: l.Through, Closed: l.Closed, Late: l.Late, complete: make(map[string]Window, len(l.Tellers))}
+	v := View{Through: l.Through, Closed: l.Closed, Late: l.Late, Open: len(l.Open), complete: make(map[string]Window, len(l.Tellers))}
 	for name, t := range l.Tellers {
 		v.complete[name] = t.Through
 	}
--- /dev/null
+++ b/ctl/commands/duties.go
@@ -0,0 +1,151 @@
+package commands
+
+import (
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamomwick.example/core/api"
+	"cardamomwick.example/ctl/client"
+)
+
+func usageCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "usage",
+		Usage: "list or export the runs of each customer, by recorded window",
+		Description: "Reads them from an instance with a replica, by the address of its metrics page (metrics.address).\n" +
+			"One that is cut off answers with what it has. Example: cardamomctl usage --at 10.0.0.3:9464 --format csv > usage.csv",
+		Flags: []cli.Flag{
+			atFlag(),
+			&cli.StringFlag{Name: "format", Usage: "table, csv or jsonl", Value: "table"},
+			&cli.IntFlag{Name: "after", Usage: "only windows after this `WINDOW`"},
+		},
+		Action: paged(usageList),
+	}
+}
+
+func dutiesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "duties",
+		Usage: "show who holds the duties of one instance at a time, and the servers ordered",
+		Flags: []cli.Flag{atFlag()}, Action: paged(dutiesList),
+	}
+}
+
+func atFlag() cli.Flag {
+	return &cli.StringFlag{Name: "at", Usage: "metrics `ADDRESS` of an instance with a replica", Required: true}
+}
+
+// paged runs f with the address and a time limit.
+func paged(f func(ctx context.Context, cmd *cli.Command, address string) error) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+		defer cancel()
+		return exit(f(ctx, cmd, cmd.String("at")))
+	}
+}
+
+// rowWriter writes one count of a window.
+type rowWriter interface {
+	write(r *api.UsageRecord, customer string) error
+	flush() error
+}
+
+func usageList(ctx context.Context, cmd *cli.Command, address string) error {
+	w, err := newRowWriter(cmd.String("format"), os.Stdout)
+	if err != nil {
+		return cli.Exit(err.Error(), ExitInput)
+	}
+	late, err := client.Usage(ctx, address, int64(cmd.Int("after")), func(r api.UsageRecord) error {
+		for _, customer := range slices.Sorted(maps.Keys(r.Counts)) {
+			if err := w.write(&r, customer); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if late > 0 {
+		fmt.Fprintf(os.Stderr, "%d runs were told after their window was closed, and are in none\n", late)
+	}
+	return w.flush()
+}
+
+func newRowWriter(format string, out io.Writer) (rowWriter, error) {
+	switch format {
+	case "table":
+		return &csvRows{csv: tabbed(out)}, nil
+	case "csv":
+		return &csvRows{csv: csv.NewWriter(out)}, nil
+	case "jsonl":
+		return jsonRows{json.NewEncoder(out)}, nil
+	}
+	return nil, fmt.Errorf("unknown format %q: table, csv or jsonl", format)
+}
+
+// csvRows writes comma- or tab-separated lines with a head.
+type csvRows struct {
+	csv    *csv.Writer
+	headed bool
+}
+
+func tabbed(out io.Writer) *csv.Writer {
+	w := csv.NewWriter(out)
+	w.Comma = '\t'
+	return w
+}
+
+func (c *csvRows) write(r *api.UsageRecord, customer string) error {
+	if !c.headed {
+		c.headed = true
+		if err := c.csv.Write([]string{"window", "begin", "end", "customer", "runs", "taken"}); err != nil {
+			return err
+		}
+	}
+	return c.csv.Write([]string{strconv.FormatInt(r.Window, 10), r.Begin.Format(time.RFC3339), r.End.Format(time.RFC3339), customer,
+		strconv.FormatUint(r.Counts[customer], 10), strconv.FormatBool(r.Taken)})
+}
+
+func (c *csvRows) flush() error {
+	c.csv.Flush()
+	return c.csv.Error()
+}
+
+type jsonRows struct{ *json.Encoder }
+
+func (j jsonRows) write(r *api.UsageRecord, customer string) error {
+	return j.Encode(map[string]any{"window": r.Window, "begin": r.Begin, "end": r.End, "customer": customer, "runs": r.Counts[customer], "taken": r.Taken})
+}
+
+func (j jsonRows) flush() error { return nil }
+
+func dutiesList(ctx context.Context, cmd *cli.Command, address string) error {
+	page, err := client.Duties(ctx, address)
+	if err != nil {
+		return err
+	}
+	return show(cmd, page, func(w io.Writer) {
+		fmt.Fprintln(w, "DUTY\tHOLDER\tTERM\tLAST FENCE")
+		for _, d := range page.Duties {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", d.Duty, d.Holder, d.Term, d.Fence)
+		}
+		fmt.Fprintf(w, "\nwindows open\t%d\nwindows not acknowledged\t%d\n", page.OpenWindows, page.Untaken)
+		if len(page.Orders) > 0 {
+			fmt.Fprintln(w, "\nPOOL\tZONE\tRECLAIMABLE\tORDERED\tSEEN")
+		}
+		for _, o := range page.Orders {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%d\n", o.Pool, o.Zone, o.Reclaimable, o.Count, o.Seen)
+		}
+	})
+}
--- a/daemon/duties/runner.go
+++ b/daemon/duties/runner.go
@@ -72,6 +72,9 @@
 // String names the service in the supervisor's log.
 func (r *Runner) String() string { return "duty " + r.opt.Duty }
 
+// Duty is the name of the duty.
+func (r *Runner) Duty() string { return r.opt.Duty }
+
 // Holds reports whether this instance may act.
 func (r *Runner) Holds() bool {
 	r.mu.Lock()
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -113,7 +113,7 @@
 	}
 	d.registerGauges()
 	if s.Metrics.Address != "" {
-		err = d.listen("metrics", s.Metrics.Address, http.HandlerFunc(d.metricsPage), shortIdleTimeout)
+		err = d.listen("metrics", s.Metrics.Address, d.pages(), shortIdleTimeout)
 	}
 	return d, err
 }
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 )
 
@@ -27,6 +28,7 @@
 		})
 	}
 	if d.replica != nil {
+		d.registerDutyGauges()
 		gauge("cardamomwick_foreign_announcements_total", func() float64 { return float64(d.control.ForeignAnnouncements()) })
 		gauge("cardamomwick_replica_term", func() float64 { v, _ := d.replica.View(); return float64(v.Term) })
 		gauge("cardamomwick_replica_leading", func() float64 { v, _ := d.replica.View(); return number(v.Leading) })
@@ -36,6 +38,32 @@
 	}
 }
 
+// registerDutyGauges shows, at a replica, who holds duties and what they have to do.
+func (d *Routed) registerDutyGauges() {
+	gauge := d.metrics.Gauge
+	for _, r := range d.runners {
+		gauge(fmt.Sprintf("cardamomwick_duty_holder{duty=%q}", r.Duty()), func() float64 { return number(r.Holds()) })
+		gauge(fmt.Sprintf("cardamomwick_duty_term{duty=%q}", r.Duty()), func() float64 { return float64(d.replica.Duties().Duties[r.Duty()].Lease.Term) })
+	}
+	gauge("cardamomwick_usage_windows_open", func() float64 { return float64(d.replica.Duties().Usage.Open) })
+	gauge("cardamomwick_usage_windows_untaken", func() float64 { v := d.replica.Duties().Usage; return float64(untaken(&v)) })
+	gauge("cardamomwick_usage_runs_late_total", func() float64 { return float64(d.replica.Duties().Usage.Late) })
+}
+
+// writeCapacity shows what the holder of the duty wants and sees.
+func (d *Routed) writeCapacity(w io.Writer) {
+	if d.orderer == nil {
+		return
+	}
+	for _, c := range d.orderer.Counts() {
+		fmt.Fprintf(w, "cardamomwick_servers_wanted{pool=%q} %d\n", c.Pool, c.Want)
+		zone := fmt.Sprintf("pool=%q,zone=%q", c.Pool, c.Zone)
+		fmt.Fprintf(w, "cardamomwick_servers_seen{%s,reclaimable=\"false\"} %d\n", zone, c.Regular)
+		fmt.Fprintf(w, "cardamomwick_servers_seen{%s,reclaimable=\"true\"} %d\n", zone, c.Reclaimable)
+		fmt.Fprintf(w, "cardamomwick_servers_price{%s} %g\n", zone, c.Price)
+	}
+}
+
 func number(b bool) float64 {
 	if b {
 		return 1
@@ -46,6 +74,7 @@
 // metricsPage serves counters and what is believed of each backend server.
 func (d *Routed) metricsPage(w http.ResponseWriter, _ *http.Request) {
 	d.metrics.Write(w)
+	d.writeCapacity(w)
 	if d.router == nil {
 		return
 	}
--- /dev/null
+++ b/daemon/routed_pages.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/usage"
+)
+
+// pageRecords bounds the windows of one page: 1,000 customers each are 1 MB.
+const pageRecords = 64
+
+// pages serves the metrics at any path, and what replicas know of duties at theirs.
+func (d *Routed) pages() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", d.metricsPage)
+	if d.replica != nil {
+		mux.HandleFunc("GET "+api.PathUsage, d.usagePage)
+		mux.HandleFunc("GET "+api.PathDuties, d.dutiesPage)
+	}
+	return mux
+}
+
+func (d *Routed) usagePage(w http.ResponseWriter, r *http.Request) {
+	after := int64(0)
+	if text := r.URL.Query().Get(api.QueryAfter); text != "" {
+		var err error
+		if after, err = strconv.ParseInt(text, 10, 64); err != nil {
+			http.Error(w, "after is not the number of a window", http.StatusBadRequest)
+			return
+		}
+	}
+	v := d.replica.Duties().Usage
+	length := d.settings.Tuned().Usage.Window
+	page := api.UsagePage{Records: []api.UsageRecord{}, Late: v.Late}
+	for _, x := range v.Closed {
+		if int64(x.Window) <= after {
+			continue
+		}
+		if len(page.Records) == pageRecords {
+			page.More = true
+			break
+		}
+		end := x.Window.End(length).UTC()
+		page.Records = append(page.Records, api.UsageRecord{Window: int64(x.Window), Begin: end.Add(-length), End: end, Counts: x.Counts, Taken: x.Taken})
+	}
+	writeJSON(w, page)
+}
+
+func (d *Routed) dutiesPage(w http.ResponseWriter, _ *http.Request) {
+	state := d.replica.Duties()
+	page := api.DutiesPage{Duties: []api.DutyStatus{}, Orders: []api.ServerOrder{}, OpenWindows: state.Usage.Open, Untaken: untaken(&state.Usage)}
+	for name, x := range state.Duties {
+		page.Duties = append(page.Duties, api.DutyStatus{Duty: name, Holder: x.Lease.Holder, Term: x.Lease.Term, Fence: x.Fence})
+	}
+	slices.SortFunc(page.Duties, func(a, b api.DutyStatus) int { return cmp.Compare(a.Duty, b.Duty) })
+	servers, _ := d.control.Servers()
+	for _, x := range state.Orders {
+		o := api.ServerOrder{Pool: x.Pool, Zone: x.Zone, Reclaimable: x.Reclaimable, Count: x.Count}
+		for _, s := range servers {
+			if s.Pool == x.Pool && s.Zone == x.Zone && s.Reclaimable == x.Reclaimable && s.Phase == fleet.Ready && !s.Overdue {
+				o.Seen++
+			}
+		}
+		page.Orders = append(page.Orders, o)
+	}
+	writeJSON(w, page)
+}
+
+func untaken(v *usage.View) int {
+	n := 0
+	for _, r := range v.Closed {
+		if !r.Taken {
+			n++
+		}
+	}
+	return n
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		log.WithError(err).WithField("step", "write page").Debug("the reader has left")
+	}
+}
