After a loss of everything: heartbeats taken without a leader, answers encoded once

A replica takes heartbeats of servers that it knows for 2 s without a leader; what entries begin with is encoded once a revision; entries ask three replicas at a time instead of all nine.

--- a/daemon/control/alive.go
+++ b/daemon/control/alive.go
@@ -28,8 +28,11 @@
 func (a alive) note(id string, sequence uint64) { a[id] = max(a[id], sequence) }
 
 // noteAlive takes the heartbeat of a server that says nothing new and reports whether
-// that is all there is to do. A replica that is out of touch with the leader takes
-// none: the server then finds another one.
+// that is all there is to do. A replica that is out of touch with the leader for longer
+// takes none: the server then finds another one. For a short time it does: while a group
+// that has lost everything elects a leader, thousands of engines that nobody answers ask
+// one replica after the other, each time over a new connection, and leave the group no
+// time for the election.
 func (s *Service) noteAlive(server fleet.Server) bool {
 	v, _ := s.replica.View()
 	if v.Leading {
@@ -37,7 +40,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.relay.inTouch(v) || !s.relay.fleet.Knows(server) {
+	if !s.relay.inTouch(v) && !s.relay.lately() || !s.relay.fleet.Knows(server) {
 		return false
 	}
 	s.alive.note(server.ID, server.Sequence)
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -17,6 +17,7 @@
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/core/wire"
+	"cardamomwick.example/daemon/boottime"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/loop"
 	"cardamomwick.example/daemon/replica"
@@ -55,6 +56,8 @@
 	// announced wakes the loop that tells the leader what is announced, unlogged the
 	// one that looks for servers that the log lacks.
 	announced, unlogged chan struct{}
+	// packed is what replicas without a leader tell entries that have just started.
+	packed packedNews
 	// decoded is the declaration that was decoded last.
 	decoded *routing.Declaration
 }
@@ -62,7 +65,7 @@
 // New registers the frame handlers.
 func New(t *frame.Transport, r *replica.Replica, c *replica.Client) *Service {
 	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{}), alive: alive{},
-		announced: make(chan struct{}, 1), unlogged: make(chan struct{}, 1)}
+		announced: make(chan struct{}, 1), unlogged: make(chan struct{}, 1), relay: relay{began: boottime.Now()}}
 	t.HandleRequest(methodAnnounce, s.handleAnnounce)
 	t.HandleRequest(methodAlive, s.handleAlive)
 	t.HandleRequest(methodNewest, s.handleNewest)
--- a/daemon/control/news.go
+++ b/daemon/control/news.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/wire"
@@ -52,7 +53,7 @@
 			return &watchReply{Members: v.Members, InForce: v.Routing.Held.Version}, nil
 		}
 		if !v.Leading && req.Stale && v.Ready {
-			return withHolds(staleNews(v), &req, v), nil
+			return s.staleNews(v)
 		}
 		if !v.Leading && req.Relays {
 			return &watchReply{Redirect: replica.NotLeaderReply(v)}, nil
@@ -180,9 +181,34 @@
 	return reply
 }
 
+// packedNews is an encoded answer. The load pattern it answers: after a loss of everything
+// hundreds of entries ask for the same 360 KB at once, and encoding it for each takes
+// milliseconds of a fraction of a core.
+type packedNews struct {
+	body           msgpack.RawMessage
+	routing, holds uint64
+	at             time.Time
+}
+
+// packedTime is how long an encoded answer is used: the ages of holds in it grow old.
+const packedTime = time.Second
+
 // staleNews is what a replica without a leader knows: enough for an entry that
 // has just started to serve calls until the group is back.
-func staleNews(v replica.View) *watchReply {
-	return &watchReply{Declaration: v.Routing.Held.Declaration, Members: v.Members,
+func (s *Service) staleNews(v replica.View) (msgpack.RawMessage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.packed
+	now := time.Now()
+	if p.body != nil && p.routing == v.Routing.Revision && p.holds == v.HoldsRevision && now.Sub(p.at) < packedTime {
+		return p.body, nil
+	}
+	reply := &watchReply{Declaration: v.Routing.Held.Declaration, Members: v.Members,
 		Listing: &fleet.Listing{Version: v.Routing.Revision, Servers: v.Routing.Servers}}
+	body, err := msgpack.Marshal(withHolds(reply, &watchRequest{}, v))
+	if err != nil {
+		return nil, eris.Wrap(err, "encode what an entry begins with")
+	}
+	*p = packedNews{body, v.Routing.Revision, v.HoldsRevision, now}
+	return body, nil
 }
--- a/daemon/control/relay.go
+++ b/daemon/control/relay.go
@@ -19,6 +19,9 @@
 	// which has just been cut off leaves it after this time and one hold, 1.4 s at most:
 	// a change must be in force within 2 s.
 	relayTime = 800 * time.Millisecond
+	// heartbeatGrace is how long a replica without a leader goes on taking heartbeats of
+	// servers that it knows. It is well below the time after which they count as overdue.
+	heartbeatGrace = 2 * time.Second
 	// outOfTouchHold is how long an entry is kept waiting for a replica that is out of
 	// touch: the leader of a group that has lost its own is there after half a second,
 	// and the entries must not ask all replicas in turn meanwhile.
@@ -36,6 +39,8 @@
 	// instance is suspended; inForce is the declaration that it named then.
 	heard   time.Time
 	inForce uint64
+	// began is when this replica started, on the same clock.
+	began time.Time
 }
 
 // inTouch reports whether others may go by what this replica has: it has heard of the
@@ -44,6 +49,13 @@
 	return !r.heard.IsZero() && boottime.Now().Sub(r.heard) < relayTime && v.Routing.Held.Version >= r.inForce
 }
 
+// lately reports whether the replica was in touch a short time ago, or has just started:
+// a heartbeat that it takes reaches the leader before its server counts as overdue.
+func (r *relay) lately() bool {
+	now := boottime.Now()
+	return now.Sub(r.heard) < heartbeatGrace || now.Sub(r.began) < heartbeatGrace
+}
+
 // elsewhere sends an instance on to any other replica.
 func elsewhere() replica.Redirect { return replica.Redirect{NotLeader: true} }
 
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -85,25 +87,37 @@
 	return ctx.Err()
 }
 
-// begin asks all replicas together for what they know, leader or not: after a
+// begin asks replicas together for what they know, leader or not: after a
 // power loss of all instances the entries serve again before the group has a
 // leader. It ends once a replica has answered.
 func (w *Watch) begin(ctx context.Context) {
 	until := time.Now().Add(beginTime)
 	for pause := beginPause; ctx.Err() == nil && time.Now().Before(until); pause = min(mostBeginPause, pause*3/2) {
-		if w.askAll(ctx) {
+		if w.askSome(ctx) {
 			return
 		}
 		wait(ctx, pause)
 	}
 }
 
-// askAll asks all replicas what they hold and takes everything from the first that has
+// mostAsked bounds the replicas that are asked together. Hundreds of entries that start at
+// once ask again and again; with all of nine each time, connections alone took a second of
+// a replica's processor.
+const mostAsked = 3
+
+// some draws the replicas to ask.
+func some(addresses []string) []string {
+	out := slices.Clone(addresses)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), mostAsked)]
+}
+
+// askSome asks some replicas what they hold and takes everything from the first that has
 // a declaration. It reports whether any replica that has a group has answered.
-func (w *Watch) askAll(ctx context.Context) bool {
+func (w *Watch) askSome(ctx context.Context) bool {
 	asking, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
-	addresses := w.client.Directory().Addresses()
+	addresses := some(w.client.Directory().Addresses())
 	replies := make(chan briefReply, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -158,7 +172,7 @@
 func (w *Watch) round(ctx context.Context) {
 	timeout := watchTimeout
 	if w.table.Load() == nil {
-		w.askAll(ctx)
+		w.askSome(ctx)
 		timeout = beginTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
