Capacity: the first plan at once, and a successor keeps what stands

A planner waited for 1.5 s without a further engine, so that 60 dear ones were paid for 4 s longer; it orders for those that it sees now, and counts on while they announce themselves. A new holder took what was there for what the operator had chosen, and a third more: each change of the holder would have ordered more.

--- a/core/capacity/order.go
+++ b/core/capacity/order.go
@@ -30,3 +30,8 @@
 	out = append(out, x)
 	return out[max(0, len(out)-keptOrders):]
 }
+
+// Of returns the orders for a pool.
+func (o Orders) Of(pool string) Orders {
+	return slices.DeleteFunc(slices.Clone(o), func(x Order) bool { return x.Pool != pool })
+}
--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -40,9 +40,6 @@
 	// presentTime is the time constant with which the present need fades, by which regular
 	// servers are kept in the place of others.
 	presentTime = 8 * time.Second
-	// settleTime is how long no further server must have announced itself before the first
-	// plan: somewhat more than a heartbeat.
-	settleTime = 1500 * time.Millisecond
 	// unknownNeed is how many times the servers that were there first may be needed, until
 	// that is known: a burst that comes at once can't be foreseen, and reclaimable servers
 	// cost little for so long.
@@ -100,10 +97,13 @@
 // use.
 type Planner struct {
 	policy Policy
-	// first is how many servers there were when the planner began; firstAt when that last
-	// grew.
-	first   int
-	firstAt time.Time
+	// first is how many servers there were before any was ordered, or those that an
+	// earlier holder has left enough of after the loss of a zone.
+	first int
+	// standing are the orders of an earlier holder, which are given once more: that ends
+	// what it has on its way. successor: there were such.
+	standing  Orders
+	successor bool
 	// leaving is how many servers of each zone said they leave, when last seen.
 	leaving map[string]int
 	// need fades from the highest that was seen; known since learned.
@@ -115,8 +115,8 @@
 	// dry is until when a zone that has refused reclaimable servers is not asked for more;
 	// it has a time, past or not, until the zone gives some.
 	dry map[string]time.Time
-	// begun: everything was ordered once.
-	begun bool
+	// begun is when the first plan was made.
+	begun time.Time
 	// zoneLoss is how many times the servers there must be so that enough are left when a
 	// zone has lost all of its reclaimable ones.
 	zoneLoss float64
@@ -132,9 +132,10 @@
 	highSince time.Time
 }
 
-// NewPlanner returns a planner that has ordered nothing.
-func NewPlanner(p Policy) *Planner {
-	return &Planner{policy: p, leaving: map[string]int{}, orders: map[Subject]*sent{}, dry: map[string]time.Time{}}
+// NewPlanner returns a planner that has ordered nothing itself; standing are the orders of
+// earlier holders of the duty.
+func NewPlanner(p Policy, standing Orders) *Planner {
+	return &Planner{policy: p, standing: standing, successor: len(standing) > 0, leaving: map[string]int{}, orders: map[Subject]*sent{}, dry: map[string]time.Time{}}
 }
 
 func zoneLoss(in *Input) float64 {
@@ -159,15 +160,15 @@
 	slices.SortFunc(in.Zones, func(a, b Zone) int { return compareZones(&in.Scaling, a.Name, b.Name) })
 	p.zoneLoss = zoneLoss(&in)
 	p.note(now, &in)
-	if !p.begun && (p.first == 0 || now.Sub(p.firstAt) < settleTime) {
-		return nil // they are still announcing themselves
+	if p.first == 0 {
+		return nil // nothing is known yet
 	}
 	targets := p.targets(now, &in)
 	var out []Order
 	for i, z := range in.Zones {
 		out = append(out, p.zoneOrders(now, &in, z, targets[i])...)
 	}
-	p.begun = true
+	p.standing = nil
 	return out
 }
 
@@ -236,9 +237,7 @@
 		}
 		p.leaving[z.Name] = z.ReclaimableLeaving
 	}
-	if !p.begun && ready > p.first {
-		p.first, p.firstAt = ready, now
-	}
+	p.noteFirst(now, in, ready)
 	if in.Need < 0 {
 		return
 	}
@@ -252,6 +251,26 @@
 	p.need, p.present, p.needAt = max(p.need, in.Need), max(p.present, in.Need), now
 }
 
+// noteFirst notes how many servers there are before those that are ordered can have come;
+// they announce themselves one after the other.
+func (p *Planner) noteFirst(now time.Time, in *Input, ready int) {
+	if p.begun.IsZero() && ready > 0 {
+		p.begun = now
+	}
+	if p.begun.IsZero() || now.Sub(p.begun) >= in.Scaling.Boot {
+		return
+	}
+	if !p.successor {
+		p.first = max(p.first, ready)
+		return
+	}
+	ordered := 0
+	for _, o := range p.standing {
+		ordered += o.Count
+	}
+	p.first = max(p.first, int(math.Ceil(float64(ordered)/p.zoneLoss)))
+}
+
 func faded(d, constant time.Duration) float64 { return math.Exp(-d.Seconds() / constant.Seconds()) }
 
 // learning: the need has not been seen for long enough to go by it alone.
@@ -273,7 +292,7 @@
 	need := p.need
 	if p.learning(now) {
 		unknown := 1.0
-		if p.zoneLoss > 1 {
+		if p.zoneLoss > 1 && !p.successor {
 			unknown = unknownNeed
 		}
 		need = max(need, unknown*float64(p.first))
@@ -427,8 +446,8 @@
 		o.highSince = now
 	}
 	switch {
-	case !p.begun:
-		return true // ends what a former holder has on its way
+	case slices.ContainsFunc(p.standing, func(x Order) bool { return x.Subject == s }):
+		return true
 	case !o.accepted && now.Sub(o.at) < againAfter:
 		return false
 	case want > seen+p.booting(now, in, s, seen):
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -36,7 +37,7 @@
 const tick = 500 * time.Millisecond
 
 func newCloud(p Policy, regular int, zones ...string) *cloud {
-	c := &cloud{now: begin, planner: NewPlanner(p), lowered: map[Subject]int{}, need: -1}
+	c := &cloud{now: begin, planner: NewPlanner(p, nil), lowered: map[Subject]int{}, need: -1}
 	for _, z := range zones {
 		c.zones = append(c.zones, Zone{Name: z, Regular: regular})
 	}
@@ -252,7 +253,7 @@
 
 // TestAPoolWithoutReclaimableServersOrdersRegularOnes.
 func TestAPoolWithoutReclaimableServersOrdersRegularOnes(t *testing.T) {
-	p := NewPlanner(Policy{Reserve: 1.2})
+	p := NewPlanner(Policy{Reserve: 1.2}, nil)
 	in := Input{Pool: "p", Scaling: Scaling{Least: 1, Most: 10, Boot: time.Second}, Need: 10, Zones: []Zone{{Name: "a", Regular: 4}, {Name: "b", Regular: 4}}}
 	p.Next(begin, in)
 	got := fmt.Sprint(p.Next(begin.Add(3*time.Second), in))
@@ -261,23 +262,32 @@
 	}
 }
 
-// TestAnOrderWithoutAnswerIsGivenAgain, after a pause.
-func TestAnOrderWithoutAnswerIsGivenAgain(t *testing.T) {
-	p := NewPlanner(Policy{Reserve: 1})
-	in := Input{Pool: "p", Scaling: declared, Need: 9, Zones: []Zone{{Name: "a", Regular: 3}, {Name: "b", Regular: 3}, {Name: "c", Regular: 3}}}
-	p.Next(begin, in)
-	now := begin.Add(3 * time.Second)
-	orders := p.Next(now, in)
-	if len(orders) != 6 {
-		t.Fatalf("a new holder gives %v", orders)
+// TestASuccessorGivesTheStandingOrdersAgain, with fences of its own, and changes nothing
+// else: each change of the holder would make the servers more otherwise. An order without
+// an answer is given again after a pause.
+func TestASuccessorGivesTheStandingOrdersAgain(t *testing.T) {
+	var standing Orders
+	in := Input{Pool: "p", Scaling: declared, Need: 4}
+	for _, zone := range []string{"a", "b", "c"} {
+		standing = standing.With(Order{Subject{"p", zone, true}, 3}).With(Order{Subject{"p", zone, false}, 0})
+		in.Zones = append(in.Zones, Zone{Name: zone, Reclaimable: 3})
+	}
+	p := NewPlanner(Policy{Reserve: 1}, standing)
+	orders := p.Next(begin, in)
+	if len(orders) != len(standing) {
+		t.Fatalf("a successor gives %v", orders)
 	}
 	for _, o := range orders {
-		p.Given(now, o, false)
+		if !slices.Contains(standing, o) {
+			t.Errorf("%v was not ordered before", o)
+		}
+		p.Given(begin, o, o.Zone != "a")
 	}
-	if again := p.Next(now.Add(100*time.Millisecond), in); len(again) != 0 {
+	in.Zones[1].Reclaimable = 0 // b is the cheapest, and a the second
+	if again := p.Next(begin.Add(100*time.Millisecond), in); len(again) != 0 {
 		t.Errorf("at once again: %v", again)
 	}
-	if again := p.Next(now.Add(time.Second), in); len(again) != 3 {
+	if again := fmt.Sprint(p.Next(begin.Add(time.Second), in)); again != "[{{p a true} 3}]" {
 		t.Errorf("after a second: %v", again)
 	}
 }
--- a/daemon/capacity/orderer.go
+++ b/daemon/capacity/orderer.go
@@ -33,6 +33,8 @@
 	Declaration func() *routing.Declaration
 	// Servers returns the backend servers that are known, and whether that is up to date.
 	Servers func() ([]fleet.Server, bool)
+	// State is what the log holds of earlier orders.
+	State func() state.Duties
 	// Demands asks for what the entries know.
 	Demands func(context.Context) ([]capacity.Demand, error)
 }
@@ -106,7 +108,7 @@
 func (o *Orderer) planner(pool string) *capacity.Planner {
 	p := o.planners[pool]
 	if p == nil {
-		p = capacity.NewPlanner(o.opt.Policy)
+		p = capacity.NewPlanner(o.opt.Policy, o.opt.State().Orders.Of(pool))
 		o.planners[pool] = p
 	}
 	return p
--- a/daemon/routed_duties.go
+++ b/daemon/routed_duties.go
@@ -58,7 +58,7 @@
 func (d *Routed) addOrderer(p provider.Protocol, client *replica.Client) {
 	t := d.settings.Tuned().Capacity
 	d.orderer = capacity.New(capacity.Options{Policy: core.Policy{Reserve: t.Reserve, Regular: t.RegularShare, MostPrice: t.MostPrice},
-		Address: d.settings.Provider.Address, Protocol: p, Declaration: d.control.Declaration, Servers: d.control.Servers,
+		Address: d.settings.Provider.Address, Protocol: p, Declaration: d.control.Declaration, Servers: d.control.Servers, State: d.replica.Duties,
 		Demands: func(ctx context.Context) ([]core.Demand, error) { return usage.Demands(ctx, client) }})
 	d.addRunner(capacity.DutyName, client, d.orderer)
 }
