--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -34,6 +35,26 @@
 	// idle is how long an idle connection is kept.
 	idle   time.Duration
 	server atomic.Pointer[http.Server]
+	// most bounds the open connections, zero for no bound; further ones are closed at once.
+	most int64
+	open atomic.Int64
+}
+
+// mostControl bounds the connections to control, at 30 KB each. After a loss of
+// everything the first replica that is back is found by all engines: 4,500 connections
+// took its memory and all of its descriptors. Whoever is closed out asks another one.
+const mostControl = 1536
+
+// bound counts connections, and closes those beyond the bound.
+func (l *httpListener) bound(c net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		if l.open.Add(1) > l.most && l.most > 0 {
+			_ = c.Close() // the server notices, and counts it as closed
+		}
+	case http.StateClosed, http.StateHijacked:
+		l.open.Add(-1)
+	}
 }
 
 // direct is a go-zero router that hands every request to one handler. None of
@@ -85,6 +106,7 @@
 			s.ReadHeaderTimeout = headerTimeout
 			s.IdleTimeout = l.idle
 			s.MaxHeaderBytes = maxHeaderBytes
+			s.ConnState = l.bound
 			l.server.Store(s)
 		})
 	}()
--- a/daemon/httplisten_test.go
+++ b/daemon/httplisten_test.go
@@ -15,8 +15,25 @@
 // must not be kept.
 func TestConnectionsThatNobodyUsesAreClosed(t *testing.T) {
 	const idle = 50 * time.Millisecond
+	c := dialListener(t, func(address string) (*httpListener, error) {
+		return newHTTPListener("control", address, http.NotFoundHandler(), idle)
+	})()
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second)) // a read that fails tells the same
+	if _, err := io.ReadAll(c); err != nil {
+		t.Errorf("the connection is still open: %v", err)
+	}
+}
+
+// dialListener serves a listener until the test ends; the function returned connects to
+// it.
+func dialListener(t *testing.T, listen func(address string) (*httpListener, error)) (dial func() net.Conn) {
+	t.Helper()
 	address := testport.Reserve(t)
-	l, err := newHTTPListener("control", address, http.NotFoundHandler(), idle)
+	l, err := listen(address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -24,19 +41,56 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = l.Serve(ctx) }()
 	t.Cleanup(func() { end(); <-done })
-	var c net.Conn
-	for began := time.Now(); c == nil && time.Since(began) < 5*time.Second; time.Sleep(5 * time.Millisecond) {
-		c, _ = net.Dial("tcp", address) // until it listens
+	return func() net.Conn {
+		var c net.Conn
+		for began := time.Now(); c == nil && time.Since(began) < 5*time.Second; time.Sleep(5 * time.Millisecond) {
+			c, _ = net.Dial("tcp", address) // until it listens
+		}
+		if c == nil {
+			t.Fatal("nobody listens")
+		}
+		return c
 	}
-	if c == nil {
-		t.Fatal("nobody listens")
+}
+
+// A replica that is found by everybody must not spend its memory and descriptors on
+// connections: those beyond the bound are closed at once, and the others go on.
+func TestConnectionsBeyondTheBoundAreClosed(t *testing.T) {
+	dial := dialListener(t, func(address string) (*httpListener, error) {
+		l, err := newHTTPListener("control", address, http.NotFoundHandler(), time.Minute)
+		if err == nil {
+			l.most = 2
+		}
+		return l, err
+	})
+	ask := func(c net.Conn) error {
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second)) // a read that fails tells the same
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			return err
+		}
+		_, err := c.Read(make([]byte, 1))
+		return err
 	}
-	defer c.Close()
-	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
-		t.Fatal(err)
+	first, second := dial(), dial()
+	defer first.Close()
+	if ask(first) != nil || ask(second) != nil {
+		t.Fatal("the first two get no answer")
 	}
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second)) // a read that fails tells the same
-	if _, err := io.ReadAll(c); err != nil {
-		t.Errorf("the connection is still open: %v", err)
+	beyond := dial()
+	defer beyond.Close()
+	if ask(beyond) == nil {
+		t.Error("a third connection is served")
+	}
+	second.Close()
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		c := dial()
+		err := ask(c)
+		c.Close()
+		if err == nil {
+			return
+		}
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("a connection that has ended makes no room")
+		}
 	}
 }
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -122,12 +122,17 @@
 }
 
 func (d *Routed) listen(name, address string, h http.Handler, idle time.Duration) error {
+	_, err := d.addListener(name, address, h, idle)
+	return err
+}
+
+func (d *Routed) addListener(name, address string, h http.Handler, idle time.Duration) (*httpListener, error) {
 	l, err := newHTTPListener(name, address, h, idle)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	d.services = append(d.services, l)
-	return nil
+	return l, nil
 }
 
 func (d *Routed) addReplica(a Adapter, client *replica.Client) error {
@@ -143,7 +148,12 @@
 	if d.settings.Routing.ControlAddress == "" {
 		return nil
 	}
-	return d.listen("control", d.settings.Routing.ControlAddress, a.Control(d.control), shortIdleTimeout)
+	l, err := d.addListener("control", d.settings.Routing.ControlAddress, a.Control(d.control), shortIdleTimeout)
+	if err != nil {
+		return err
+	}
+	l.most = mostControl
+	return nil
 }
 
 func (d *Routed) addEntry(a Adapter, client *replica.Client) error {
