Back: engines wait for the leader's word again

The late word of the leader is not what makes engines ask elsewhere; what the replicas' processors do there is still not known.

--- a/daemon/control/announce.go
+++ b/daemon/control/announce.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/fleet"
@@ -21,13 +20,8 @@
 	// mostAnnouncing bounds the servers whose announcements wait: twice those of the
 	// largest deployment aimed at.
 	mostAnnouncing = 4096
-	// announcePause lets announcements gather between two messages.
-	announcePause = 20 * time.Millisecond
 )
 
-// errOutOfTouch: the leader is out of this replica's reach.
-var errOutOfTouch = eris.New("out of touch with the leader")
-
 // errAnnouncing: too many announcements wait for the leader.
 var errAnnouncing = eris.New("too many announcements wait")
 
@@ -41,25 +35,6 @@
 	waiting []chan error
 }
 
-// announceReady takes the announcement of a server that takes work, and hands it on later:
-// the server says the same again with its next heartbeat, so that nothing is lost with
-// this replica. The load pattern it answers: 3,000 engines announce themselves within a
-// second. Where each waited for the leader, answers came later than engines wait; these
-// asked again elsewhere, each time over a new connection, and for good.
-func (s *Service) announceReady(server fleet.Server) error {
-	v, _ := s.replica.View()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !v.Leading && !s.relay.inTouch(v) && !s.relay.lately() {
-		return errOutOfTouch
-	}
-	if err := s.announcing.add(server); err != nil {
-		return err
-	}
-	signal(s.announced)
-	return nil
-}
-
 // announceAtLeader hands an announcement to the leader, with all others that wait.
 func (s *Service) announceAtLeader(ctx context.Context, server fleet.Server) error {
 	told, err := s.gather(server)
@@ -79,8 +54,15 @@
 func (s *Service) gather(server fleet.Server) (<-chan error, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.announcing.add(server); err != nil {
-		return nil, err
+	old, known := s.announcing.servers[server.ID]
+	if !known && len(s.announcing.servers) >= mostAnnouncing {
+		return nil, errAnnouncing
+	}
+	if s.announcing.servers == nil {
+		s.announcing.servers = map[string]fleet.Server{}
+	}
+	if !known || server.Sequence >= old.Sequence {
+		s.announcing.servers[server.ID] = server
 	}
 	told := make(chan error, 1)
 	s.announcing.waiting = append(s.announcing.waiting, told)
@@ -88,21 +70,6 @@
 	return told, nil
 }
 
-// add keeps the newest announcement of each server.
-func (a *announcing) add(server fleet.Server) error {
-	old, known := a.servers[server.ID]
-	if !known && len(a.servers) >= mostAnnouncing {
-		return errAnnouncing
-	}
-	if a.servers == nil {
-		a.servers = map[string]fleet.Server{}
-	}
-	if !known || server.Sequence >= old.Sequence {
-		a.servers[server.ID] = server
-	}
-	return nil
-}
-
 // tellAnnounced tells the leader what has gathered, one message after the other, until
 // the context ends.
 func (s *Service) tellAnnounced(ctx context.Context) {
@@ -120,26 +87,9 @@
 		for _, told := range gathered.waiting {
 			told <- err
 		}
-		if err != nil {
-			s.keepAnnounced(gathered.servers)
-		}
-		wait(ctx, announcePause)
 	}
 }
 
-// keepAnnounced puts back what could not be told.
-func (s *Service) keepAnnounced(servers map[string]fleet.Server) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, server := range servers {
-		if err := s.announcing.add(server); err != nil {
-			log.WithError(err).WithField("step", "keep announcements").Warn("dropped; the servers announce themselves again")
-			break
-		}
-	}
-	signal(s.announced)
-}
-
 func (s *Service) tellLeader(ctx context.Context, servers []fleet.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -188,7 +188,7 @@
 	if server.Phase != fleet.Ready {
 		return s.withdraw(ctx, fleet.Withdrawal{ServerID: server.ID, Phase: server.Phase}, &server)
 	}
-	return s.announceReady(server)
+	return s.announceAtLeader(ctx, server)
 }
 
 // Depart notes that a server has gone; nil acknowledges it. Where the start has no
