Ordered servers that come early are not taken for the operator's

Engines that came before the declared boot time counted as there from the first, so that more were wanted, and the dear ones stayed until those came. Counted is what the planner has not ordered.

--- a/core/capacity/need.go
+++ b/core/capacity/need.go
@@ -18,9 +18,7 @@
 
 // note takes what is seen.
 func (p *Planner) note(now time.Time, in *Input) {
-	ready := 0
 	for _, z := range in.Zones {
-		ready += z.ready()
 		if z.ReclaimableLeaving > p.leaving[z.Name] {
 			// What was ordered is being taken away.
 			if o := p.orders[Subject{in.Pool, z.Name, true}]; o != nil && o.count > z.Reclaimable {
@@ -29,7 +27,7 @@
 		}
 		p.leaving[z.Name] = z.ReclaimableLeaving
 	}
-	p.noteFirst(now, in, ready)
+	p.noteFirst(now, in)
 	if in.Need < 0 {
 		return
 	}
@@ -43,17 +41,22 @@
 	p.need, p.present, p.needAt = max(p.need, in.Need), max(p.present, in.Need), now
 }
 
-// noteFirst notes how many servers there are before those that are ordered can have come;
-// they announce themselves one after the other.
-func (p *Planner) noteFirst(now time.Time, in *Input, ready int) {
-	if p.begun.IsZero() && ready > 0 {
-		p.begun = now
+// noteFirst notes how many servers there are that this planner has not ordered, until the
+// ordered ones take over; they announce themselves one after the other.
+func (p *Planner) noteFirst(now time.Time, in *Input) {
+	regular, reclaimable := 0, 0
+	for _, z := range in.Zones {
+		regular += z.Regular
+		reclaimable += z.Reclaimable
+	}
+	if p.begun.IsZero() && regular+reclaimable > 0 {
+		p.begun, p.foundReclaimable = now, reclaimable
 	}
 	if p.begun.IsZero() || now.Sub(p.begun) >= in.Scaling.Boot {
 		return
 	}
 	if !p.successor {
-		p.first = max(p.first, ready)
+		p.first = max(p.first, regular+p.foundReclaimable)
 		return
 	}
 	ordered := 0
--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -78,8 +78,10 @@
 	// dry is until when a zone that has refused reclaimable servers is not asked for more;
 	// it has a time, past or not, until the zone gives some.
 	dry map[string]time.Time
-	// begun is when the first plan was made.
-	begun time.Time
+	// begun is when the first plan was made, foundReclaimable how many reclaimable servers
+	// there were then.
+	begun            time.Time
+	foundReclaimable int
 	// zoneLoss is how many times the servers there must be so that enough are left when a
 	// zone has lost all of its reclaimable ones.
 	zoneLoss float64
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// TestOrderedServersThatComeEarlyAreNotTakenForTheOperators: they would be ordered again
+// and again, each time more.
+func TestOrderedServersThatComeEarlyAreNotTakenForTheOperators(t *testing.T) {
+	p := NewPlanner(Policy{Reserve: 1}, nil)
+	in := Input{Pool: "p", Scaling: declared, Need: -1, Zones: []Zone{{Name: "a", Regular: 2}, {Name: "b", Regular: 2}, {Name: "c", Regular: 2}}}
+	p.Next(begin, in)
+	first := p.Status(begin).Want
+	for i := range in.Zones {
+		in.Zones[i].Reclaimable = 4
+	}
+	now := begin.Add(declared.Boot / 2)
+	p.Next(now, in)
+	if want := p.Status(now).Want; want != first {
+		t.Errorf("%d servers are wanted, %d before the ordered ones came", want, first)
+	}
+}
+
 // TestTheLossOfAZoneLeavesEnough, and what was lost is there again after a boot.
 func TestTheLossOfAZoneLeavesEnough(t *testing.T) {
 	c := newCloud(Policy{Reserve: 1}, 5, "a", "b", "c")
