Servers are ordered where none is left

Found in reading: without any server the planner took nothing for known and never ordered; so did a successor after all had been lost. It begins after a boot time without any, a successor at once. Test red first.

--- a/core/capacity/need.go
+++ b/core/capacity/need.go
@@ -49,7 +49,12 @@
 		regular += z.Regular
 		reclaimable += z.Reclaimable
 	}
-	if p.begun.IsZero() && regular+reclaimable > 0 {
+	if p.since.IsZero() {
+		p.since = now
+	}
+	// Without any server for so long there are none, not only none that is known.
+	known := regular+reclaimable > 0 || p.successor || now.Sub(p.since) >= in.Scaling.Boot
+	if p.begun.IsZero() && known {
 		p.begun, p.foundReclaimable = now, reclaimable
 	}
 	if p.begun.IsZero() || now.Sub(p.begun) >= in.Scaling.Boot {
--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -78,6 +78,8 @@
 	// dry is until when a zone that has refused reclaimable servers is not asked for more;
 	// it has a time, past or not, until the zone gives some.
 	dry map[string]time.Time
+	// since is when the planner was first asked.
+	since time.Time
 	// begun is when the first plan was made, foundReclaimable how many reclaimable servers
 	// there were then.
 	begun            time.Time
@@ -111,7 +113,7 @@
 	slices.SortFunc(in.Zones, func(a, b Zone) int { return compareZones(&in.Scaling, a.Name, b.Name) })
 	p.zoneLoss = zoneLoss(&in)
 	p.note(now, &in)
-	if p.first == 0 {
+	if p.begun.IsZero() {
 		return nil // nothing is known yet
 	}
 	targets := p.targets(now, &in)
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -170,6 +170,24 @@
 	}
 }
 
+// TestServersAreOrderedWhereNoneIsLeft, by the first planner and by a successor.
+func TestServersAreOrderedWhereNoneIsLeft(t *testing.T) {
+	in := Input{Pool: "p", Scaling: declared, Need: 0, Zones: []Zone{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+	for name, standing := range map[string]Orders{"first": nil, "successor": {{Subject{"p", "a", true}, 0}}} {
+		p := NewPlanner(Policy{Reserve: 1}, standing)
+		ordered := 0
+		for now := begin; now.Sub(begin) < 2*declared.Boot; now = now.Add(tick) {
+			for _, o := range p.Next(now, in) {
+				p.Given(now, o, true)
+				ordered = max(ordered, o.Count)
+			}
+		}
+		if ordered < declared.Least {
+			t.Errorf("%s: none is ordered", name)
+		}
+	}
+}
+
 // TestTheLossOfAZoneLeavesEnough, and what was lost is there again after a boot.
 func TestTheLossOfAZoneLeavesEnough(t *testing.T) {
 	c := newCloud(Policy{Reserve: 1}, 5, "a", "b", "c")
