--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -45,6 +45,10 @@
 	// prompts are lost with each server.
 	shrinkAfter = 6 * time.Second
 	shrinkPause = 4 * time.Second
+	// mostLowered bounds by how much one order lowers a number: each server that leaves is
+	// an entry of the replicated log before it is acknowledged, and hundreds at once were
+	// acknowledged seconds late.
+	mostLowered = 32
 	// replacePause is the pause where others have come in their place: the time in which a
 	// server that leaves says so.
 	replacePause = 1500 * time.Millisecond
@@ -173,7 +177,7 @@
 	if !p.due(now, in, s, o, want, seen) {
 		return nil
 	}
-	return []Order{{s, want}}
+	return []Order{{s, max(want, seen-mostLowered)}}
 }
 
 func (p *Planner) due(now time.Time, in *Input, s Subject, o *sent, want, seen int) bool {
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -188,6 +188,31 @@
 	}
 }
 
+// TestHundredsAreNotLoweredAtOnce.
+func TestHundredsAreNotLoweredAtOnce(t *testing.T) {
+	p := NewPlanner(Policy{Reserve: 1}, nil)
+	wide := declared
+	wide.Most = 1000
+	in := Input{Pool: "p", Scaling: wide, Need: -1, Zones: []Zone{{Name: "a", Regular: 300}, {Name: "b", Regular: 300}}}
+	p.Next(begin, in)
+	for i := range in.Zones {
+		in.Zones[i].Reclaimable = 900
+	}
+	lowered := 0
+	for _, o := range p.Next(begin.Add(time.Minute), in) {
+		if o.Reclaimable {
+			continue
+		}
+		lowered++
+		if o.Count < 300-mostLowered {
+			t.Errorf("%+v at once, of 300", o)
+		}
+	}
+	if lowered == 0 {
+		t.Error("nothing is lowered")
+	}
+}
+
 // TestTheLossOfAZoneLeavesEnough, and what was lost is there again after a boot.
 func TestTheLossOfAZoneLeavesEnough(t *testing.T) {
 	c := newCloud(Policy{Reserve: 1}, 5, "a", "b", "c")
--- a/daemon/duties/runner.go
+++ b/daemon/duties/runner.go
@@ -107,18 +107,20 @@
 	}
 }
 
-func (r *Runner) claim(ctx context.Context, sent time.Time, claim duty.Claim) {
+// claim asks the log, and reports whether it was granted.
+func (r *Runner) claim(ctx context.Context, sent time.Time, claim duty.Claim) bool {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	res, err := r.opt.Log.Propose(ctx, &state.Command{Type: state.CommandDuty, Duty: &state.DutyCommand{Duty: r.opt.Duty, Claim: claim}})
 	if err != nil || res.Lease == nil {
 		log.WithFields(log.Fields{"step": "claim duty", "duty": r.opt.Duty, "seen": claim.Expected.Holder}).Debug("no answer; will be tried again")
-		return
+		return false
 	}
 	r.take(sent, res)
 	if res.Code == state.CodeOK && claim.Expected.Holder != r.opt.Owner && !claim.Release {
 		log.WithFields(log.Fields{"step": "claim duty", "duty": r.opt.Duty, "term": res.Lease.Term, "before": claim.Expected.Holder}).Info("duty taken")
 	}
+	return res.Code == state.CodeOK
 }
 
 // take takes the lease that a command has left behind.
@@ -160,8 +162,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	r.claim(ctx, now, claim)
-	log.WithFields(log.Fields{"step": "release duty", "duty": r.opt.Duty, "term": claim.Expected.Term, "reason": reason}).Info("duty given back")
+	given := r.claim(ctx, now, claim)
+	entry := log.WithFields(log.Fields{"step": "release duty", "duty": r.opt.Duty, "term": claim.Expected.Term, "reason": reason})
+	if !given {
+		entry.Info("nothing is done any more; the lease runs out by itself")
+		return
+	}
+	entry.Info("duty given back")
 }
 
 // Tenure is one instance's time as the holder of a duty.
