--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -83,10 +83,12 @@
 // Serve notes silent servers, and follows the leader's fleet for those that watch here,
 // until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	go s.followLeader(ctx)
-	go s.tellAnnounced(ctx)
-	go s.registerServers(ctx)
-	go func() { _ = s.tellAlive(ctx) }() // ends with the context
+	var loops sync.WaitGroup
+	defer loops.Wait() // nothing may go on once the service has stopped
+	loops.Go(func() { s.followLeader(ctx) })
+	loops.Go(func() { s.tellAnnounced(ctx) })
+	loops.Go(func() { s.registerServers(ctx) })
+	loops.Go(func() { _ = s.tellAlive(ctx) }) // ends with the context
 	return loop.Every(ctx, expirePeriod, func(now time.Time) {
 		v, _ := s.replica.View()
 		s.client.Directory().Learn(v.Members)
