--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/memory"
 
 	"cardamomwick.example/core/capacity"
@@ -71,9 +72,12 @@
 func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	logged := memory.New()
-	log.SetHandler(logged)
+	testLog.sendTo(logged)
 	c := &cluster{t: t, seeds: []string{testport.Reserve(t), testport.Reserve(t), testport.Reserve(t)}}
-	t.Cleanup(func() { c.tell(logged.Entries) }) // the last one: every instance has ended
+	t.Cleanup(func() { // the last one: every instance has ended
+		testLog.sendTo(discard.New())
+		c.tell(logged.Entries)
+	})
 	return c
 }
 
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -16,9 +16,6 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
-
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/state"
@@ -42,7 +39,6 @@
 // single runs one instance that is the only replica.
 func single(t *testing.T) (d *Daemon, url string) {
 	t.Helper()
-	log.SetHandler(discard.New())
 	peer, callers := testport.Reserve(t), testport.Reserve(t)
 	text := fmt.Sprintf("[instance]\nname=\"i1\"\navailability_zone=\"a\"\ndata_folder=%q\n[callers]\naddress=%q\naddress_ttl=\"100ms\"\nmax_body_bytes=4096\n[peers]\naddress=%q\nseeds=[%q]\n"+
 		"[[peers.keys]]\nid=\"k\"\nsecret=\"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\"\n[replicas]\naddresses=[%q]\n[trust.operators]\nana=%q\n[metrics]\ntoken=\"m\"\n",
--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -96,10 +96,14 @@
 	}
 }
 
-// SetUpLog sends JSON lines to w.
-func SetUpLog(w io.Writer, level, name string) {
+func newBoundedHandler(w io.Writer, name string) *boundedHandler {
 	h := &boundedHandler{name: name, lines: make(chan []byte, logQueue)}
 	go h.write(w)
-	log.SetHandler(h)
+	return h
+}
+
+// SetUpLog sends JSON lines to w.
+func SetUpLog(w io.Writer, level, name string) {
+	log.SetHandler(newBoundedHandler(w, name))
 	log.SetLevelFromString(level)
 }
--- a/daemon/logging_test.go
+++ b/daemon/logging_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 )
 
 // slowReader takes nothing until it is released.
@@ -33,15 +32,14 @@
 }
 
 func TestLogNeverBlocksAndKeepsFailuresFirst(t *testing.T) {
-	defer log.SetHandler(discard.New())
 	r := &slowReader{release: make(chan struct{})}
-	SetUpLog(r, "info", "i1")
+	logger := &log.Logger{Handler: newBoundedHandler(r, "i1"), Level: log.InfoLevel}
 	began := time.Now()
 	for range 10 * logQueue {
-		log.WithField(AnsweredField, true).WithField("call", "good").Info("call answered")
+		logger.WithField(AnsweredField, true).WithField("call", "good").Info("call answered")
 	}
 	for range logReserve / 2 {
-		log.WithField("call", "bad").Info("call failed")
+		logger.WithField("call", "bad").Info("call failed")
 	}
 	if took := time.Since(began); took > 5*time.Second {
 		t.Errorf("logging to a reader that does not read took %v", took)
