One type for the demand, one word for a server that takes work

Read in the whole change: balance had a copy of capacity.Demand, copied field by field; each report of an entry, two a second, sorted all members by zone for the level that the balancer already holds; and 'ready and not overdue' stood in three places. Behaviour as before; tests of balance, fleet, capacity and router green.

--- a/core/balance/demand.go
+++ b/core/balance/demand.go
@@ -1,20 +1,21 @@
 package balance
 
-import "time"
+import (
+	"time"
 
-// Demand is what the calls for a pool of model engines ask of it, over all instances.
-type Demand struct {
-	// Short and Long are how many engines the calls of each side need, by what arrives,
-	// runs and waits.
-	Short, Long float64
-	// Running are the calls that run or wait at engines.
-	Running int
-}
+	"cardamomwick.example/core/capacity"
+	"cardamomwick.example/core/collect"
+)
+
+// KnowsAll reports whether this instance's place in the tree of collectors makes it know
+// the load of all others.
+func (b *Balancer) KnowsAll() bool { return b.level == collect.LevelZone }
 
-// Demand returns what the calls for a pool ask of it now.
-func (b *Balancer) Demand(now time.Time, poolName string) Demand {
+// Demand returns what the calls for a pool of model engines ask of it now, at all
+// instances.
+func (b *Balancer) Demand(now time.Time, poolName string) capacity.Demand {
 	p := b.pool(poolName)
-	var d Demand
+	d := capacity.Demand{Pool: poolName}
 	d.Short, d.Long = b.needs(now, p, poolName)
 	for _, s := range p.servers {
 		d.Running += s.load().Running
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -57,6 +57,9 @@
 	return s.Name
 }
 
+// TakesWork reports whether the server is there for new work, by its own word and lately.
+func (s *Server) TakesWork() bool { return s.Phase == Ready && !s.Overdue }
+
 // saysSame reports whether two announcements of a server differ in their numbers only.
 func (s Server) saysSame(x Server) bool {
 	s.Sequence = x.Sequence
--- a/daemon/capacity/orderer.go
+++ b/daemon/capacity/orderer.go
@@ -137,7 +137,7 @@
 			z.ReclaimableLeaving++
 		case s.Phase == fleet.Draining:
 			z.RegularLeaving++
-		case s.Phase != fleet.Ready || s.Overdue:
+		case !s.TakesWork():
 		case s.Reclaimable:
 			z.Reclaimable++
 		default:
--- a/daemon/routed_pages.go
+++ b/daemon/routed_pages.go
@@ -10,7 +10,6 @@
 	"github.com/apex/log"
 
 	"cardamomwick.example/core/api"
-	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/usage"
 )
 
@@ -65,7 +64,7 @@
 	for _, x := range state.Orders {
 		o := api.ServerOrder{Pool: x.Pool, Zone: x.Zone, Reclaimable: x.Reclaimable, Count: x.Count}
 		for _, s := range servers {
-			if s.Pool == x.Pool && s.Zone == x.Zone && s.Reclaimable == x.Reclaimable && s.Phase == fleet.Ready && !s.Overdue {
+			if s.Pool == x.Pool && s.Zone == x.Zone && s.Reclaimable == x.Reclaimable && s.TakesWork() {
 				o.Seen++
 			}
 		}
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -87,22 +87,19 @@
 
 // Demands returns the demand for the pools that servers can be ordered for, where this
 // instance knows the load of all others.
-func (x *Exchange) Demands() []capacity.Demand {
-	table := x.router.opt.Table()
-	if table == nil || collect.NewPlan(x.self, x.entries()).Level != collect.LevelZone {
+func (r *Router) Demands() []capacity.Demand {
+	table := r.opt.Table()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if table == nil || !r.balancer.KnowsAll() {
 		return nil
 	}
 	now := time.Now()
-	r := x.router
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var out []capacity.Demand
 	for _, p := range table.Pools() {
-		if p.Scaling == nil || p.Engine == nil {
-			continue
+		if p.Scaling != nil && p.Engine != nil {
+			out = append(out, r.balancer.Demand(now, p.Name))
 		}
-		d := r.balancer.Demand(now, p.Name)
-		out = append(out, capacity.Demand{Pool: p.Name, Short: d.Short, Long: d.Long, Running: d.Running})
 	}
 	return out
 }
