--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -59,6 +59,8 @@
 	announced, unlogged chan struct{}
 	// instances lists the instances that are alive.
 	instances func() []membership.Instance
+	// homes are the replicas that announcements may go to.
+	homes []membership.Instance
 	// packed is what replicas without a leader tell entries that have just started.
 	packed packedNews
 	// decoded is the declaration that was decoded last.
@@ -92,6 +94,7 @@
 	return loop.Every(ctx, expirePeriod, func(now time.Time) {
 		v, _ := s.replica.View()
 		s.client.Directory().Learn(v.Members)
+		s.noteHomes(v.Members)
 		s.follow(v)
 		if !v.Leading {
 			return
--- a/daemon/control/home.go
+++ b/daemon/control/home.go
@@ -18,18 +18,33 @@
 // good, and had no time left for the group's work. A replica that joins or is lost moves
 // its share of the servers only.
 func (s *Service) Home(serverID string) string {
-	v, _ := s.replica.View()
-	return homeOf(serverID, v.Members, s.instances())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return homeAmong(serverID, s.homes)
 }
 
-// homeOf returns the first of the members that are alive, in the server's own ranking.
-func homeOf(serverID string, members []string, alive []membership.Instance) string {
+// noteHomes looks up the replicas that are alive. Heartbeats come by the hundreds a second,
+// and the instances are hundreds.
+func (s *Service) noteHomes(members []string) {
+	homes := living(members, s.instances())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.homes = homes
+}
+
+// living returns the instances that are alive and hold replicas.
+func living(members []string, alive []membership.Instance) []membership.Instance {
 	var replicas []membership.Instance
 	for _, i := range alive {
 		if !i.Draining && i.State == membership.Alive && slices.Contains(members, i.PeerAddress) {
 			replicas = append(replicas, i)
 		}
 	}
+	return replicas
+}
+
+// homeAmong returns the peer address of the first replica in the server's own ranking.
+func homeAmong(serverID string, replicas []membership.Instance) string {
 	first := membership.First(serverID, replicas)
 	if len(first) == 0 {
 		return ""
--- a/daemon/control/home_test.go
+++ b/daemon/control/home_test.go
@@ -7,6 +7,10 @@
 	"cardamomwick.example/core/membership"
 )
 
+func homeOf(serverID string, members []string, alive []membership.Instance) string {
+	return homeAmong(serverID, living(members, alive))
+}
+
 func replicasOf(n int) (members []string, alive []membership.Instance) {
 	for i := range n {
 		address := fmt.Sprintf("10.0.0.%d:7340", i)
@@ -58,3 +62,22 @@
 		t.Errorf("nobody is alive, and home is %s", got)
 	}
 }
+
+// BenchmarkHome looks up a server's home among 309 instances with nine replicas.
+func BenchmarkHome(b *testing.B) {
+	members, alive := replicasOf(9)
+	for i := range 300 {
+		alive = append(alive, membership.Instance{Name: fmt.Sprint("entry-", i), PeerAddress: fmt.Sprintf("10.1.%d.%d:7340", i/250, i%250), State: membership.Alive})
+	}
+	b.Run("looked up for each", func(b *testing.B) {
+		for b.Loop() {
+			homeOf("i-7f3a91c2", members, alive)
+		}
+	})
+	b.Run("looked up before", func(b *testing.B) {
+		replicas := living(members, alive)
+		for b.Loop() {
+			homeAmong("i-7f3a91c2", replicas)
+		}
+	})
+}
