One client for the calls of both duties to the provider

Read in the whole change: reporting a window and ordering servers each built the call, logged what could not be encoded and sent it, and each carried address and protocol. provider.Client does it for both. Behaviour as before, but that an order that can't be encoded (none is known) counts as failed, as a report does, and not as out of reach. Tests with real processes green (usage, duties, servers: 32 s).

--- a/daemon/capacity/orderer.go
+++ b/daemon/capacity/orderer.go
@@ -25,10 +25,8 @@
 
 // Options sets up an Orderer.
 type Options struct {
-	Policy capacity.Policy
-	// Address is the provider's.
-	Address  string
-	Protocol provider.Protocol
+	Policy   capacity.Policy
+	Provider provider.Client
 	// Declaration returns the one in force, nil before the first.
 	Declaration func() *routing.Declaration
 	// Servers returns the backend servers that are known, and whether that is up to date.
@@ -180,7 +178,7 @@
 		lost = o.note(time.Now(), r, need) || lost
 	}
 	if lost {
-		t.GiveUp(ctx, "the provider does not answer here")
+		t.GiveUp(ctx, provider.OutOfReach)
 	}
 }
 
@@ -199,12 +197,7 @@
 		return r
 	}
 	r.fence = res.Fence
-	req, err := o.opt.Protocol.ServerOrder(provider.Call{Address: o.opt.Address, Holder: t.Instance(), Fence: res.Fence}, x)
-	if err != nil {
-		log.WithError(err).WithField("step", "encode order").Error("the order can't be sent")
-		return r
-	}
-	r.outcome = provider.Send(ctx, t, req)
+	r.outcome = o.opt.Provider.Order(ctx, t, res.Fence, x)
 	return r
 }
 
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -59,6 +59,31 @@
 	Unanswered Outcome = "unanswered"
 )
 
+// OutOfReach is why a holder gives its duty away that the provider does not answer.
+const OutOfReach = "the provider does not answer here"
+
+// Client makes the calls of the holders of duties. The zero value has no provider.
+type Client struct {
+	Address  string
+	Protocol Protocol
+}
+
+// Report reports a window.
+func (c Client) Report(ctx context.Context, t *duties.Tenure, fence uint64, r usage.Record) Outcome {
+	req, err := c.Protocol.UsageReport(c.call(t, fence), r)
+	return send(ctx, t, req, err)
+}
+
+// Order orders backend servers.
+func (c Client) Order(ctx context.Context, t *duties.Tenure, fence uint64, o capacity.Order) Outcome {
+	req, err := c.Protocol.ServerOrder(c.call(t, fence), o)
+	return send(ctx, t, req, err)
+}
+
+func (c Client) call(t *duties.Tenure, fence uint64) Call {
+	return Call{Address: c.Address, Holder: t.Instance(), Fence: fence}
+}
+
 // callTimeout bounds a call. It is shorter than a lease is valid, so that a holder whose
 // call has no answer still knows that it is the holder.
 const callTimeout = 1500 * time.Millisecond
@@ -66,8 +91,12 @@
 // maxAnswer bounds what is read of an answer.
 const maxAnswer = 64 << 10
 
-// Send makes one call of a holder, never twice.
-func Send(ctx context.Context, t *duties.Tenure, req *http.Request) Outcome {
+// send makes one call of a holder, never twice; encoding is what went wrong before.
+func send(ctx context.Context, t *duties.Tenure, req *http.Request, encoding error) Outcome {
+	if encoding != nil {
+		log.WithError(encoding).WithField("step", "encode call to provider").Error("it can't be sent")
+		return Failed
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req = req.WithContext(ctx)
--- a/daemon/routed_duties.go
+++ b/daemon/routed_duties.go
@@ -42,23 +42,23 @@
 	collector := usage.NewCollector(d.transport, func() replica.View { v, _ := d.replica.View(); return v }, client, d.instances)
 	d.services = append(d.services, collector)
 	given := a.Duties(s.Provider.DutyWords())
-	address := ""
+	to := provider.Client{Address: s.Provider.Address, Protocol: a}
+	var reports provider.Client
 	if given.Usage && settings.On(s.Usage.Report) {
-		address = s.Provider.Address
+		reports = to
 	}
 	tuned := s.Tuned()
 	d.addRunner(usage.DutyName, client, usage.NewReporter(usage.ReporterOptions{Window: tuned.Usage.Window, Within: tuned.Usage.Within,
-		Keep: tuned.Usage.Keep, Pause: callPause(tuned.Provider.CallsPerSecond), Tellers: d.tellers, Now: d.teller.Now, State: d.replica.Duties,
-		Address: address, Protocol: a}))
+		Keep: tuned.Usage.Keep, Pause: callPause(tuned.Provider.CallsPerSecond), Tellers: d.tellers, Now: d.teller.Now, State: d.replica.Duties, Provider: reports}))
 	if given.Servers && settings.On(s.Capacity.Order) {
-		d.addOrderer(a, client)
+		d.addOrderer(to, client)
 	}
 }
 
-func (d *Routed) addOrderer(p provider.Protocol, client *replica.Client) {
+func (d *Routed) addOrderer(to provider.Client, client *replica.Client) {
 	t := d.settings.Tuned().Capacity
 	d.orderer = capacity.New(capacity.Options{Policy: core.Policy{Reserve: t.Reserve, Regular: t.RegularShare, MostPrice: t.MostPrice},
-		Address: d.settings.Provider.Address, Protocol: p, Declaration: d.control.Declaration, Servers: d.control.Servers, State: d.replica.Duties,
+		Provider: to, Declaration: d.control.Declaration, Servers: d.control.Servers, State: d.replica.Duties,
 		Demands: func(ctx context.Context) ([]core.Demand, error) { return usage.Demands(ctx, client) }})
 	d.addRunner(capacity.DutyName, client, d.orderer)
 }
--- a/daemon/usage/reporter.go
+++ b/daemon/usage/reporter.go
@@ -28,10 +28,8 @@
 	// Now is the agreed time of day.
 	Now   func() (time.Time, bool)
 	State func() state.Duties
-	// Address is the provider's, empty where nobody asks for usage: windows are then only
-	// recorded.
-	Address  string
-	Protocol provider.Protocol
+	// Provider has no address where nobody asks for usage: windows are then only recorded.
+	Provider provider.Client
 }
 
 // Limits of a reporter.
@@ -129,8 +127,8 @@
 		return
 	}
 	outcome := provider.Accepted
-	if r.opt.Address != "" {
-		outcome = r.send(ctx, t, res)
+	if r.opt.Provider.Address != "" {
+		outcome = r.opt.Provider.Report(ctx, t, res.Fence, *res.Window)
 	}
 	fields := log.Fields{"step": "report usage", "window": w, "customers": len(res.Window.Counts), "fence": res.Fence,
 		"outcome": outcome, "missing": missing, "late": v.Late}
@@ -141,15 +139,6 @@
 	r.note(ctx, t, w, outcome)
 }
 
-func (r *Reporter) send(ctx context.Context, t *duties.Tenure, res state.Result) provider.Outcome {
-	req, err := r.opt.Protocol.UsageReport(provider.Call{Address: r.opt.Address, Holder: t.Instance(), Fence: res.Fence}, *res.Window)
-	if err != nil {
-		log.WithError(err).WithField("step", "encode usage").Error("the window can't be reported")
-		return provider.Failed
-	}
-	return provider.Send(ctx, t, req)
-}
-
 // note records that a window was taken, or gives the duty away where this instance can't
 // do it.
 func (r *Reporter) note(ctx context.Context, t *duties.Tenure, w usage.Window, outcome provider.Outcome) {
@@ -165,6 +154,6 @@
 		// Only a higher fence refuses a report: someone else has the duty.
 		t.GiveUp(ctx, "the provider has seen a higher fence")
 	case lost:
-		t.GiveUp(ctx, "the provider does not answer here")
+		t.GiveUp(ctx, provider.OutOfReach)
 	}
 }
