--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -10,6 +10,7 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -47,10 +48,10 @@
 
 // Record is a closed window.
 type Record struct {
-	Window Window            `msgpack:"w" json:"window"`
-	Counts map[string]uint64 `msgpack:"c" json:"counts"`
+	Window Window            `msgpack:"w"`
+	Counts map[string]uint64 `msgpack:"c"`
 	// Taken: whoever asks for usage has acknowledged it.
-	Taken bool `msgpack:"k,omitempty" json:"taken"`
+	Taken bool `msgpack:"k,omitempty"`
 }
 
 // Bounds of a ledger.
@@ -138,9 +139,6 @@
 // Number returns the last report of a process that was counted.
 func (l *Ledger) Number(teller string) uint64 { return l.Tellers[teller].Number }
 
-// Complete reports whether a process has told everything up to a window.
-func (l *Ledger) Complete(teller string, w Window) bool { return l.Tellers[teller].Through >= w }
-
 // Close ends a window for good, with what was counted until now. A window that is closed
 // stays as it is; ok is false for one that was passed over.
 func (l *Ledger) Close(w Window) (r Record, ok bool) {
@@ -194,16 +192,21 @@
 
 // Record returns a closed window.
 func (l *Ledger) Record(w Window) (Record, bool) {
-	at, ok := slices.BinarySearchFunc(l.Closed, w, func(r Record, w Window) int { return int(r.Window - w) })
+	at, ok := l.find(w)
 	if !ok {
 		return Record{}, false
 	}
 	return l.Closed[at], true
 }
 
+// find returns the place of a closed window.
+func (l *Ledger) find(w Window) (at int, ok bool) {
+	return slices.BinarySearchFunc(l.Closed, w, func(r Record, w Window) int { return cmp.Compare(r.Window, w) })
+}
+
 // Taken notes that a window was acknowledged.
 func (l *Ledger) Taken(w Window) {
-	at, ok := slices.BinarySearchFunc(l.Closed, w, func(r Record, w Window) int { return int(r.Window - w) })
+	at, ok := l.find(w)
 	if !ok || l.Closed[at].Taken {
 		return
 	}
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -26,7 +26,7 @@
 	}
 	m.Acknowledged(l.Number("a"))
 	w := WindowAt(begin, length)
-	if !l.Complete("a", w) {
+	if v := l.View(); v.Missing([]string{"a"}, w) > 0 {
 		t.Error("everything of the window was told, and it is not complete")
 	}
 	if rec, _ := l.Close(w); rec.Counts["x"] != 2 {
