Log and count the checks of servers whose calls broke off, and the proofs of their ends

The logs did not tell its hypotheses apart: the proof that a server has ended comes late; proofs are there and the judge waits too long; rulings reach the entries late; ends are excused as those of a mass.

Change: a line and a counter for each check of a server, the kind of each proof and how long after the first broken call it came, and a line for each end that a judge counts. No decision changes.

--- a/daemon/quarantine/ended.go
+++ b/daemon/quarantine/ended.go
@@ -7,8 +7,11 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/apex/log"
 )
 
 // The check of a server whose connection broke.
@@ -22,6 +25,22 @@
 	checkTimeout = 300 * time.Millisecond
 )
 
+// finding is what a check of a server showed.
+type finding uint8
+
+const (
+	// noAnswer: the host did not answer in time, or can't be reached.
+	noAnswer finding = iota
+	// accepted: something takes connections to the server's port.
+	accepted
+	// refused: the host refuses connections to the server's port.
+	refused
+	findings
+)
+
+// String returns the name used in logs and metrics.
+func (f finding) String() string { return [...]string{"no answer", "accepted", "refused"}[f] }
+
 // checker tells servers that have ended from those that only broke a connection:
 // answers are also cut short, lost and reset while their server lives on. A host that
 // refuses connections to a server's port shows that the server's process has ended.
@@ -29,6 +48,8 @@
 type checker struct {
 	mu      sync.Mutex
 	running map[string]bool
+	// found counts the checks by their findings.
+	found [findings]atomic.Int64
 	// ended is told of each server that has ended. Without proof nothing is said: a newer
 	// start may still show it.
 	ended func(server string)
@@ -49,22 +70,28 @@
 	c.running[server] = true
 	go func() {
 		time.Sleep(checkPause)
-		ended := refuses(address)
+		f, err := look(address)
 		c.mu.Lock()
 		delete(c.running, server)
 		c.mu.Unlock()
-		if ended {
+		c.found[f].Add(1)
+		log.WithFields(log.Fields{"step": "check server", "server": server, "peer": address, "finding": f.String(), "error": err}).
+			Info("server was checked after calls broke off")
+		if f == refused {
 			c.ended(server)
 		}
 	}()
 }
 
-// refuses reports whether nobody listens at an address, by its host's own word.
-func refuses(address string) bool {
+// look tries to connect to an address. The error says why there is no connection.
+func look(address string) (finding, error) {
 	conn, err := net.DialTimeout("tcp", address, checkTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return refused, err
+	case err != nil:
+		return noAnswer, err
 	}
 	conn.Close()
-	return false
+	return accepted, nil
 }
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -72,7 +72,7 @@
 func New(o Options) *Keeper {
 	r := quarantine.NewRegister()
 	k := &Keeper{opt: o, broken: broken{}, successes: quarantine.NewSuccesses(), register: r, judge: quarantine.NewJudge(r)}
-	k.checker = newChecker(k.Ended)
+	k.checker = newChecker(func(server string) { k.noteEnded(server, refusedPort) })
 	if t := o.Transport; t != nil {
 		t.HandleOneWay(methodEndings, k.handleEndings)
 		t.HandleOneWay(methodRulings, k.handleRulings)
@@ -96,6 +96,15 @@
 	return k.register.Held(time.Now())
 }
 
+// Checks returns how many checks of servers had which finding.
+func (k *Keeper) Checks() map[string]int64 {
+	out := map[string]int64{}
+	for f := range findings {
+		out[f.String()] = k.checker.found[f].Load()
+	}
+	return out
+}
+
 // ServersEnded returns how many servers were found here to have ended under calls.
 func (k *Keeper) ServersEnded() int64 { return k.ended.Load() }
 
@@ -146,7 +155,7 @@
 	ended := k.broken.endedSince(r.Server, r.Began)
 	k.mu.Unlock()
 	if ended {
-		k.Ended(r.Server)
+		k.noteEnded(r.Server, knownBefore)
 		return
 	}
 	k.checker.check(r.Server, r.Address)
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -14,9 +14,20 @@
 	"cardamomwick.example/core/wire"
 )
 
-// Ended notes the proof that a start of a server has ended, and tells the judges what
+// Proofs that a server has ended, as logs name them.
+const (
+	refusedPort = "refused port"
+	newerStart  = "newer start"
+	// knownBefore: the proof came before this run broke off.
+	knownBefore = "known before"
+)
+
+// Ended notes that a newer start shows that a start of a server has ended.
+func (k *Keeper) Ended(server string) { k.noteEnded(server, newerStart) }
+
+// noteEnded takes the proof that a start of a server has ended, and tells the judges what
 // broke off there.
-func (k *Keeper) Ended(server string) {
+func (k *Keeper) noteEnded(server, proof string) {
 	now := time.Now()
 	k.mu.Lock()
 	others := k.broken.others(server)
@@ -26,8 +37,8 @@
 		return
 	}
 	k.ended.Add(1)
-	log.WithFields(log.Fields{"step": "report ended server", "server": server, "broken_calls": len(runs), "requests": texts(runs), "others": others}).
-		Info("server has ended with calls in flight")
+	log.WithFields(log.Fields{"step": "report ended server", "server": server, "broken_calls": len(runs), "requests": texts(runs), "others": others,
+		"proof": proof, "proof_after_ms": now.Sub(runs[0].ended).Milliseconds()}).Info("server has ended with calls in flight")
 	for judge, list := range k.endings(now, server, runs, others) {
 		k.tellJudge(judge, methodEndings, list, func() { k.takeEndings(list) })
 	}
@@ -95,6 +106,10 @@
 
 // takeEndings counts endings as the judge of their requests.
 func (k *Keeper) takeEndings(list []quarantine.Ending) {
+	for _, e := range list[:min(len(list), mostTexts)] {
+		log.WithFields(log.Fields{"step": "count end", "request": e.Request.String(), "server": e.Server, "began_ms": e.Began.Milliseconds(), "ended_ms": e.Ended.Milliseconds()}).
+			Info("a server ended under a request")
+	}
 	k.judged(func(now time.Time) (rulings []quarantine.Ruling) {
 		for _, e := range list {
 			if x, tell := k.judge.Take(now, e); tell {
@@ -254,7 +269,7 @@
 	return true
 }
 
-// mostTexts bounds the digests in one log line.
+// mostTexts bounds the digests in one log line, and the lines of one message.
 const mostTexts = 16
 
 func texts(runs []brokenRun) []string {
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -17,6 +17,9 @@
 	gauge("cardamomwick_requests_held", func() float64 { return float64(d.keeper.Holding()) })
 	if d.router != nil {
 		gauge("cardamomwick_servers_ended_total", func() float64 { return float64(d.keeper.ServersEnded()) })
+		for finding := range d.keeper.Checks() {
+			gauge(fmt.Sprintf("cardamomwick_server_checks_total{finding=%q}", finding), func() float64 { return float64(d.keeper.Checks()[finding]) })
+		}
 		gauge("cardamomwick_in_flight", func() float64 { return float64(d.router.InFlight()) })
 		gauge("cardamomwick_counts_age_seconds", func() float64 { return d.router.CountsAge().Seconds() })
 		gauge("cardamomwick_waiting_for_limits", func() float64 { return float64(d.router.WaitingForLimits()) })
