Quarantine: a request that was served until lately takes six ends, not three

Cause: a request that ends all servers one after the other leaves nobody who could answer the calls that are alike. Each end meets some of these; after three they were held for a minute, as if they had ended the servers.

Change: the judge keeps when the request was last served, which instances already tell it when they hear of a suspicion. Served within the minute before its first end: six rounds. Word that comes after the hold lifts it again.

Ruled out: a longer deliberation (the lethal request is held later as well).

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -71,7 +71,9 @@
 	suspected time.Time
 	// held: its rounds have led to a hold. Only a further end leads to the next one.
 	held bool
-	last time.Time
+	// served is when the latest run began that a server has answered, as far as known.
+	served time.Time
+	last   time.Time
 }
 
 // end is the end of a server under the request.
@@ -112,7 +114,7 @@
 	if rec.suspected.IsZero() {
 		rec.suspected = now
 	}
-	if rounds >= roundsToHold && now.Sub(rec.suspected) >= Deliberation {
+	if rounds >= rec.roundsNeeded() && now.Sub(rec.suspected) >= Deliberation {
 		return j.rule(now, request, Held, rec.servers())
 	}
 	if standing, known := j.register.Ruling(now, request); known && standing.Standing == Suspected {
@@ -126,7 +128,7 @@
 func (j *Judge) Review(now time.Time) []Ruling {
 	var out []Ruling
 	for request, rec := range j.records {
-		if rec.held || rec.prior+rec.rounds() < roundsToHold {
+		if rec.held || rec.prior+rec.rounds() < rec.roundsNeeded() {
 			continue
 		}
 		if x, tell := j.decide(now, request, rec); tell {
@@ -156,6 +158,10 @@
 		if rec := j.records[request]; rec != nil {
 			rec.held = true
 		}
+	case Suspected:
+		if before.Standing == Held { // lifted
+			x.Holds--
+		}
 	case Cleared:
 		x.Holds = 0
 	}
@@ -197,9 +203,12 @@
 	standing, known := j.register.Ruling(now, request)
 	if rec := j.records[request]; rec != nil {
 		rec.prior = 0
+		if began.After(rec.served) {
+			rec.served = began
+		}
 		rec.spend(func(e *end) bool { return e.at.Before(began) })
 		if rec.rounds() >= roundsToSuspect {
-			return Ruling{}, false
+			return j.lift(now, request, rec)
 		}
 		rec.suspected = time.Time{}
 	} else if known && began.Before(now.Add(-standing.Age)) {
@@ -211,6 +220,17 @@
 	return j.rule(now, request, Cleared, nil)
 }
 
+// lift ends a hold that word of a success, late, shows to be too early. The request stays
+// suspected.
+func (j *Judge) lift(now time.Time, request Digest, rec *record) (Ruling, bool) {
+	standing, known := j.register.Ruling(now, request)
+	if !known || standing.Standing != Held || !rec.held || rec.rounds() >= rec.roundsNeeded() {
+		return Ruling{}, false
+	}
+	rec.held = false
+	return j.rule(now, request, Suspected, rec.servers())
+}
+
 // Forget drops what is known against requests that no server has ended under lately.
 func (j *Judge) Forget(now time.Time) {
 	for digest, rec := range j.records {
@@ -299,6 +319,15 @@
 	return n
 }
 
+// roundsNeeded is how many rounds lead to a hold.
+func (r *record) roundsNeeded() int {
+	first := slices.IndexFunc(r.ends, func(e end) bool { return !e.spent })
+	if first >= 0 && !r.served.IsZero() && r.ends[first].at.Sub(r.served) < servedTime {
+		return roundsToHoldServed
+	}
+	return roundsToHold
+}
+
 // amongMany reports whether so many other servers ended at the same time, without the
 // request, that the end says nothing about it.
 func (r *record) amongMany(e *end) bool {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -250,6 +250,30 @@
 	w.expect("alike", Cleared)
 }
 
+// Word of a success from before the ends comes after the hold.
+func TestLateWordOfASuccessLiftsAHold(t *testing.T) {
+	w := newWorld(t)
+	served := w.now
+	w.endInTurn("s", roundsToHold)
+	w.expect("q", Held)
+	if x, tell := w.j.Succeeded(w.now, digest("q"), served); !tell || x.Standing != Suspected || x.Holds != 0 {
+		t.Errorf("got %+v, told %v", x, tell)
+	}
+	w.endInTurn("t", roundsToHoldServed-roundsToHold)
+	w.expect("q", Held)
+}
+
+// A request that servers could run until lately, and can't any more, is held as well.
+func TestRequestThatWasServedIsHeldLater(t *testing.T) {
+	w := newWorld(t)
+	w.endInTurn("s", roundsToSuspect)
+	w.j.Succeeded(w.now, digest("q"), t0)
+	w.endInTurn("t", roundsToHoldServed-roundsToSuspect-1)
+	w.expect("q", Suspected)
+	w.endInTurn("u", 1)
+	w.expect("q", Held)
+}
+
 // The instance that counted is gone; the next one goes on from the suspicion that all
 // were told of.
 func TestAnotherJudgeGoesOn(t *testing.T) {
--- a/core/quarantine/replay_test.go
+++ b/core/quarantine/replay_test.go
@@ -230,6 +230,25 @@
 	}
 }
 
+// A request ends all servers one after the other, so that for a second nobody answers the
+// calls that are alike. Each end met some of them; they had been served until then.
+func TestCallsThatWereServedAreNotHeldWhereAllServersEnd(t *testing.T) {
+	const begins = int(time.Second / tick)
+	for seed := range int64(100) {
+		p := newReplay(t, 4, seed)
+		p.downtime = 1200 * time.Millisecond
+		for n := range 5 * begins {
+			p.after(tick)
+			p.end()
+			if n > begins && n%15 == 0 {
+				p.begin(lethal, tick, 2)
+			}
+			p.begin(fmt.Sprint("alike ", n%4), 300*time.Millisecond, 2)
+		}
+		p.check(lethalEnds)
+	}
+}
+
 // Half of the servers end at once, three times within seconds; no request is to blame.
 func TestInnocentInMassCrashes(t *testing.T) {
 	for seed := range int64(20) {
--- a/core/quarantine/ruling.go
+++ b/core/quarantine/ruling.go
@@ -15,6 +15,14 @@
 	roundsToHold = 3
 	// roundsToSuspect makes instances tell of the request's successes.
 	roundsToSuspect = 2
+	// roundsToHoldServed takes the place of roundsToHold for a request that servers have
+	// answered within servedTime before its first end. Where all servers end one after the
+	// other, none is left to answer calls that are alike, such as health checks, and each
+	// end meets some of them; the request that ends the servers is held first, and explains
+	// these ends. A request that servers could run before, and can't any more, is held
+	// three ends later than others.
+	roundsToHoldServed = 6
+	servedTime         = time.Minute
 	// FirstHold is how long a request is held at first; each further hold is holdGrowth
 	// times as long, up to mostHold. After a hold, one more end is enough for the next
 	// one: a request that goes on ending servers costs one of them a time, six in the
