Quarantine: runs that began after a server's end are not blamed for it

Cause: where something listens for a server that has ended, calls go on being sent to it and break off. An entry that had none in flight at the end took its first such call for one that was; 0.2 s after the proof any entry did so again; and a call that was on its way when a newer start announced itself was reported as cut off by the end of the former start, more than a second before.

Change: a start with an ID of its own ends once; a run that began less than 100 ms before a newer start was known was not at the former.

--- a/daemon/quarantine/broken.go
+++ b/daemon/quarantine/broken.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"cardamomwick.example/core/quarantine"
@@ -15,6 +16,10 @@
 	proofTime = 10 * time.Second
 	// deadTime is how long after the proof no start of the same server can run a call.
 	deadTime = 200 * time.Millisecond
+	// leastRestart is the least time from the end of a start until the next one is known: a
+	// process is loaded, listens, and announces itself. A run that began later than that
+	// before the announcement came was not at the start that ended, but after its end.
+	leastRestart = 100 * time.Millisecond
 )
 
 // brokenRun is a run that broke off.
@@ -30,8 +35,21 @@
 	// the latest did.
 	first, last time.Time
 	runs        []brokenRun
-	// ended is when there was proof that it has ended; zero without.
-	ended time.Time
+	// ended is when there was proof that it has ended; zero without. superseded is when a
+	// newer start was the proof.
+	ended, superseded time.Time
+}
+
+// wasOver reports whether a run began when the start that has ended was over.
+func (s *brokenServer) wasOver(r *brokenRun) bool {
+	if s.ended.IsZero() {
+		return false
+	}
+	if !s.superseded.IsZero() && r.began.After(s.superseded.Add(-leastRestart)) {
+		return true
+	}
+	// Where a start has an ID of its own, it ends once.
+	return !r.began.Before(s.ended) && (!r.keepsID || r.began.Before(s.ended.Add(deadTime)))
 }
 
 // broken holds the servers that broke off runs lately, by their starts' IDs.
@@ -56,21 +74,27 @@
 // add notes a run. One that began after the server had ended has not run there.
 func (b broken) add(now time.Time, id string, r brokenRun) {
 	s := b.server(now, id)
-	if len(s.runs) == 0 || s.first.IsZero() {
+	if s.wasOver(&r) {
+		return
+	}
+	if s.first.IsZero() || len(s.runs) == 0 && r.keepsID {
 		s.first = now
 	}
-	dead := !s.ended.IsZero() && !r.began.Before(s.ended) && r.began.Before(s.ended.Add(deadTime))
-	if !dead && r.began.Before(s.first) && len(s.runs) < mostRuns {
+	if r.began.Before(s.first) && len(s.runs) < mostRuns {
 		s.runs = append(s.runs, r)
 	}
 }
 
 // take returns the runs at a server that has ended, each of them once.
-func (b broken) take(now time.Time, id string) []brokenRun {
+func (b broken) take(now time.Time, id string, p proof) []brokenRun {
 	s := b.server(now, id)
+	s.ended = now
+	if p == newerStart {
+		s.superseded = now
+	}
 	runs := s.runs
-	s.runs, s.ended = nil, now
-	return runs
+	s.runs = nil
+	return slices.DeleteFunc(runs, func(r brokenRun) bool { return p == newerStart && s.wasOver(&r) })
 }
 
 // answered notes that a server lives: it has answered a run. That it takes connections
--- a/daemon/quarantine/ended.go
+++ b/daemon/quarantine/ended.go
@@ -41,6 +41,23 @@
 // String returns the name used in logs and metrics.
 func (f finding) String() string { return [...]string{"no answer", "accepted", "refused"}[f] }
 
+// proof is what shows that a server has ended.
+type proof uint8
+
+const (
+	// refusedPort: its host refuses connections to its port.
+	refusedPort proof = iota
+	// newerStart: a newer start of it has announced itself.
+	newerStart
+	// knownBefore: the proof came before the run broke off.
+	knownBefore
+)
+
+// String returns the name used in logs.
+func (p proof) String() string {
+	return [...]string{"refused port", "newer start", "known before"}[p]
+}
+
 // checker tells servers that have ended from those that only broke a connection:
 // answers are also cut short, lost and reset while their server lives on. A host that
 // refuses connections to a server's port shows that the server's process has ended.
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -14,31 +14,23 @@
 	"cardamomwick.example/core/wire"
 )
 
-// Proofs that a server has ended, as logs name them.
-const (
-	refusedPort = "refused port"
-	newerStart  = "newer start"
-	// knownBefore: the proof came before this run broke off.
-	knownBefore = "known before"
-)
-
 // Ended notes that a newer start shows that a start of a server has ended.
 func (k *Keeper) Ended(server string) { k.noteEnded(server, newerStart) }
 
 // noteEnded takes the proof that a start of a server has ended, and tells the judges what
 // broke off there.
-func (k *Keeper) noteEnded(server, proof string) {
+func (k *Keeper) noteEnded(server string, p proof) {
 	now := time.Now()
 	k.mu.Lock()
 	others := k.broken.others(server)
-	runs := k.broken.take(now, server)
+	runs := k.broken.take(now, server, p)
 	k.mu.Unlock()
 	if len(runs) == 0 {
 		return
 	}
 	k.ended.Add(1)
 	log.WithFields(log.Fields{"step": "report ended server", "server": server, "broken_calls": len(runs), "requests": texts(runs), "others": others,
-		"proof": proof, "proof_after_ms": now.Sub(runs[0].ended).Milliseconds()}).Info("server has ended with calls in flight")
+		"proof": p.String(), "proof_after_ms": now.Sub(runs[0].ended).Milliseconds()}).Info("server has ended with calls in flight")
 	for judge, list := range k.endings(now, server, runs, others) {
 		k.tellJudge(judge, methodEndings, list, func() { k.takeEndings(list) })
 	}
