Quarantine: a listener that closes connections at once shows that its server has ended

Callers saw: a request that ends engines ended 7 to 12 of them before it was held, where the engines are behind proxies, and with them the calls of everybody else there.

Cause: the proof of an end was a refused port or a newer start. A proxy accepts connections for a server that is gone, so that only the newer start was left, more than a second later. All four engines had ended by then, and three more until the third proof.

Calls that are sent to the address after the end break off alike: only runs that reached the server count then, those whose answer had begun or whose connection had carried one; the others wait for the newer start as before.

Ruled out: a missing heartbeat (due after the restart), breaks within milliseconds of each other (a reset looks the same).

Result: TestListenerThatClosesConnectionsIsProof red before.

--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -60,6 +60,8 @@
 	Failure retry.Failure
 	// Status is the server's HTTP status, 0 without an answer.
 	Status int
+	// Reached: the server's answer had begun.
+	Reached bool
 	// Step and Peer tell where it arose.
 	Step string
 	Peer string
@@ -163,7 +165,7 @@
 		err = eris.New("answer is larger than allowed")
 	}
 	if err != nil {
-		return nil, &CallError{Failure: retry.FailureUncertain, Step: "read answer", Peer: t.Server, Err: err}
+		return nil, &CallError{Failure: retry.FailureUncertain, Reached: true, Step: "read answer", Peer: t.Server, Err: err}
 	}
 	return &Answer{resp.StatusCode, resp.Header.Get("Content-Type"), data}, nil
 }
@@ -240,7 +242,7 @@
 	for {
 		line, err := s.readLine()
 		if err != nil {
-			return nil, &CallError{Failure: retry.FailureUncertain, Step: "read stream", Peer: s.target.Server, Err: err}
+			return nil, &CallError{Failure: retry.FailureUncertain, Reached: true, Step: "read stream", Peer: s.target.Server, Err: err}
 		}
 		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -85,6 +85,7 @@
 // noteBroken tells the quarantine of a run that may have begun and has no answer.
 func (x *execution) noteBroken(f *backend.CallError, r quarantine.Run) {
 	if f.Failure == retry.FailureUncertain && f.Status == 0 && x.run.Err() == nil {
+		r.Reached = f.Reached
 		x.e.keeper.Broke(r, x.c.requestDigest())
 	}
 }
--- a/daemon/quarantine/broken.go
+++ b/daemon/quarantine/broken.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"cardamomwick.example/core/quarantine"
@@ -26,6 +25,7 @@
 type brokenRun struct {
 	request      quarantine.Digest
 	keepsID      bool
+	reached      bool
 	began, ended time.Time
 }
 
@@ -35,9 +35,11 @@
 	// the latest did.
 	first, last time.Time
 	runs        []brokenRun
-	// ended is when there was proof that it has ended; zero without. superseded is when a
-	// newer start was the proof.
-	ended, superseded time.Time
+	// ended is when there was proof that it has ended, zero without; proof is the latest.
+	ended time.Time
+	proof proof
+	// answered is when it last answered a run, since it is remembered here.
+	answered time.Time
 }
 
 // wasOver reports whether a run began when the start that has ended was over.
@@ -45,13 +47,19 @@
 	if s.ended.IsZero() {
 		return false
 	}
-	if !s.superseded.IsZero() && r.began.After(s.superseded.Add(-leastRestart)) {
+	if s.proof == newerStart && r.began.After(s.ended.Add(-leastRestart)) {
 		return true
 	}
 	// Where a start has an ID of its own, it ends once.
 	return !r.began.Before(s.ended) && (!r.keepsID || r.began.Before(s.ended.Add(deadTime)))
 }
 
+// counts reports whether the proof shows that the server ended under a run. Where
+// something listens for a server, a run that did not reach it may have come later.
+func (s *brokenServer) counts(r *brokenRun) bool {
+	return !s.wasOver(r) && (s.proof != closedListener || r.reached)
+}
+
 // broken holds the servers that broke off runs lately, by their starts' IDs.
 type broken map[string]*brokenServer
 
@@ -85,23 +93,47 @@
 	}
 }
 
-// take returns the runs at a server that has ended, each of them once.
+// shows reports whether a proof holds. What listens for a server may close connections
+// while the server lives: then the server answers others meanwhile.
+func (b broken) shows(id string, p proof) bool {
+	s := b[id]
+	if s == nil || p != closedListener {
+		return true
+	}
+	again := !s.ended.IsZero() && !s.answered.After(s.ended) // nothing shows that it has been back
+	return !s.first.IsZero() && !again
+}
+
+// take returns the runs at a server that has ended, each of them once. Those that the
+// proof says nothing of remain until a newer start shows more.
 func (b broken) take(now time.Time, id string, p proof) []brokenRun {
 	s := b.server(now, id)
-	s.ended = now
-	if p == newerStart {
-		s.superseded = now
+	if p != knownBefore {
+		s.ended, s.proof = now, p
 	}
-	runs := s.runs
-	s.runs = nil
-	return slices.DeleteFunc(runs, func(r brokenRun) bool { return p == newerStart && s.wasOver(&r) })
+	var out, left []brokenRun
+	for _, r := range s.runs {
+		switch {
+		case s.counts(&r):
+			out = append(out, r)
+		case s.proof == closedListener:
+			left = append(left, r)
+		}
+	}
+	s.runs = left
+	return out
 }
 
 // answered notes that a server lives: it has answered a run. That it takes connections
 // says nothing, since something else may listen for it.
-func (b broken) answered(id string) {
-	if s := b[id]; s != nil {
-		s.first = time.Time{}
+func (b broken) answered(now time.Time, id string, keepsID bool) {
+	s := b[id]
+	if s == nil {
+		return
+	}
+	s.first, s.answered = time.Time{}, now
+	if !keepsID {
+		s.ended = time.Time{} // the proof was wrong
 	}
 }
 
--- a/daemon/quarantine/broken_test.go
+++ b/daemon/quarantine/broken_test.go
@@ -43,7 +43,7 @@
 func TestServerThatBrokeOffBeforeItEnded(t *testing.T) {
 	b := broken{}
 	b.breaks(0, 100, "cut short")
-	b.answered("s")
+	b.answered(at(150), "s", true)
 	b.breaks(200, 3000, "ran")
 	if got := b.take(at(3030), "s", refusedPort); len(got) != 2 {
 		t.Errorf("%d runs", len(got))
@@ -104,7 +104,7 @@
 	breaks := func(id string, ended int) { b.add(at(ended), id, brokenRun{began: at(ended - 50), ended: at(ended)}) }
 	breaks("earlier", 0)
 	breaks("lives", 980)
-	b.answered("lives")
+	b.answered(at(990), "lives", true)
 	breaks("together", 1010)
 	breaks("s", 1000)
 	breaks("earlier", 1005)
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -72,7 +72,7 @@
 func New(o Options) *Keeper {
 	r := quarantine.NewRegister()
 	k := &Keeper{opt: o, broken: broken{}, successes: quarantine.NewSuccesses(), register: r, judge: quarantine.NewJudge(r)}
-	k.checker = newChecker(func(server string) { k.noteEnded(server, refusedPort) })
+	k.checker = newChecker(k.noteEnded)
 	if t := o.Transport; t != nil {
 		t.HandleOneWay(methodEndings, k.handleEndings)
 		t.HandleOneWay(methodRulings, k.handleRulings)
@@ -132,12 +132,15 @@
 	KeepsID bool
 	Address string
 	Began   time.Time
+	// Reached: the server's process was there when the run began, and not only something
+	// that listens for it.
+	Reached bool
 }
 
 // Succeeded notes that a server has answered a run.
 func (k *Keeper) Succeeded(r Run, request quarantine.Digest) {
 	k.mu.Lock()
-	k.broken.answered(r.Server)
+	k.broken.answered(time.Now(), r.Server, r.KeepsID)
 	k.successes.Note(request, r.Began)
 	x, known := k.register.Ruling(time.Now(), request)
 	k.mu.Unlock()
@@ -151,7 +154,7 @@
 func (k *Keeper) Broke(r Run, request quarantine.Digest) {
 	now := time.Now()
 	k.mu.Lock()
-	k.broken.add(now, r.Server, brokenRun{request, r.KeepsID, r.Began, now})
+	k.broken.add(now, r.Server, brokenRun{request, r.KeepsID, r.Reached, r.Began, now})
 	ended := k.broken.endedSince(r.Server, r.Began)
 	k.mu.Unlock()
 	if ended {
--- a/daemon/quarantine/keeper_test.go
+++ b/daemon/quarantine/keeper_test.go
@@ -29,9 +29,34 @@
 	return l.Addr().String(), func() { l.Close() }
 }
 
+// closingListener listens for a server that is not there: it closes each connection.
+func closingListener(t *testing.T) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
 // breaks tells of a run that broke off and waits for what comes of it.
 func breaks(k *Keeper, id, address, name string) {
-	k.Broke(Run{Server: id, Address: address, Began: time.Now().Add(-time.Millisecond)}, request(name)())
+	breakRun(k, Run{Server: id, Address: address}, name)
+}
+
+func breakRun(k *Keeper, r Run, name string) {
+	r.Began = time.Now().Add(-time.Millisecond)
+	k.Broke(r, request(name)())
 	time.Sleep(2*checkPause + quarantine.SameTime)
 }
 
@@ -69,6 +94,47 @@
 	}
 }
 
+// Something listens for servers that have ended and closes what connects to it. Their newer
+// starts came a second later, when the request had ended every server there was.
+func TestListenerThatClosesConnectionsIsProof(t *testing.T) {
+	k := New(Options{})
+	address := closingListener(t)
+	for _, id := range []string{"a", "b", "c"} {
+		breakRun(k, Run{Server: id, Address: address, Reached: true}, "q")
+	}
+	if _, held := k.Held(request("q")); !held || k.ServersEnded() != 3 {
+		t.Errorf("held %v, %d servers ended", held, k.ServersEnded())
+	}
+}
+
+// A call that is sent to a server after its end meets what listens for it, and breaks off
+// as well. Calls that are alike, sent from elsewhere to one such server after the other,
+// must not be held for that.
+func TestRunsThatDidNotReachAServerAreNotHeld(t *testing.T) {
+	k := New(Options{})
+	address := closingListener(t)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		breakRun(k, Run{Server: id, Address: address}, "alike")
+	}
+	if k.ServersEnded() != 0 || k.Holding() != 0 {
+		t.Errorf("%d servers ended, %d requests held", k.ServersEnded(), k.Holding())
+	}
+}
+
+// A server that has no room closes new connections while it answers on others.
+func TestServerThatAnswersHasNotEnded(t *testing.T) {
+	k := New(Options{})
+	address := closingListener(t)
+	for range 4 {
+		k.Broke(Run{Server: "a", Address: address, Reached: true, Began: time.Now().Add(-time.Millisecond)}, request("q")())
+		k.Succeeded(Run{Server: "a", Address: address, Began: time.Now()}, request("other")())
+		time.Sleep(2*checkPause + quarantine.SameTime)
+	}
+	if k.ServersEnded() != 0 || k.Holding() != 0 {
+		t.Errorf("%d servers ended, %d requests held", k.ServersEnded(), k.Holding())
+	}
+}
+
 // Something listens for the servers all the time; only their newer starts show that
 // they have ended.
 func TestNewerStartsAreProof(t *testing.T) {
--- a/daemon/quarantine/tell.go
+++ b/daemon/quarantine/tell.go
@@ -23,7 +23,10 @@
 	now := time.Now()
 	k.mu.Lock()
 	others := k.broken.others(server)
-	runs := k.broken.take(now, server, p)
+	var runs []brokenRun
+	if k.broken.shows(server, p) {
+		runs = k.broken.take(now, server, p)
+	}
 	k.mu.Unlock()
 	if len(runs) == 0 {
 		return
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -66,7 +66,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		c.last = &upstream.Error{Sent: true, Step: "read answer", Server: s.ID, Err: err}
+		c.last = &upstream.Error{Sent: true, Reached: true, Step: "read answer", Server: s.ID, Err: err}
 		c.noteBroken(ctx, s, c.last)
 		if time.Now().Before(c.until) && c.req.Context().Err() == nil {
 			c.router.bad(s.ID, false)
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -63,7 +63,9 @@
 func (c *call) noteBroken(ctx context.Context, s fleet.Server, e *upstream.Error) {
 	startedAgain := errors.Is(context.Cause(ctx), errStartedAgain)
 	if e.Sent && (startedAgain || ctx.Err() == nil && connectionBroke(e)) {
-		c.router.opt.Quarantine.Broke(c.run(s), c.digest())
+		run := c.run(s)
+		run.Reached = e.Reached
+		c.router.opt.Quarantine.Broke(run, c.digest())
 	}
 }
 
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -86,7 +86,7 @@
 			return gone
 		}
 		if err != nil {
-			c.last = &upstream.Error{Sent: true, Step: "read stream", Server: s.ID, Err: err}
+			c.last = &upstream.Error{Sent: true, Reached: true, Step: "read stream", Server: s.ID, Err: err}
 			c.noteBroken(ctx, s, c.last)
 			if ctx.Err() == nil {
 				c.router.bad(s.ID, false)
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -47,6 +47,9 @@
 	restedSince time.Time
 }
 
+// used reports whether the connection has carried an answer.
+func (c *conn) used() bool { return !c.restedSince.IsZero() }
+
 func dial(address string, timeout time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: timeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -47,6 +47,10 @@
 type Error struct {
 	// Sent: the call may have run. False is certain.
 	Sent bool
+	// Reached: the server's process was there. Its answer had begun, or the connection had
+	// carried an answer before; a new connection may have met something else that listens
+	// for a server that has ended.
+	Reached bool
 	// Step tells what failed, Server where.
 	Step   string
 	Server string
@@ -138,14 +142,14 @@
 		stop()
 		c.noteRest(cn, sent, err)
 		c.drop(t, cn)
-		return nil, &Error{Sent: !errors.Is(err, errNothingWritten), Step: "send", Server: t.ID, Err: err}
+		return nil, &Error{Sent: !errors.Is(err, errNothingWritten), Reached: cn.used(), Step: "send", Server: t.ID, Err: err}
 	}
 	resp, err := c.readHead(cn, t, r)
 	if err != nil {
 		stop()
 		c.noteRest(cn, sent, err)
 		c.drop(t, cn)
-		return nil, &Error{Sent: true, Step: "await answer", Server: t.ID, Err: err}
+		return nil, &Error{Sent: true, Reached: cn.used(), Step: "await answer", Server: t.ID, Err: err}
 	}
 	resp.stop, resp.written = stop, written
 	return resp, nil
@@ -154,7 +158,7 @@
 // noteRest learns from a reset in answer to a call on a connection that had
 // rested.
 func (c *Client) noteRest(cn *conn, sent time.Time, err error) {
-	if cn.restedSince.IsZero() || !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+	if !cn.used() || !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
 		return
 	}
 	rested := sent.Sub(cn.restedSince)
