Quarantine: the repeat of a suspected request waits for its ruling

Cause: while the judges wait for word of successes (150 ms), each call of a suspected request that has met an end goes on to its second server, and ends that as well.

Change: before its next attempt, a call whose request is suspected waits until it is cleared or held, 0.3 s at most. Calls without a ruling don't wait, so that a repeat after a reset comes as soon as before.

Weighed: to wait for the check of the server first (70 ms more for each call that only met a reset).

--- a/core/quarantine/replay_test.go
+++ b/core/quarantine/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"testing"
 	"time"
@@ -18,9 +19,10 @@
 	refused map[string]int
 	ends    int
 	calls   int
-	// downtime passes between the end of a server and its next start.
-	downtime  time.Duration
-	successes *Successes
+	// downtime passes between the end of a server and its next start, proofDelay until the
+	// end is known.
+	downtime, proofDelay time.Duration
+	successes            *Successes
 	// messages are on their way.
 	messages []message
 }
@@ -65,17 +67,17 @@
 
 const (
 	tick = 10 * time.Millisecond
-	// proofDelay passes until the end of a server is known, tellDelay until another
-	// instance hears of something.
-	proofDelay = 30 * time.Millisecond
-	tellDelay  = 10 * time.Millisecond
-	// retryPause passes until a run that broke off is repeated.
+	// tellDelay passes until another instance hears of something.
+	tellDelay = 10 * time.Millisecond
+	// retryPause passes until a run that broke off is repeated; while its request is
+	// suspected it is put off further, up to retryWait.
 	retryPause = 60 * time.Millisecond
+	retryWait  = 300 * time.Millisecond
 )
 
 func newReplay(t *testing.T, servers int, seed int64) *replay {
 	p := &replay{world: newWorld(t), rnd: rand.New(rand.NewSource(seed)), running: map[*run]bool{}, successes: NewSuccesses(), refused: map[string]int{},
-		downtime: 4 * time.Second}
+		downtime: 4 * time.Second, proofDelay: 30 * time.Millisecond}
 	for range servers {
 		p.servers = append(p.servers, &server{id: p.newStart()})
 	}
@@ -131,7 +133,7 @@
 		delete(p.running, r)
 		e := Ending{Request: digest(r.request), Server: id, Others: others}
 		began, ended := r.began, p.now
-		p.later(proofDelay, func() {
+		p.later(p.proofDelay, func() {
 			e.Began, e.Ended = p.now.Sub(began), p.now.Sub(ended)
 			if x, tell := p.j.Take(p.now, e); tell {
 				p.later(tellDelay, func() { p.answer(x) })
@@ -139,11 +141,20 @@
 			p.later(Deliberation, func() { p.j.Review(p.now) })
 		})
 		if r.runs > 1 {
-			p.later(retryPause, func() { p.begin(r.request, r.until.Sub(r.began), r.runs-1) })
+			p.later(retryPause, func() { p.repeat(r, p.now.Add(retryWait)) })
 		}
 	}
 }
 
+// repeat begins a run again once its request is not suspected any more, or at a time.
+func (p *replay) repeat(r *run, latest time.Time) {
+	if x, known := p.r.Ruling(p.now, digest(r.request)); known && x.Standing == Suspected && p.now.Before(latest) {
+		p.later(tick, func() { p.repeat(r, latest) })
+		return
+	}
+	p.begin(r.request, r.until.Sub(r.began), r.runs-1)
+}
+
 const (
 	lethal = "lethal"
 	// lethalEnds is the most that one request may end: three, and the three that users
@@ -230,6 +241,28 @@
 	}
 }
 
+// Copies of a request come at the same time at several entries, again and again, and each
+// call may run twice. Until it is held, each copy ends a server by each of its runs while
+// nothing is known, and by one run a time from the second round of ends on:
+// copies x (runs + (proof + deliberation + telling) / pause).
+func TestEndsBeforeAHoldAreBounded(t *testing.T) {
+	const runs, pause = 2, 150 * time.Millisecond
+	for _, copies := range []int{1, 3, 8} {
+		p := newReplay(t, 10*copies, int64(copies))
+		p.proofDelay = 70 * time.Millisecond
+		for n := range int(4 * time.Second / tick) {
+			p.step()
+			if n%int(pause/tick) == 0 {
+				for range copies {
+					p.begin(lethal, tick, runs)
+				}
+			}
+		}
+		rounds := runs + math.Ceil(float64(p.proofDelay+Deliberation+tellDelay)/float64(pause))
+		p.check(copies * int(rounds))
+	}
+}
+
 // A request ends all servers one after the other, so that for a second nobody answers the
 // calls that are alike. Each end met some of them; they had been served until then.
 func TestCallsThatWereServedAreNotHeldWhereAllServersEnd(t *testing.T) {
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -133,6 +133,7 @@
 	}
 	x.exclude = append(x.exclude, server)
 	sleep(x.run, retry.Backoff(n+1, rand.Float64()))
+	x.e.keeper.AwaitRuling(x.run, x.c.requestDigest) // the end of the context ends the next attempt
 	return nil
 }
 
--- a/daemon/quarantine/keeper.go
+++ b/daemon/quarantine/keeper.go
@@ -108,20 +108,53 @@
 // ServersEnded returns how many servers were found here to have ended under calls.
 func (k *Keeper) ServersEnded() int64 { return k.ended.Load() }
 
-// Held reports whether a request is held, and for how long still. The digest is only
-// asked for while there are rulings.
+// Held reports whether a request is held, and for how long still.
 func (k *Keeper) Held(request func() quarantine.Digest) (time.Duration, bool) {
-	if k.known.Load() == 0 {
+	x, known := k.ruling(request)
+	if !known || x.Standing != quarantine.Held {
 		return 0, false
 	}
+	return x.Left(), true
+}
+
+// Bounds of the wait for a ruling.
+const (
+	// rulingWait covers the proof of the last end, its way to the judges and their
+	// deliberation. A request that is still suspected then goes on: nothing has ended under
+	// it since.
+	rulingWait = 300 * time.Millisecond
+	rulingPoll = 10 * time.Millisecond
+)
+
+// AwaitRuling waits while a request is suspected; call it before the request is repeated.
+// Without it, the repeats of one that ends its servers go on while its judges still wait
+// for word of successes. False when the context has ended.
+func (k *Keeper) AwaitRuling(ctx context.Context, request func() quarantine.Digest) bool {
+	for until := time.Now().Add(rulingWait); k.suspected(request) && time.Now().Before(until); {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(rulingPoll):
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func (k *Keeper) suspected(request func() quarantine.Digest) bool {
+	x, known := k.ruling(request)
+	return known && x.Standing == quarantine.Suspected
+}
+
+// ruling returns the ruling on a request. The digest is only asked for while there are
+// rulings.
+func (k *Keeper) ruling(request func() quarantine.Digest) (quarantine.Ruling, bool) {
+	if k.known.Load() == 0 {
+		return quarantine.Ruling{}, false
+	}
 	d := request()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	x, known := k.register.Ruling(time.Now(), d)
-	if !known || x.Standing != quarantine.Held {
-		return 0, false
-	}
-	return x.Left(), true
+	return k.register.Ruling(time.Now(), d)
 }
 
 // Run is one run of a request at a server.
--- a/daemon/quarantine/keeper_test.go
+++ b/daemon/quarantine/keeper_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -121,6 +122,52 @@
 	}
 }
 
+// Two servers have ended under a request. Its repeat goes on once it is cleared, and not
+// before it is held where a third one has ended: it would end the fourth.
+func TestRepeatOfASuspectWaitsForTheRuling(t *testing.T) {
+	for name, resolve := range map[string]func(k *Keeper){
+		"cleared": func(k *Keeper) { k.Succeeded(Run{Server: "z", Began: time.Now()}, request("q")()) },
+		"held":    func(k *Keeper) { k.Ended("c") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := New(Options{})
+			if !k.AwaitRuling(t.Context(), request("q")) {
+				t.Error("the repeat of a request without a ruling was ended")
+			}
+			address, _ := server(t)
+			breaks(k, "a", address, "q")
+			k.Ended("a")
+			breaks(k, "b", address, "q")
+			k.Ended("b")
+			breaks(k, "c", address, "q")
+			time.AfterFunc(50*time.Millisecond, func() { resolve(k) })
+			k.AwaitRuling(t.Context(), request("q"))
+			if x, known := k.ruling(request("q")); !known || x.Standing == quarantine.Suspected {
+				t.Errorf("the repeat goes on while the request is %v", x.Standing)
+			}
+		})
+	}
+}
+
+// The wait for a ruling is bounded, and ends with the call.
+func TestWaitForARulingEnds(t *testing.T) {
+	k := New(Options{})
+	address, _ := server(t)
+	for _, id := range []string{"a", "b"} {
+		breaks(k, id, address, "q")
+		k.Ended(id)
+	}
+	began := time.Now()
+	if !k.AwaitRuling(t.Context(), request("q")) || time.Since(began) > 2*rulingWait {
+		t.Errorf("the repeat of a request that stays suspected was ended, or waited %v", time.Since(began))
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	if k.AwaitRuling(ended, request("q")) {
+		t.Error("the repeat of a call that has ended goes on")
+	}
+}
+
 // A server that has no room closes new connections while it answers on others.
 func TestServerThatAnswersHasNotEnded(t *testing.T) {
 	k := New(Options{})
