Quarantine: ends at the same time don't push out the rounds before

Cause: a judge keeps the newest 32 ends of a request. Copies at more entries than that, at the same time, filled the record with one round of ends, so that three rounds were never together.

Found by: TestEndsBeforeAHoldAreBounded with 60 copies, 323 servers ended (240 allowed).

Change: the end that makes no round of its own goes first.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -292,7 +292,23 @@
 	}
 	at, _ := slices.BinarySearchFunc(r.ends, x, func(a, b end) int { return a.at.Compare(b.at) })
 	r.ends = slices.Insert(r.ends, at, x)
-	r.ends = r.ends[max(0, len(r.ends)-keptEnds):]
+	if len(r.ends) > keptEnds {
+		r.dropEnd()
+	}
+}
+
+// dropEnd makes room: first goes the oldest end that makes no round of its own, so that
+// many copies of a request, which end servers at the same time, don't push out the rounds
+// before.
+func (r *record) dropEnd() {
+	rounds := r.roundEnds()
+	for i := range r.ends {
+		if !slices.Contains(rounds, i) {
+			r.ends = slices.Delete(r.ends, i, i+1)
+			return
+		}
+	}
+	r.ends = slices.Delete(r.ends, 0, 1)
 }
 
 // spend takes the weight from ends.
@@ -304,19 +320,22 @@
 	}
 }
 
-// rounds counts the ends one after the other: each by a run that began after the end
-// before it.
-func (r *record) rounds() int {
-	n := 0
+// rounds counts the ends one after the other.
+func (r *record) rounds() int { return len(r.roundEnds()) }
+
+// roundEnds returns the places of the ends one after the other: each by a run that began
+// after the end before it.
+func (r *record) roundEnds() []int {
+	var out []int
 	var last time.Time
 	for i := range r.ends {
 		e := &r.ends[i]
 		if !e.spent && e.began.After(last) && !r.amongMany(e) {
-			n++
+			out = append(out, i)
 			last = e.at
 		}
 	}
-	return n
+	return out
 }
 
 // roundsNeeded is how many rounds lead to a hold.
--- a/core/quarantine/replay_test.go
+++ b/core/quarantine/replay_test.go
@@ -247,7 +247,7 @@
 // copies x (runs + (proof + deliberation + telling) / pause).
 func TestEndsBeforeAHoldAreBounded(t *testing.T) {
 	const runs, pause = 2, 150 * time.Millisecond
-	for _, copies := range []int{1, 3, 8} {
+	for _, copies := range []int{1, 3, 8, 60} {
 		p := newReplay(t, 10*copies, int64(copies))
 		p.proofDelay = 70 * time.Millisecond
 		for n := range int(4 * time.Second / tick) {
