Counts: a sender looks at the servers that have changed, not at all

Cause: for each message to each other entry, a sender looked at every server for a change. A collector makes some hundred messages a second; the work grows with servers times entries.

Change: the balancer keeps the changed slots in order, bounded to a few for each server. A sender goes on where it looked last; one that is further behind looks at all, once.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -100,8 +100,8 @@
 	// slots are the servers under numbers that stay while they are there, nil for
 	// numbers that are free.
 	slots []*server
-	// changes counts the changes at all servers.
-	changes uint64
+	// changes are those at all servers.
+	changes counts.ChangeLog
 	// free are the slots without a server.
 	free []int
 	// listing counts how often the fleet was set.
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -86,6 +86,9 @@
 	return 0
 }
 
+// Changes implements counts.View.
+func (v *view) Changes() *counts.ChangeLog { return &v.b.changes }
+
 // Limit implements counts.View. What the receiver has told is not told back.
 func (v *view) Limit(slot int) ratelimit.Statement {
 	s := v.b.slots[slot]
@@ -115,8 +118,7 @@
 
 // touch notes that the counts at a server have changed.
 func (b *Balancer) touch(s *server) {
-	b.changes++
-	s.version = b.changes
+	s.version = b.changes.Note(s.slot, len(b.slots))
 }
 
 // ownRow is what this instance tells of a server.
--- a/core/balance/servers.go
+++ b/core/balance/servers.go
@@ -72,6 +72,7 @@
 	for _, p := range b.peers {
 		p.leave(s)
 	}
+	b.touch(s) // the slot is empty now
 	b.slots[s.slot] = nil
 	b.free = append(b.free, s.slot)
 	s.slot = noSlot
--- a/core/counts/counts_test.go
+++ b/core/counts/counts_test.go
@@ -22,7 +22,7 @@
 	rows     []Row
 	versions map[int]uint64
 	limits   map[int]ratelimit.Statement
-	version  uint64
+	changes  ChangeLog
 	now      time.Time
 }
 
@@ -36,7 +36,8 @@
 }
 func (t *table) put(i int, r Row)     { t.rows[i] = r; t.touch(i) }
 func (t *table) Version(i int) uint64 { return t.versions[i] }
-func (t *table) touch(i int)          { t.version++; t.versions[i] = t.version }
+func (t *table) touch(i int)          { t.versions[i] = t.changes.Note(i, len(t.ids)) }
+func (t *table) Changes() *ChangeLog  { return &t.changes }
 func engine(i int) string             { return fmt.Sprintf("i-%010d", i) }
 func busy(n int) Row {
 	return Row{Load: Load{Running: n % 13, Unread: 320 * n, Memory: 6400 * (n % 50), Sensitive: n % 5, Long: n % 3}}
@@ -304,3 +305,31 @@
 		}
 	})
 }
+
+// counting counts the slots that a sender looks at.
+type counting struct {
+	*table
+	looks int
+}
+
+func (c *counting) Version(i int) uint64 {
+	c.looks++
+	return c.table.Version(i)
+}
+
+// A collector makes some hundred messages a second: it must not look at thousands of servers
+// for each, when a few have changed.
+func TestSenderLooksAtWhatHasChanged(t *testing.T) {
+	view := &counting{table: engines(3000)}
+	var s Sender
+	drainTold(&s, view)
+	view.looks = 0
+	for i := range 100 {
+		view.put(i*29, busy(i+7))
+		s.Heard(s.at)
+		s.Next(view, Content{}, 1)
+	}
+	if view.looks > 200 {
+		t.Errorf("looked at %d servers to tell of 100", view.looks)
+	}
+}
--- a/core/counts/sender.go
+++ b/core/counts/sender.go
@@ -38,6 +38,8 @@
 	// Version returns another number whenever Row or Limit return something else than
 	// before, so that a slot in which nothing has happened costs next to nothing.
 	Version(slot int) uint64
+	// Changes has the slots for which Version has changed.
+	Changes() *ChangeLog
 }
 
 // told is what the receiver has of one slot.
@@ -58,8 +60,11 @@
 	heard   uint32
 	told    []told
 	numbers map[string]uint32
-	// cursor is the slot behind the last one told.
-	cursor int
+	// looked is the number of the last change that was looked at.
+	looked uint64
+	// unseen is how many slots are left to look at before that holds, cursor the next
+	// of them.
+	unseen, cursor int
 	// boundaries is the version of those told.
 	boundaries uint64
 	named      []string
@@ -77,10 +82,13 @@
 	}
 }
 
+// unknown is the number of a change that no log keeps: all slots are to be looked at.
+const unknown = math.MaxUint64
+
 // begin makes the next message the first one of a new stream.
 func (s *Sender) begin() {
 	s.at = Position{Stream: s.at.Stream + 1}
-	s.heard, s.cursor, s.boundaries = 0, 0, 0
+	s.heard, s.looked, s.unseen, s.cursor, s.boundaries = 0, unknown, 0, 0, 0
 	s.told = s.told[:0]
 	s.numbers = map[string]uint32{}
 }
@@ -132,29 +140,51 @@
 	if extra := n - len(s.told); extra > 0 {
 		s.told = append(s.told, make([]told, extra)...)
 	}
-	if n == 0 {
-		return nil, nil
+	changes := v.Changes()
+	changed, kept := changes.After(s.looked)
+	if s.unseen == 0 && !kept {
+		s.unseen, s.looked = n, changes.End()
+		changed = nil
+	}
+	p := packer{sender: s, view: v, now: now, left: mostRows}
+	for s.unseen > 0 && p.left > 0 {
+		p.slot(s.cursor % n)
+		s.cursor = (s.cursor + 1) % n
+		s.unseen--
+	}
+	if s.unseen > 0 {
+		return p.rows, p.limits
 	}
-	left := mostRows
-	start := s.cursor % n
-	for i := range n {
-		if left == 0 {
+	for _, slot := range changed {
+		if p.left == 0 {
 			break
 		}
-		slot := (start + i) % n
-		t := &s.told[slot]
-		version := v.Version(slot)
-		if version == t.version {
-			continue
-		}
-		t.version = version
-		told := s.row(&rows, v, slot, t) + s.limit(&limits, v.Limit(slot), t, now)
-		left -= min(left, told)
-		if told > 0 {
-			s.cursor = slot + 1
-		}
+		p.slot(int(slot))
+		s.looked++
+	}
+	return p.rows, p.limits
+}
+
+// packer packs what has changed into one message.
+type packer struct {
+	sender       *Sender
+	view         View
+	now          time.Time
+	rows, limits []byte
+	// left is how many rows and limits have room.
+	left int
+}
+
+// slot packs what has changed in a slot since it was last looked at.
+func (p *packer) slot(slot int) {
+	t := &p.sender.told[slot]
+	version := p.view.Version(slot)
+	if version == t.version {
+		return
 	}
-	return rows, limits
+	t.version = version
+	told := p.sender.row(&p.rows, p.view, slot, t) + p.sender.limit(&p.limits, p.view.Limit(slot), t, p.now)
+	p.left -= min(p.left, told)
 }
 
 // limit packs what a slot's server said last, if that was not told, and returns the number
