State, fleet: registering a server costs the same however many there are

Cause: a replica that remembered as many servers as it may copied all of them for each further one: an entry of the log with 512 servers took 1.9 s (8,192 remembered), four times that with a quota of a quarter of a core. Replicas lost their leader while they applied it, the next leader began with the same, and announcements were refused for as long. A leader also looked at all servers for each new announcement, twice; and a registry that was full ignored announcements, which it is once 3,000 servers of which the log knows are lost and replaced.

Seen by callers and engines: after the loss of everything, engines refused for 25 s and more.

Change: what is known is looked up once for all servers of an entry, the oldest go in place; servers by address and by name; bounds of twice the servers at 376 machines (3,760) instead of twice 2,000.

TestLargeFleetIsReplacedWhileTheFormerIsRemembered was red: 336 of 3,760 servers listed.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,6 +8,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -94,7 +95,7 @@
 	keptWithdrawals = 2 * LoggedWithdrawals
 	// maxServers bounds what a faulty writer can make an instance remember: twice
 	// the servers of the largest deployment aimed at.
-	maxServers = 4096
+	maxServers = 8192
 )
 
 type record struct {
@@ -106,6 +107,9 @@
 // use.
 type Registry struct {
 	servers map[string]*record
+	// addresses and names lead to the IDs of the servers that have them: thousands of
+	// servers announce themselves at once, and each must not look at all others.
+	addresses, names index
 	// withdrawn has what servers were withdrawn to, known here or not; order has their
 	// IDs as they were noted.
 	withdrawn map[string]Phase
@@ -116,7 +120,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{servers: map[string]*record{}, withdrawn: map[string]Phase{}}
+	return &Registry{servers: map[string]*record{}, addresses: index{}, names: index{}, withdrawn: map[string]Phase{}}
 }
 
 // Version rises whenever Servers returns something else.
@@ -191,7 +195,7 @@
 		r.replaceAt(s)
 		s.Overdue = false
 		s.Phase = max(s.Phase, r.withdrawn[s.ID])
-		r.servers[s.ID] = &record{s, now}
+		r.put(s, now)
 		r.changed(s.ID)
 		return
 	}
@@ -203,15 +207,46 @@
 	if !s.saysSame(old.Server) {
 		r.changed(s.ID)
 	}
-	*old = record{s, now}
+	r.put(s, now)
+}
+
+// put lists a server as it is now.
+func (r *Registry) put(s Server, now time.Time) {
+	r.drop(s.ID)
+	r.servers[s.ID] = &record{s, now}
+	r.addresses.add(s.Address, s.ID)
+	r.names.add(s.OwnName(), s.ID)
+}
+
+// drop takes a server off the list.
+func (r *Registry) drop(id string) {
+	if s := r.servers[id]; s != nil {
+		r.addresses.remove(s.Address, id)
+		r.names.remove(s.OwnName(), id)
+		delete(r.servers, id)
+	}
+}
+
+// index leads from something that servers have to their IDs.
+type index map[string][]string
+
+func (x index) add(key, id string) { x[key] = append(x[key], id) }
+
+func (x index) remove(key, id string) {
+	left := slices.DeleteFunc(x[key], func(other string) bool { return other == id })
+	if len(left) == 0 {
+		delete(x, key)
+		return
+	}
+	x[key] = left
 }
 
 // replaceAt ends the server that stood at the address of a new one, unless the
 // old one is known to announce still: a delayed first announcement of a server
 // that has crashed since must not displace its successor.
 func (r *Registry) replaceAt(s Server) {
-	for id, old := range r.servers {
-		if old.Address == s.Address && old.Overdue {
+	for _, id := range slices.Clone(r.addresses[s.Address]) {
+		if r.servers[id].Overdue {
 			r.Depart(id)
 		}
 	}
@@ -228,7 +263,7 @@
 		old := r.servers[s.ID]
 		if old == nil {
 			s.Phase = max(s.Phase, r.withdrawn[s.ID])
-			r.servers[s.ID] = &record{s, now}
+			r.put(s, now)
 			r.changed(s.ID)
 			continue
 		}
@@ -262,8 +297,8 @@
 	if !r.starts.Note(start) {
 		return
 	}
-	for id, old := range r.servers {
-		if old.OwnName() == start.Name && r.starts.Stale(old.Start()) {
+	for _, id := range slices.Clone(r.names[start.Name]) {
+		if r.starts.Stale(r.servers[id].Start()) {
 			r.Depart(id)
 		}
 	}
@@ -304,7 +339,7 @@
 	if r.withdrawn[id] == Departed {
 		return
 	}
-	delete(r.servers, id)
+	r.drop(id)
 	r.advance()
 	r.changes.Removed(id)
 	r.noteWithdrawn(id, Departed)
--- a/core/fleet/starts.go
+++ b/core/fleet/starts.go
@@ -7,9 +7,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// keptStarts bounds the servers whose newest start is remembered: the restarts of
-// an hour at the largest deployment aimed at.
-const keptStarts = 4096
+// keptStarts bounds the servers whose newest start is remembered: as many as a registry
+// holds, so that none of its servers is taken for a new one.
+const keptStarts = maxServers
 
 // Start is one start of a server that keeps its name.
 type Start struct {
--- a/core/fleet/starts_test.go
+++ b/core/fleet/starts_test.go
@@ -103,3 +103,21 @@
 	}, gen.SliceOf(gen.UInt8())))
 	p.TestingRun(t)
 }
+
+// All servers of a large fleet are lost, and as many others announce themselves before the
+// former are forgotten. Those that a full registry ignores get no calls for half a minute.
+func TestLargeFleetIsReplacedWhileTheFormerIsRemembered(t *testing.T) {
+	const fleetSize = 3760 // ten a machine at 376 machines
+	r := NewRegistry()
+	var former []Server
+	for i := range fleetSize {
+		former = append(former, Server{ID: fmt.Sprint("former-", i), Address: fmt.Sprint("a", i)})
+	}
+	r.Remember(t0, former)
+	for i := range fleetSize {
+		r.Announce(t0, Server{ID: fmt.Sprint("next-", i), Address: fmt.Sprint("b", i)})
+	}
+	if n := len(r.Servers()); n != 2*fleetSize {
+		t.Errorf("%d of %d servers are listed", n-fleetSize, fleetSize)
+	}
+}
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"cardamomwick.example/core/fleet"
+
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -48,12 +50,9 @@
 	case c.Type == CommandWithdraw && c.Withdraw != nil:
 		return m.routing.withdraw(*c.Withdraw)
 	case c.Type == CommandRegister && c.Register != nil:
-		return m.routing.register(*c.Register)
+		return m.routing.register([]fleet.Server{*c.Register})
 	case c.Type == CommandRegister:
-		for _, s := range c.Servers {
-			m.routing.register(s)
-		}
-		return Result{Code: CodeOK}
+		return m.routing.register(c.Servers)
 	case c.Type == CommandRule && c.Rule != nil:
 		return m.quarantine.rule(*c.Rule, m.nowMillis)
 	case c.Type == CommandDuty && c.Duty != nil:
--- a/core/state/routing.go
+++ b/core/state/routing.go
@@ -42,37 +42,48 @@
 	return Result{Code: CodeOK, Order: OrderResult{Version: s.Held.Version}}
 }
 
-// keptServers bounds the servers remembered; the oldest go first.
-const keptServers = 4096
+// keptServers bounds the servers remembered; the oldest go first. It is twice the servers
+// of the largest deployment aimed at: after the loss of all of them, the next ones announce
+// themselves before the former are forgotten.
+const keptServers = 8192
 
-// register remembers a server, and forgets its older starts. One that has said
-// that it leaves stays so.
-func (s *routingState) register(server fleet.Server) Result {
+// register remembers servers, and forgets their older starts. One that has said that it
+// leaves stays so. What is there is looked up once for all of them: an entry of the log
+// with hundreds of servers must not hold a replica up for longer than its peers wait.
+func (s *routingState) register(list []fleet.Server) Result {
+	known := make(map[string]bool, len(s.Servers)+len(s.Withdrawals))
+	for i := range s.Servers {
+		known[s.Servers[i].ID] = true
+	}
+	for _, w := range s.Withdrawals {
+		known[w.ServerID] = true
+	}
+	for _, server := range list {
+		s.registerOne(server, known)
+	}
+	s.Servers = slices.Delete(s.Servers, 0, max(0, len(s.Servers)-keptServers))
+	return Result{Code: CodeOK}
+}
+
+// registerOne remembers a server that is neither known nor withdrawn.
+func (s *routingState) registerOne(server fleet.Server, known map[string]bool) {
 	start := server.Start()
 	if s.Starts.Stale(start) {
-		return Result{Code: CodeOK}
-	}
-	if s.Starts.Note(start) {
-		s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.OwnName() == start.Name && x.Born < start.Born })
-		s.Revision++
+		return
 	}
-	for _, w := range s.Withdrawals {
-		if w.ServerID == server.ID {
-			return Result{Code: CodeOK}
+	if former := s.Starts.Newest(start.Name); s.Starts.Note(start) {
+		if known[former] {
+			s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.OwnName() == start.Name && x.Born < start.Born })
 		}
+		s.Revision++
 	}
-	for _, known := range s.Servers {
-		if known.ID == server.ID {
-			return Result{Code: CodeOK}
-		}
+	if known[server.ID] {
+		return
 	}
+	known[server.ID] = true
 	server.Phase, server.Overdue = fleet.Ready, false
 	s.Servers = append(s.Servers, server)
-	if extra := len(s.Servers) - keptServers; extra > 0 {
-		s.Servers = append([]fleet.Server(nil), s.Servers[extra:]...)
-	}
 	s.Revision++
-	return Result{Code: CodeOK}
 }
 
 // settle applies a withdrawal to the servers remembered.
