Control: servers that are silent for long are withdrawn together

Cause: the leader withdrew each silent server by an entry of the log of its own, one after the other, in the loop that also notes that it leads and marks servers overdue. Thousands of servers that were lost at once fall silent at once; each entry looked through all servers and withdrawals at every replica.

Change: a loop of its own, up to 512 servers an entry, looked up once.

TestServersAreWithdrawnTogether: the outcome is that of one after the other.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -42,7 +42,7 @@
 	CommandEngineOrder
 	// CommandDeclare puts a routing declaration in force.
 	CommandDeclare
-	// CommandWithdraw notes that a backend server leaves.
+	// CommandWithdraw notes that backend servers leave.
 	CommandWithdraw
 	// CommandRegister remembers backend servers that have announced themselves.
 	CommandRegister
@@ -68,7 +68,9 @@
 	Lease     *LeaseCommand       `msgpack:"l,omitempty"`
 	Engine    *EngineOrder        `msgpack:"e,omitempty"`
 	Declare   *DeclareCommand     `msgpack:"d,omitempty"`
-	Withdraw  *fleet.Withdrawal   `msgpack:"w,omitempty"`
+	// Withdraw is one withdrawal; Withdrawals are any number.
+	Withdraw    *fleet.Withdrawal  `msgpack:"w,omitempty"`
+	Withdrawals []fleet.Withdrawal `msgpack:"x,omitempty"`
 	// Register is one server, as in logs that older versions wrote; Servers are any
 	// number.
 	Register *fleet.Server      `msgpack:"g,omitempty"`
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -48,7 +48,9 @@
 	case c.Type == CommandDeclare && c.Declare != nil:
 		return m.routing.declare(c.Declare)
 	case c.Type == CommandWithdraw && c.Withdraw != nil:
-		return m.routing.withdraw(*c.Withdraw)
+		return m.routing.withdraw([]fleet.Withdrawal{*c.Withdraw})
+	case c.Type == CommandWithdraw && len(c.Withdrawals) > 0:
+		return m.routing.withdraw(c.Withdrawals)
 	case c.Type == CommandRegister && c.Register != nil:
 		return m.routing.register([]fleet.Server{*c.Register})
 	case c.Type == CommandRegister:
--- a/core/state/routing.go
+++ b/core/state/routing.go
@@ -86,34 +86,42 @@
 	s.Revision++
 }
 
-// settle applies a withdrawal to the servers remembered.
-func (s *routingState) settle(w fleet.Withdrawal) {
-	s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return x.ID == w.ServerID && w.Phase == fleet.Departed })
+// settle applies withdrawals to the servers remembered.
+func (s *routingState) settle(phases map[string]fleet.Phase) {
+	s.Servers = slices.DeleteFunc(s.Servers, func(x fleet.Server) bool { return phases[x.ID] == fleet.Departed })
 	for i := range s.Servers {
-		if s.Servers[i].ID == w.ServerID {
-			s.Servers[i].Phase = w.Phase
+		if phase, withdrawn := phases[s.Servers[i].ID]; withdrawn {
+			s.Servers[i].Phase = phase
 		}
 	}
 }
 
-func (s *routingState) withdraw(w fleet.Withdrawal) Result {
-	s.settle(w)
-	for i := range s.Withdrawals {
-		old := &s.Withdrawals[i]
-		if old.ServerID != w.ServerID {
+// withdraw notes withdrawals, the latest fleet.LoggedWithdrawals of them. A later phase
+// replaces an earlier one.
+func (s *routingState) withdraw(list []fleet.Withdrawal) Result {
+	phases := make(map[string]fleet.Phase, len(list))
+	for _, w := range list {
+		phases[w.ServerID] = max(phases[w.ServerID], w.Phase)
+	}
+	s.settle(phases)
+	noted := make(map[string]int, len(s.Withdrawals))
+	for i, w := range s.Withdrawals {
+		noted[w.ServerID] = i
+	}
+	for _, w := range list {
+		i, known := noted[w.ServerID]
+		if known && w.Phase <= s.Withdrawals[i].Phase {
 			continue
 		}
-		if w.Phase > old.Phase {
-			old.Phase = w.Phase
-			s.Revision++
+		s.Revision++
+		if known {
+			s.Withdrawals[i].Phase = w.Phase
+			continue
 		}
-		return Result{Code: CodeOK}
-	}
-	s.Withdrawals = append(s.Withdrawals, w)
-	if extra := len(s.Withdrawals) - fleet.LoggedWithdrawals; extra > 0 {
-		s.Withdrawals = append([]fleet.Withdrawal(nil), s.Withdrawals[extra:]...)
+		noted[w.ServerID] = len(s.Withdrawals)
+		s.Withdrawals = append(s.Withdrawals, w)
 	}
-	s.Revision++
+	s.Withdrawals = slices.Delete(s.Withdrawals, 0, max(0, len(s.Withdrawals)-fleet.LoggedWithdrawals))
 	return Result{Code: CodeOK}
 }
 
--- a/core/state/routing_test.go
+++ b/core/state/routing_test.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"fmt"
+	"reflect"
 	"testing"
 
 	"cardamomwick.example/core/fleet"
@@ -95,3 +97,30 @@
 		t.Errorf("registered are %+v", got)
 	}
 }
+
+// Thousands of servers that were lost together are withdrawn together; the outcome is that of
+// one after the other.
+func TestServersAreWithdrawnTogether(t *testing.T) {
+	var register, together Command
+	register.Type, together.Type = CommandRegister, CommandWithdraw
+	for i := range fleet.LoggedWithdrawals + 100 {
+		id := fmt.Sprint("s", i)
+		register.Servers = append(register.Servers, fleet.Server{ID: id})
+		if i%3 > 0 {
+			together.Withdrawals = append(together.Withdrawals, fleet.Withdrawal{ServerID: id, Phase: fleet.Phase(i % 3)})
+		}
+	}
+	one, all := New(), New()
+	for _, m := range []*Machine{one, all} {
+		m.Apply(register.Encode())
+	}
+	all.Apply(together.Encode())
+	all.Apply(together.Encode())
+	for _, w := range together.Withdrawals {
+		one.Apply((&Command{Type: CommandWithdraw, Withdraw: &w}).Encode())
+	}
+	if got, want := all.Routing(), one.Routing(); !reflect.DeepEqual(got, want) {
+		t.Errorf("together %d servers and %d withdrawals at revision %d, one by one %d and %d at %d",
+			len(got.Servers), len(got.Withdrawals), got.Revision, len(want.Servers), len(want.Withdrawals), want.Revision)
+	}
+}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -95,7 +95,8 @@
 	loops.Go(func() { s.followLeader(ctx) })
 	loops.Go(func() { s.tellAnnounced(ctx) })
 	loops.Go(func() { s.registerServers(ctx) })
-	loops.Go(func() { _ = s.tellAlive(ctx) }) // ends with the context
+	loops.Go(func() { _ = loop.Every(ctx, expirePeriod, func(now time.Time) { s.departSilent(ctx, now) }) }) // ends with the context
+	loops.Go(func() { _ = s.tellAlive(ctx) })                                                                // ends with the context
 	return loop.Every(ctx, expirePeriod, func(now time.Time) {
 		v, _ := s.replica.View()
 		s.client.Directory().Learn(v.Members)
@@ -108,22 +109,44 @@
 			s.relay.led = boottime.Now()
 			s.registry.Expire(now)
 		})
-		s.departSilent(ctx, now)
 	})
 }
 
-// departSilent ends servers that neither announce nor depart for long.
+// mostDeparting bounds the withdrawals of one entry of the log: 512 are some 20 KB.
+const mostDeparting = 512
+
+// departSilent ends servers that neither announce nor depart for long, while this replica
+// leads, together: thousands that were lost at once fall silent at once, and an entry of
+// the log for each took longer than followers wait for their leader.
 func (s *Service) departSilent(ctx context.Context, now time.Time) {
+	if v, _ := s.replica.View(); !v.Leading {
+		return
+	}
 	s.mu.Lock()
 	silent := s.registry.Silent(now)
 	s.mu.Unlock()
-	for _, id := range silent {
-		if err := s.departStart(ctx, id); err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "depart silent server", "server": id}).Warn("will be tried again")
+	for batch := range slices.Chunk(silent, mostDeparting) {
+		if err := s.departAll(ctx, batch); err != nil {
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "depart silent servers", "servers": len(batch)}).Warn("will be tried again")
+			return
 		}
 	}
 }
 
+func (s *Service) departAll(ctx context.Context, ids []string) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	c := &state.Command{Type: state.CommandWithdraw}
+	for _, id := range ids {
+		c.Withdrawals = append(c.Withdrawals, fleet.Withdrawal{ServerID: id, Phase: fleet.Departed})
+	}
+	if _, err := s.client.Propose(ctx, c); err != nil {
+		return err
+	}
+	log.WithFields(log.Fields{"step": "depart silent servers", "servers": len(ids), "first": ids[0]}).Info("servers that were silent for long have gone")
+	return nil
+}
+
 // departStart ends one start of a server.
 func (s *Service) departStart(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
