Garbage collection at a growth of 100% instead of 50%

Hypothesis: at hundreds of machines a fifth of an entry's processor collects garbage (profile of eight entries among 60: 19%), while memory is used to a fifth; a later collection costs little memory and frees processor time everywhere.

--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -17,8 +17,9 @@
 	"cardamomwick.example/platform"
 )
 
-// gcPercent trades some processor time for memory: the instances are small.
-const gcPercent = 50
+// gcPercent is the growth of the heap, in percent, at which the garbage collector runs:
+// large fleets are short of processor time before they are short of memory.
+const gcPercent = 100
 
 // Exit codes.
 const (
