Fleet: all servers new and as many overdue at once are told in differences

Cause: a leader keeps 4,096 changes. After the loss of 3,000 engines that come back under other names, the former ones become overdue 3.6 s later, all at once: with the new ones that is more than it keeps, and everyone that watched got the whole list, 0.9 MB each, from replicas that have a quarter of a core. Meanwhile announcements waited, were refused, and came again over new connections, which kept it up for ten seconds and more.

The overload begins when the former engines become overdue.

Change: twice the servers that a registry holds, 40 bytes each.

TestOverdueFleetIsToldInDifferences was red.

--- a/core/fleet/changes.go
+++ b/core/fleet/changes.go
@@ -1,9 +1,9 @@
 package fleet
 
-// keptChanges bounds the changes that are remembered; who is further behind gets
-// everything. While 3,000 engines announce themselves within a second it covers the
-// time between two rounds of a watch.
-const keptChanges = 4096
+// keptChanges bounds the changes that are remembered, 40 bytes each; who is further behind
+// gets everything. It covers the time between two rounds of a watch while all servers of the
+// largest deployment aimed at are new, and as many that were lost become overdue.
+const keptChanges = 2 * maxServers
 
 // keptSpans bounds the leaders' terms of which differences are known: a group that
 // changes its leader with each election timeout has ten in five seconds.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,3 +115,24 @@
 	}, gen.SliceOf(gen.UInt8()), gen.UInt8()))
 	p.TestingRun(t)
 }
+
+// All servers of a large fleet are lost, as many others have come, and the former become
+// overdue at the same moment. Instances that watch get what has changed; whole listings, for
+// hundreds of them, kept the leader from hearing of heartbeats.
+func TestOverdueFleetIsToldInDifferences(t *testing.T) {
+	const fleetSize = 3760 // ten a machine at 376 machines
+	r := NewRegistry()
+	var former []Server
+	for i := range fleetSize {
+		former = append(former, Server{ID: fmt.Sprint("former-", i), Address: fmt.Sprint("a", i)})
+	}
+	r.Remember(t0, former)
+	at := r.Version()
+	for i := range fleetSize {
+		r.Announce(t0.Add(OverdueAfter), Server{ID: fmt.Sprint("next-", i), Address: fmt.Sprint("b", i)})
+	}
+	r.Expire(t0.Add(OverdueAfter))
+	if l := r.Listing(true, at); !l.Difference || len(l.Servers) != 2*fleetSize {
+		t.Errorf("difference %v with %d servers", l.Difference, len(l.Servers))
+	}
+}
