Counts: a server's number in a stream is looked up once

Cause: each row told looked the server's number up by its ID; a collector tells thousands of rows a second.

Change: the sender keeps the number with what it has told of the slot.

--- a/core/counts/sender.go
+++ b/core/counts/sender.go
@@ -44,9 +44,11 @@
 
 // told is what the receiver has of one slot.
 type told struct {
-	id     string
-	number uint32
-	row    Row
+	id string
+	// number is the server's in the stream; numbered: it has one.
+	number   uint32
+	numbered bool
+	row      Row
 	// version is that of the slot when it was last looked at.
 	version uint64
 	// limitSince is that of the limit told last.
@@ -194,7 +196,7 @@
 		return 0
 	}
 	t.limitSince = l.Since
-	t.number = s.number(t.id)
+	s.name(t)
 	*out = appendLimit(*out, t.number, l.Limit, now.Sub(l.Since))
 	return 1
 }
@@ -214,7 +216,7 @@
 	if id == "" || row.Load == t.row.Load && !withPace {
 		return rows
 	}
-	t.number = s.number(id)
+	s.name(t)
 	*out = appendRow(*out, t.number, row, withPace)
 	t.row.Load = row.Load
 	if withPace {
@@ -232,6 +234,13 @@
 	return math.Abs(mean-before) > paceChange*before
 }
 
+// name gives a slot's server its number in the stream.
+func (s *Sender) name(t *told) {
+	if !t.numbered {
+		t.number, t.numbered = s.number(t.id), true
+	}
+}
+
 // number returns a server's number in the stream, a new one at first.
 func (s *Sender) number(id string) uint32 {
 	n, known := s.numbers[id]
