--- a/core/balance/peers.go
+++ b/core/balance/peers.go
@@ -113,7 +113,7 @@
 		b.setRow(p, s, row)
 		return
 	}
-	p.setUnknown(id, number)
+	p.noteUnknown(id, number)
 }
 
 // takeUses notes which shared parts were given to servers elsewhere.
--- a/core/balance/servers.go
+++ b/core/balance/servers.go
@@ -23,7 +23,7 @@
 		b.add(&d.come[i])
 	}
 	for name := range d.pools() {
-		b.pool(name).order()
+		b.pool(name).sortServers()
 	}
 }
 
@@ -70,7 +70,7 @@
 func (b *Balancer) remove(s *server) {
 	delete(b.servers, s.ID)
 	for _, p := range b.peers {
-		p.leave(s)
+		p.forgetServer(s)
 	}
 	b.touch(s) // the slot is empty now
 	b.slots[s.slot] = nil
@@ -107,15 +107,15 @@
 	b.slots = append(b.slots, s)
 }
 
-// order puts the servers into boundary order after some have come or gone.
-func (p *pool) order() {
+// sortServers puts the servers into boundary order after some have come or gone.
+func (p *pool) sortServers() {
 	p.sides.marked = nil
 	slices.SortFunc(p.servers, func(x, y *server) int { return cmp.Compare(x.order, y.order) })
 }
 
-// leave takes a peer's counts at a server that has left out of the sums. They count again
+// forgetServer takes a peer's counts at a server that has left out of the sums. They count again
 // should it come back: the peer tells them only when they change.
-func (p *peer) leave(s *server) {
+func (p *peer) forgetServer(s *server) {
 	row := p.row(s.slot)
 	if row == (counts.Row{}) {
 		return
@@ -124,12 +124,13 @@
 	p.bySlot[s.slot] = counts.Row{}
 	for number := range p.in.Servers() {
 		if id, _ := p.in.Server(number); id == s.ID {
-			p.setUnknown(id, number)
+			p.noteUnknown(id, number)
 		}
 	}
 }
 
-func (p *peer) setUnknown(id string, number int) {
+// noteUnknown notes the number of a server that this instance does not know.
+func (p *peer) noteUnknown(id string, number int) {
 	if p.unknown == nil {
 		p.unknown = map[string]int{}
 	}
