Test: a refusal for want of tokens names a time at which the call is served

Traced: how much of an instance's first token is there when a limit becomes known is drawn by lot, so that the time until it is whole is anything from 0 to 5 s at 0.2 a second, and a fifth of that below 1 s.

Change: the time must be at most one and a half periods, as it must be by the rule, and a call that comes back then must be served by one run; calls before the refusal may be served, three at most. The old check let a time pass at which nobody is served.

--- a/daemon/router/limit_test.go
+++ b/daemon/router/limit_test.go
@@ -19,20 +19,36 @@
 	}
 }
 
-// A refusal for want of tokens comes soon, was sent nowhere, and says when to come back.
+// A refusal for want of tokens comes soon, was sent nowhere, and says when to come back:
+// whoever comes then is served. How much of the first token is there is drawn by lot, so that
+// the first calls may be served.
 func TestCallIsRefusedWhereServersTakeNoMore(t *testing.T) {
-	w := newWorld(t, limiting("0.2", good))
+	const perSecond = 0.5
+	w := newWorld(t, limiting(strconv.FormatFloat(perSecond, 'f', -1, 64), good))
 	w.expect(w.call("/once/x"), 200, 1)
+	const mostServed = 3
+	var got reply
 	began := time.Now()
-	got := w.call("/once/x")
-	w.expect(got, 503, 1)
+	for served := int64(1); ; served++ {
+		began = time.Now()
+		if got = w.call("/once/x"); got.status != http.StatusOK {
+			w.expect(got, 503, served)
+			break
+		}
+		if served == mostServed {
+			t.Fatalf("%d calls in a row were served at %g a second", served, perSecond)
+		}
+	}
 	if took := time.Since(began); took > 100*time.Millisecond {
 		t.Errorf("refused after %v", took)
 	}
 	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
-	if err != nil || after < 1 || after > 10 {
-		t.Errorf("Retry-After %q at a server that takes a call each 5 s", got.header.Get("Retry-After"))
+	if err != nil || after <= 0 || after > (1+comeBackSpread)/perSecond {
+		t.Fatalf("Retry-After %q at a server that takes a call each %g s", got.header.Get("Retry-After"), 1/perSecond)
 	}
+	before := w.runs.Load()
+	time.Sleep(time.Duration(after * float64(time.Second)))
+	w.expect(w.call("/once/x"), 200, before+1)
 }
 
 // A call waits for a token that comes while its run is still worth it.
