Garbage collection at a growth of 50% again

Conclusion: taken back; next is a soft limit from the memory that the settings name, which none does yet.

--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -17,9 +17,8 @@
 	"cardamomwick.example/platform"
 )
 
-// gcPercent is the growth of the heap, in percent, at which the garbage collector runs:
-// large fleets are short of processor time before they are short of memory.
-const gcPercent = 100
+// gcPercent trades some processor time for memory: the instances are small.
+const gcPercent = 50
 
 // Exit codes.
 const (
