Reading the change again: one loop for silent servers, one lost fleet of the tests

A line with a loop in it was hard to read, and two tests built the same fleet.

Change: names and places only; no check is changed.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -116,17 +116,25 @@
 	p.TestingRun(t)
 }
 
-// All servers of a large fleet are lost, as many others have come, and the former become
-// overdue at the same moment. Instances that watch get what has changed; whole listings, for
-// hundreds of them, kept the leader from hearing of heartbeats.
-func TestOverdueFleetIsToldInDifferences(t *testing.T) {
-	const fleetSize = 3760 // ten a machine at 376 machines
+// fleetSize is ten servers a machine at 376 machines.
+const fleetSize = 3760
+
+// lostFleet is the registry of a leader that remembers a large fleet which is gone.
+func lostFleet() *Registry {
 	r := NewRegistry()
 	var former []Server
 	for i := range fleetSize {
 		former = append(former, Server{ID: fmt.Sprint("former-", i), Address: fmt.Sprint("a", i)})
 	}
 	r.Remember(t0, former)
+	return r
+}
+
+// All servers of a large fleet are lost, as many others have come, and the former become
+// overdue at the same moment. Instances that watch get what has changed; whole listings, for
+// hundreds of them, kept the leader from hearing of heartbeats.
+func TestOverdueFleetIsToldInDifferences(t *testing.T) {
+	r := lostFleet()
 	at := r.Version()
 	for i := range fleetSize {
 		r.Announce(t0.Add(OverdueAfter), Server{ID: fmt.Sprint("next-", i), Address: fmt.Sprint("b", i)})
--- a/core/fleet/starts_test.go
+++ b/core/fleet/starts_test.go
@@ -107,13 +107,7 @@
 // All servers of a large fleet are lost, and as many others announce themselves before the
 // former are forgotten. Those that a full registry ignores get no calls for half a minute.
 func TestLargeFleetIsReplacedWhileTheFormerIsRemembered(t *testing.T) {
-	const fleetSize = 3760 // ten a machine at 376 machines
-	r := NewRegistry()
-	var former []Server
-	for i := range fleetSize {
-		former = append(former, Server{ID: fmt.Sprint("former-", i), Address: fmt.Sprint("a", i)})
-	}
-	r.Remember(t0, former)
+	r := lostFleet()
 	for i := range fleetSize {
 		r.Announce(t0, Server{ID: fmt.Sprint("next-", i), Address: fmt.Sprint("b", i)})
 	}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -95,8 +95,8 @@
 	loops.Go(func() { s.followLeader(ctx) })
 	loops.Go(func() { s.tellAnnounced(ctx) })
 	loops.Go(func() { s.registerServers(ctx) })
-	loops.Go(func() { _ = loop.Every(ctx, expirePeriod, func(now time.Time) { s.departSilent(ctx, now) }) }) // ends with the context
-	loops.Go(func() { _ = s.tellAlive(ctx) })                                                                // ends with the context
+	loops.Go(func() { _ = s.departSilent(ctx) }) // ends with the context
+	loops.Go(func() { _ = s.tellAlive(ctx) })    // ends with the context
 	return loop.Every(ctx, expirePeriod, func(now time.Time) {
 		v, _ := s.replica.View()
 		s.client.Directory().Learn(v.Members)
@@ -116,23 +116,26 @@
 const mostDeparting = 512
 
 // departSilent ends servers that neither announce nor depart for long, while this replica
-// leads, together: thousands that were lost at once fall silent at once, and an entry of
-// the log for each took longer than followers wait for their leader.
-func (s *Service) departSilent(ctx context.Context, now time.Time) {
-	if v, _ := s.replica.View(); !v.Leading {
-		return
-	}
-	s.mu.Lock()
-	silent := s.registry.Silent(now)
-	s.mu.Unlock()
-	for batch := range slices.Chunk(silent, mostDeparting) {
-		if err := s.departAll(ctx, batch); err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "depart silent servers", "servers": len(batch)}).Warn("will be tried again")
+// leads, until the context ends. They are ended together: thousands that were lost at once
+// fall silent at once.
+func (s *Service) departSilent(ctx context.Context) error {
+	return loop.Every(ctx, expirePeriod, func(now time.Time) {
+		if v, _ := s.replica.View(); !v.Leading {
 			return
 		}
-	}
+		s.mu.Lock()
+		silent := s.registry.Silent(now)
+		s.mu.Unlock()
+		for batch := range slices.Chunk(silent, mostDeparting) {
+			if err := s.departAll(ctx, batch); err != nil {
+				log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "depart silent servers", "servers": len(batch)}).Warn("will be tried again")
+				return
+			}
+		}
+	})
 }
 
+// departAll ends servers by one entry of the log.
 func (s *Service) departAll(ctx context.Context, ids []string) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
--- a/daemon/router/limit_test.go
+++ b/daemon/router/limit_test.go
@@ -28,7 +28,7 @@
 	w.expect(w.call("/once/x"), 200, 1)
 	const mostServed = 3
 	var got reply
-	began := time.Now()
+	var began time.Time
 	for served := int64(1); ; served++ {
 		began = time.Now()
 		if got = w.call("/once/x"); got.status != http.StatusOK {
