recovery: fail unless the fleet recovers in time and stays recovered

The replay called the fleet recovered as soon as it was whole once, and so did not show an overload that begins a few seconds later and keeps itself up.

--- a/Makefile
+++ b/Makefile
@@ -104,7 +104,7 @@
 # The recovery of a large fleet from the loss of everything, in a minute on one
 # machine: replicas with a quota of their processor, light entries and engines.
 .PHONY: recovery
-RECOVERY := -entries 290 -engines 3000 -quota 0.24
+RECOVERY := -entries 290 -engines 3000 -quota 0.24 -settle 20s
 recovery: build
 	go build -o $(BIN)/recovery ./platform/internal/recovery
-	$(BIN)/recovery -bin $(BIN) $(RECOVERY) 2>/dev/null
+	$(BIN)/recovery -bin $(BIN) $(RECOVERY)
