control: replicas that follow the leader share its listings

Callers saw nothing served for up to 30 s after the loss of everything at 300 machines; engines' heartbeats were refused or not answered, each came over a new connection, and it went on by itself.

Cause: for each of eight replicas that follow it, the leader collected, sorted and encoded a listing of the whole fleet at each request, under the lock that heartbeats and announcements need, since its registry had changed with each message from another replica. A request took longer than the 0.7 s that the follower waits, so the follower asked again from the same position, for the whole fleet again. Followers that had no reply for 2 s refused their engines' heartbeats.

Now the leader brings the fleet that it relays up to date once after each notification (10 a second at most), and followers get what entries get: the shared difference from it, also across a change of the leader, where they got everything.

--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -66,7 +66,7 @@
 
 func (r *Relay) invalidateCache() { r.cached, r.full = nil, nil }
 
-// applyDelta applies a difference within a leader's term; nothing is unlisted there.
+// applyDelta applies a difference, within a leader's term or between two leaders.
 func (r *Relay) applyDelta(l Listing) {
 	r.changes.Advance(Position{l.Term, l.Version})
 	for _, s := range l.Servers {
@@ -76,7 +76,14 @@
 	for _, id := range l.Removed {
 		delete(r.servers, id)
 		r.changes.RecordRemoved(id)
-		r.recordDeparture(id)
+		r.recordWithdrawal(Withdrawal{ServerID: id, Phase: Departed})
+	}
+	for _, id := range l.Unlisted {
+		delete(r.servers, id)
+		r.changes.RecordUnlisted(id)
+	}
+	for _, w := range l.Withdrawals {
+		r.recordWithdrawal(w)
 	}
 }
 
@@ -126,8 +133,8 @@
 	}
 }
 
-func (r *Relay) recordDeparture(id string) {
-	r.withdrawals = append(r.withdrawals, Withdrawal{ServerID: id, Phase: Departed})
+func (r *Relay) recordWithdrawal(w Withdrawal) {
+	r.withdrawals = append(r.withdrawals, w)
 	if extra := len(r.withdrawals) - MaxLoggedWithdrawals; extra > 0 {
 		r.withdrawals = slices.Clone(r.withdrawals[extra:])
 	}
--- a/core/fleet/relay_test.go
+++ b/core/fleet/relay_test.go
@@ -19,6 +19,8 @@
 	registry *Registry
 	term     uint64
 	relays   []*Relay
+	// leading is the index of the leader's own relay, from which the other one is told.
+	leading int
 	// logged and withdrawn are the content of the log at a revision.
 	logged    map[string]Server
 	withdrawn []Withdrawal
@@ -63,6 +65,7 @@
 		g.registry.Withdraw(w.ServerID, w.Phase)
 	}
 	g.registry.Restore(now, g.log())
+	g.leading = 1 - g.leading
 }
 
 func (g *testGroup) listing(at Position) *Listing {
@@ -74,15 +77,27 @@
 	return l
 }
 
-func (g *testGroup) follow(r *Relay) { r.Apply(*g.listing(r.Position())) }
+// publish brings the leader's own relay up to date with its registry.
+func (g *testGroup) publish() { r := g.relays[g.leading]; r.Apply(*g.listing(r.Position())) }
+
+// follow brings a relay up to date with what the leader has published.
+func (g *testGroup) follow(r *Relay) {
+	if r == g.relays[g.leading] {
+		g.publish()
+		return
+	}
+	if l := g.relays[g.leading].Listing(r.Position(), true); l != nil {
+		r.Apply(*l)
+	}
+}
 
 func (g *testGroup) restart(i int) {
 	g.relays[i] = &Relay{}
 	g.relays[i].ApplyLog(g.log(), g.withdrawn, g.revision)
 }
 
-// Entries that apply differences from relays, and switch between these, must end up with
-// the leader's servers, across changes of the leader, restarts of the relays and starts
+// Entries that apply differences from relays, one of which follows the other, and switch
+// between these, must end up with the leader's servers, across changes of the leader, restarts of the relays and starts
 // from the log. They must never list a server whose departure the relays know.
 func TestDifferencesConvergeToTheLeadersFleet(t *testing.T) {
 	differences, full := 0, 0
@@ -141,9 +156,10 @@
 				update(mirrors[rnd.Intn(3)], rnd.Intn(2))
 			}
 		}
-		g.follow(g.relays[0])
+		g.publish()
+		g.follow(g.relays[1-g.leading])
 		for i, m := range mirrors {
-			update(m, 0)
+			update(m, rnd.Intn(2))
 			for _, s := range m.Servers(now) {
 				if slices.Contains(g.withdrawn, Withdrawal{s.ID, Departed}) {
 					return fmt.Sprintf("mirror %d lists %s, which has departed", i, s.ID)
@@ -178,12 +194,17 @@
 		g.register(s)
 	}
 	g.restart(0)
+	g.restart(1)
 	entry := NewMirror()
 	entry.Apply(t0, Listing{Version: g.revision, Servers: g.log()})
 	for range 5 {
 		g.changeLeader(t0)
 		g.registry.Announce(t0, Server{ID: fmt.Sprint("new", g.term), Pool: "p", Sequence: 1})
-		g.follow(g.relays[0])
+		g.publish()
+		if l := g.relays[g.leading].Listing(g.relays[1-g.leading].Position(), true); !l.Delta || len(l.Servers) != 1 {
+			t.Fatalf("term %d: the other relay is sent %d servers, delta is %v", g.term, len(l.Servers), l.Delta)
+		}
+		g.follow(g.relays[1-g.leading])
 		l := g.relays[0].Listing(entry.Position(), true)
 		if !l.Delta || len(l.Servers) != 1 || len(l.Removed) > 0 {
 			t.Fatalf("term %d: %d servers are sent, delta is %v", g.term, len(l.Servers), l.Delta)
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -51,6 +51,9 @@
 	// delayed notification is scheduled.
 	lastNotified    time.Time
 	notifyScheduled bool
+	// publishDue is set when the watchers were notified and the fleet that this replica relays
+	// as the leader may lack changes.
+	publishDue bool
 	// lastLedTerm is the last term in which this replica was the leader.
 	lastLedTerm uint64
 	foreign     foreignCounter
@@ -195,6 +198,7 @@
 
 func (s *Service) notifyNow() {
 	s.lastNotified = time.Now()
+	s.publishDue = true
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/daemon/control/relay.go
+++ b/daemon/control/relay.go
@@ -80,7 +80,7 @@
 	at := s.relay.fleet.Position()
 	s.mu.Unlock()
 	// No declaration is requested: it comes with the log.
-	req := watchRequest{Hold: watchHold, Deltas: true, ForRelay: true, Declaration: math.MaxUint64, Term: at.Term, Version: at.Version}
+	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, ForRelay: true, Declaration: math.MaxUint64, Term: at.Term, Version: at.Version}
 	reply, err := replica.CallLeader[watchReply](ctx, s.client, methodWatch, &req)
 	if err != nil {
 		log.WithError(eris.Cause(err)).WithField("step", "follow fleet").Debug("no reply from the leader")
--- a/daemon/control/watchreply.go
+++ b/daemon/control/watchreply.go
@@ -158,27 +158,34 @@
 // listing returns the fleet changes that an instance lacks, nil for none. The caller holds
 // s.mu.
 func (s *Service) listing(req *watchRequest, v replica.View) *fleet.Listing {
-	if v.Leading && req.ForRelay {
-		return s.leaderListing(req.position(), req.Deltas, v)
-	}
 	if v.Leading {
-		// The leader relays its own fleet, so that entries which followed another leader
-		// before get a delta from it as from any other replica.
-		if l := s.leaderListing(s.relay.fleet.Position(), true, v); l != nil {
-			s.relay.fleet.Apply(*l)
-		}
+		s.publishFleet(v)
 	}
 	return s.relay.fleet.Listing(req.position(), req.AcrossTerms)
 }
 
-// leaderListing returns what a relaying replica lacks of the leader's registry, nil for
-// nothing.
-func (s *Service) leaderListing(at fleet.Position, deltas bool, v replica.View) *fleet.Listing {
+// publishFleet brings the fleet that a leader relays up to date with its registry, once after
+// each notification of the watchers. Requests in between get the same listing: the registry
+// changes with each message, and a listing of thousands of servers for each relaying replica
+// takes all of the leader's CPU time. The caller holds s.mu.
+func (s *Service) publishFleet(v replica.View) {
+	at := s.relay.fleet.Position()
+	if at.Term == v.Term && !s.publishDue {
+		return
+	}
+	s.publishDue = false
+	if l := s.leaderListing(at, v); l != nil {
+		s.relay.fleet.Apply(*l)
+	}
+}
+
+// leaderListing returns the changes of the leader's registry since a position, nil for none.
+func (s *Service) leaderListing(at fleet.Position, v replica.View) *fleet.Listing {
 	sameTerm := at.Term == v.Term
 	if sameTerm && at.Version == s.registry.Version() {
 		return nil
 	}
-	l := s.registry.Listing(sameTerm && deltas, at.Version)
+	l := s.registry.Listing(sameTerm, at.Version)
 	l.Term = v.Term
 	if !l.Delta {
 		l.Withdrawals = v.Routing.Withdrawals
--- a/daemon/control/wire.go
+++ b/daemon/control/wire.go
@@ -41,7 +41,7 @@
 	Stale bool `msgpack:"s,omitempty"`
 	// Brief asks for Members and InForce only.
 	Brief bool `msgpack:"b,omitempty"`
-	// Deltas: the requesting instance accepts deltas.
+	// Deltas: the requesting instance accepts deltas. Only replicas of earlier versions read it.
 	Deltas bool `msgpack:"f,omitempty"`
 	// AcrossTerms: the requesting instance accepts deltas across a change of leader.
 	AcrossTerms bool `msgpack:"a,omitempty"`
