control: log what delays messages of replicas at the leader

The logs said that batches of announcements and heartbeats had failed, not for how long they had waited, nor where. The sender now logs the time, and the leader logs each message that takes over 0.3 s, with the time that it waited before it was applied.

--- a/daemon/control/announce.go
+++ b/daemon/control/announce.go
@@ -118,12 +118,13 @@
 		batch := s.queue
 		s.queue = announcementQueue{}
 		s.mu.Unlock()
+		sentAt := time.Now()
 		err := s.sendToLeader(ctx, batch.list())
 		for _, result := range batch.waiters {
 			result <- err
 		}
 		if err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "forward announcements", "servers": len(batch.servers)}).Warn("told again with the next ones")
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "forward announcements", "servers": len(batch.servers), "ms": time.Since(sentAt).Milliseconds()}).Warn("told again with the next ones")
 			s.requeueAnnouncements(batch.servers)
 		}
 		wait(ctx, announceBatchPause)
@@ -177,11 +178,20 @@
 	if !v.Leading {
 		return announceReply{replica.NotLeaderReply(v)}, nil
 	}
+	arrived := time.Now()
 	s.follow(v)
+	waited := time.Since(arrived)
 	s.update(func() { apply(time.Now()) })
+	if total := time.Since(arrived); total > slowMessage {
+		log.WithFields(log.Fields{"step": "apply message of a replica", "bytes": len(body), "waited_ms": waited.Milliseconds(), "ms": total.Milliseconds()}).Warn("the leader is slow; the sender may send the message again")
+	}
 	return announceReply{}, nil
 }
 
+// slowMessage is the time after which the handling of a message at the leader is logged: the
+// sender gives up within announceTimeout.
+const slowMessage = announceTimeout / 3
+
 // signal wakes the loop that waits on a channel with a buffer of one.
 func signal(c chan<- struct{}) {
 	select {
--- a/daemon/control/heartbeats.go
+++ b/daemon/control/heartbeats.go
@@ -66,8 +66,9 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 		defer cancel()
+		sentAt := time.Now()
 		if _, err := replica.CallLeader[announceReply](ctx, s.client, methodHeartbeats, batch); err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "tell heartbeats", "servers": len(batch)}).Warn("told again with the next ones")
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "tell heartbeats", "servers": len(batch), "ms": time.Since(sentAt).Milliseconds()}).Warn("told again with the next ones")
 			s.requeueHeartbeats(batch)
 		}
 	})
