control: a slow leader answers no entries beyond its limit

Beyond 12 watching entries a leader answered every entry that had got no answer from the other replicas. Those answer nothing while they wait for a slow leader, so that all 290 entries came to the leader and made it slower: the overload fed itself. The leader now sends such entries on for 2 s after it was late with a message of a replica.

--- a/daemon/control/announce.go
+++ b/daemon/control/announce.go
@@ -181,15 +181,20 @@
 	arrived := time.Now()
 	s.follow(v)
 	waited := time.Since(arrived)
-	s.update(func() { apply(time.Now()) })
+	s.update(func() {
+		apply(time.Now())
+		if time.Since(arrived) > slowMessage {
+			s.lastSlow = time.Now()
+		}
+	})
 	if total := time.Since(arrived); total > slowMessage {
 		log.WithFields(log.Fields{"step": "apply message of a replica", "bytes": len(body), "waited_ms": waited.Milliseconds(), "ms": total.Milliseconds()}).Warn("the leader is slow; the sender may send the message again")
 	}
 	return announceReply{}, nil
 }
 
-// slowMessage is the time after which the handling of a message at the leader is logged: the
-// sender gives up within announceTimeout.
+// slowMessage is the handling time from which a leader counts as slow: the sender gives up
+// within announceTimeout.
 const slowMessage = announceTimeout / 3
 
 // signal wakes the loop that waits on a channel with a buffer of one.
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -61,6 +61,8 @@
 	heartbeats  heartbeatBatch
 	// watchers counts the open watch requests.
 	watchers int
+	// lastSlow is when this leader was last late with a message of a replica.
+	lastSlow time.Time
 	queue    announcementQueue
 	// queued wakes forwardAnnouncements, unregistered wakes registerServers.
 	queued, unregistered chan struct{}
--- a/daemon/control/watchreply.go
+++ b/daemon/control/watchreply.go
@@ -44,7 +44,7 @@
 	holdEnd := time.Now().Add(hold)
 	timeout := time.NewTimer(hold)
 	defer timeout.Stop()
-	if v, _ := s.replica.View(); v.Leading && !req.ForRelay && !req.Stale && !req.LeaderRequired && s.atWatcherLimit() {
+	if v, _ := s.replica.View(); v.Leading && !req.ForRelay && !req.Stale && !s.admitsWatcher(req.LeaderRequired) {
 		return &watchReply{Redirect: redirectToAny()}, nil
 	}
 	defer s.addWatcher()()
@@ -93,13 +93,19 @@
 // heartbeats, which makes servers overdue and thereby causes further changes.
 const maxLeaderWatchers = 12
 
-// atWatcherLimit reports whether this leader has maxLeaderWatchers watchers.
-func (s *Service) atWatcherLimit() bool {
+// admitsWatcher reports whether this leader answers another entry. Beyond maxLeaderWatchers it
+// answers only entries that got no answer from the other replicas, and none while it is slow:
+// the other replicas then don't answer because they wait for the leader.
+func (s *Service) admitsWatcher(leaderRequired bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.watchers >= maxLeaderWatchers
+	return s.watchers < maxLeaderWatchers || leaderRequired && time.Since(s.lastSlow) > slowLeaderPeriod
 }
 
+// slowLeaderPeriod is how long a leader counts as slow after it was late with a message of a
+// replica: several times the period in which each replica sends one.
+const slowLeaderPeriod = 2 * time.Second
+
 // addWatcher counts a watch request until the returned function is called.
 func (s *Service) addWatcher() (done func()) {
 	add := func(n int) {
