control: announcements don't wait for watch requests at the leader

The relayed fleet has a lock of its own now, as have the notifications and the reply to stale reads; the lock of the registry is held only while the registry is read or changed; listings are encoded with the first reply, under no lock; what has not changed in the log is followed without a lock.

--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -32,9 +32,12 @@
 
 // Apply applies a leader's listing that follows the current position, and ignores others.
 func (r *Relay) Apply(l Listing) {
-	if !l.appliesTo(r.Position()) || l.Delta && r.servers == nil {
+	if !l.appliesTo(r.Position()) {
 		return
 	}
+	if l.Delta && r.servers == nil {
+		r.servers = map[string]Server{} // a difference to the empty log
+	}
 	r.invalidateCache()
 	switch {
 	case l.Delta:
--- a/core/fleet/relay_test.go
+++ b/core/fleet/relay_test.go
@@ -362,3 +362,18 @@
 		t.Errorf("the difference is still %+v", got)
 	}
 }
+
+// Guards against a relay that never learned the fleet: the leader had started with an empty log,
+// and sent the difference to it to a relay that had started with nothing.
+func TestRelayThatStartedWithNothingFollowsALeaderThatStartedWithAnEmptyLog(t *testing.T) {
+	g := newGroup()
+	g.restart(g.leading)
+	g.publish()
+	g.registry.Announce(t0, Server{ID: "s", Pool: "p", Sequence: 1})
+	g.publish()
+	other := g.relays[1-g.leading]
+	g.follow(other)
+	if list := other.Servers(); len(list) != 1 || other.Position() != g.relays[g.leading].Position() {
+		t.Errorf("it has %v at %v", list, other.Position())
+	}
+}
--- a/daemon/control/announce.go
+++ b/daemon/control/announce.go
@@ -52,10 +52,12 @@
 // same announcement to one replica after the other, each time over a new connection, as
 // long as the leader was overloaded.
 func (s *Service) enqueueAnnouncement(server fleet.Server) bool {
-	v, _ := s.replica.View()
+	if v, _ := s.replica.View(); !v.Leading && !s.relay.recentlyConnected() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !v.Leading && !s.relay.recentlyConnected() || !s.queue.add(announcement{server, time.Now()}) {
+	if !s.queue.add(announcement{server, time.Now()}) {
 		return false
 	}
 	signal(s.queued)
@@ -181,13 +183,10 @@
 	arrived := time.Now()
 	s.follow(v)
 	waited := time.Since(arrived)
-	s.update(func() {
-		apply(time.Now())
-		if time.Since(arrived) > slowMessage {
-			s.lastSlow = time.Now()
-		}
-	})
+	s.update(func() { apply(time.Now()) })
 	if total := time.Since(arrived); total > slowMessage {
+		now := time.Now()
+		s.lastSlow.Store(&now)
 		log.WithFields(log.Fields{"step": "apply message of a replica", "bytes": len(body), "waited_ms": waited.Milliseconds(), "ms": total.Milliseconds()}).Warn("the leader is slow; the sender may send the message again")
 	}
 	return announceReply{}, nil
--- a/daemon/control/assignment.go
+++ b/daemon/control/assignment.go
@@ -17,18 +17,18 @@
 // would permanently carry all connections and heartbeats and have no time left for the
 // replica group. A replica that joins or is lost moves only its share of the servers.
 func (s *Service) AssignedReplica(serverID string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return replicaFor(serverID, s.liveReplicas)
+	live := s.liveReplicas.Load()
+	if live == nil {
+		return ""
+	}
+	return replicaFor(serverID, *live)
 }
 
 // updateLiveReplicas refreshes the list of live replicas. It is not computed per heartbeat, since
 // hundreds of heartbeats a second would each scan hundreds of instances.
 func (s *Service) updateLiveReplicas(members []string) {
 	live := filterLiveReplicas(members, s.instances())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.liveReplicas = live
+	s.liveReplicas.Store(&live)
 }
 
 // filterLiveReplicas returns the live instances that hold replicas.
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -8,6 +8,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -43,44 +44,41 @@
 	replica *replica.Replica
 	client  *replica.Client
 
-	mu       sync.Mutex
-	registry *fleet.Registry
-	revision uint64
-	changed  chan struct{}
-	// lastNotified is when the watchers were last notified; notifyScheduled is set while a
-	// delayed notification is scheduled.
-	lastNotified    time.Time
-	notifyScheduled bool
-	// publishDue is set when the watchers were notified and the fleet that this replica relays
-	// as the leader may lack changes.
-	publishDue bool
-	// lastLedTerm is the last term in which this replica was the leader.
-	lastLedTerm uint64
-	foreign     foreignCounter
-	relay       relay
-	heartbeats  heartbeatBatch
+	// mu guards what announcements need: registry, heartbeats and queue. It is held briefly:
+	// whatever grows with the number of watchers happens under relay.mu, which may be held
+	// when mu is locked, but not the other way round.
+	mu         sync.Mutex
+	registry   *fleet.Registry
+	heartbeats heartbeatBatch
+	queue      announcementQueue
+	// followed is the state of the log that the registry has, nil before the first.
+	followed atomic.Pointer[followedState]
+	foreign  foreignCounter
+	relay    relay
+	notifier notifier
 	// watchers counts the open watch requests.
-	watchers int
+	watchers atomic.Int64
 	// lastSlow is when this leader was last late with a message of a replica.
-	lastSlow time.Time
-	queue    announcementQueue
+	lastSlow atomic.Pointer[time.Time]
 	// queued wakes forwardAnnouncements, unregistered wakes registerServers.
 	queued, unregistered chan struct{}
 	// instances lists the live instances.
 	instances func() []membership.Instance
 	// liveReplicas are the live replicas, among which the servers are distributed.
-	liveReplicas []membership.Instance
+	liveReplicas atomic.Pointer[[]membership.Instance]
 	// staleReply caches the reply to entries that start while there is no leader.
-	staleReply cachedReply
-	// listings caches encoded listings for replies to several instances.
-	listings listingCache
-	// decoded caches the last decoded declaration.
+	staleReply staleReplyCache
+	// decoded caches the last decoded declaration, guarded by mu.
 	decoded *routing.Declaration
 }
 
+// followedState identifies a state of the log and the last term in which this replica was the
+// leader.
+type followedState struct{ revision, lastLedTerm uint64 }
+
 // New returns a Service and registers its frame handlers.
 func New(t *frame.Transport, r *replica.Replica, c *replica.Client) *Service {
-	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), changed: make(chan struct{}), heartbeats: heartbeatBatch{},
+	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), notifier: newNotifier(), heartbeats: heartbeatBatch{},
 		queued: make(chan struct{}, 1), unregistered: make(chan struct{}, 1), relay: relay{startedAt: boottime.Now()},
 		instances: func() []membership.Instance { return nil }}
 	t.HandleRequest(methodAnnounce, s.handleAnnounce)
@@ -111,10 +109,8 @@
 		if !v.Leading {
 			return
 		}
-		s.update(func() {
-			s.relay.lastLed = boottime.Now()
-			s.registry.MarkOverdue(now)
-		})
+		s.relay.recordLed()
+		s.update(func() { s.registry.MarkOverdue(now) })
 	})
 }
 
@@ -170,39 +166,8 @@
 	before := s.registry.Version()
 	change()
 	if s.registry.Version() != before {
-		s.notifyWatchers()
-	}
-}
-
-// minNotifyInterval is the minimum interval between two notifications. While thousands of
-// servers announce themselves, the fleet changes with each message from another replica,
-// and each notification makes every watch request compute its changes.
-const minNotifyInterval = 100 * time.Millisecond
-
-// notifyWatchers notifies the watchers of a change, immediately or when minNotifyInterval has
-// passed since the last notification. The caller holds s.mu.
-func (s *Service) notifyWatchers() {
-	if s.notifyScheduled {
-		return
-	}
-	if left := minNotifyInterval - time.Since(s.lastNotified); left > 0 {
-		s.notifyScheduled = true
-		time.AfterFunc(left, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.notifyScheduled = false
-			s.notifyNow()
-		})
-		return
+		s.notifier.notify()
 	}
-	s.notifyNow()
-}
-
-func (s *Service) notifyNow() {
-	s.lastNotified = time.Now()
-	s.publishDue = true
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
 
 // Declare commits a declaration; nil means that it or a higher version is in
@@ -324,23 +289,38 @@
 	return false
 }
 
-// follow applies the replicated log's state to the registry. When this replica becomes
-// the leader, every server's heartbeat timeout starts anew.
+// follow applies the replicated log's state to the registry and to the relayed fleet. When
+// this replica becomes the leader, every server's heartbeat timeout starts anew.
 func (s *Service) follow(v replica.View) {
+	if s.hasFollowed(v) {
+		return
+	}
+	s.relay.applyLog(v)
 	s.update(func() {
-		newTerm := v.Leading && v.Term != s.lastLedTerm
-		if v.Routing.Revision == s.revision && !newTerm {
+		if s.hasFollowed(v) {
 			return
 		}
-		s.revision = v.Routing.Revision
-		s.relay.fleet.ApplyLog(v.Routing.Servers, v.Routing.Withdrawals, v.Routing.Revision)
 		s.registry.RecordStarts(v.Routing.Starts)
 		for _, w := range v.Routing.Withdrawals {
 			s.registry.Withdraw(w.ServerID, w.Phase)
 		}
-		if newTerm {
-			s.lastLedTerm = v.Term
+		next := followedState{revision: v.Routing.Revision}
+		if last := s.followed.Load(); last != nil {
+			next.lastLedTerm = last.lastLedTerm
+		}
+		if v.Leading && v.Term != next.lastLedTerm {
+			next.lastLedTerm = v.Term
 			s.registry.Restore(time.Now(), v.Routing.Servers)
 		}
+		s.followed.Store(&next)
 	})
 }
+
+// hasFollowed reports whether the registry has the state of the log in a view.
+func (s *Service) hasFollowed(v replica.View) bool {
+	last := s.followed.Load()
+	if last == nil {
+		return v.Routing.Revision == 0 && !v.Leading
+	}
+	return last.revision == v.Routing.Revision && (!v.Leading || last.lastLedTerm == v.Term)
+}
--- a/daemon/control/heartbeats.go
+++ b/daemon/control/heartbeats.go
@@ -38,11 +38,11 @@
 	if v.Leading {
 		return s.recordHeartbeatAsLeader(v, server)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.relay.recentlyConnected() || !s.relay.fleet.IsUpToDate(server) {
+	if !s.relay.recentlyConnected() || !s.relay.isUpToDate(server) {
 		return false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.heartbeats.record(server.ID, server.Sequence)
 	return true
 }
--- a/daemon/control/publish_test.go
+++ b/daemon/control/publish_test.go
@@ -11,7 +11,7 @@
 
 // ledService returns the service of a leader with a fleet of ready servers.
 func ledService(servers int) (*Service, replica.View) {
-	s := &Service{registry: fleet.NewRegistry(), changed: make(chan struct{}), heartbeats: heartbeatBatch{}}
+	s := &Service{registry: fleet.NewRegistry(), notifier: newNotifier(), heartbeats: heartbeatBatch{}}
 	s.update(func() {
 		for i := range servers {
 			s.registry.Announce(time.Now(), testServer(i, 1))
@@ -44,9 +44,7 @@
 			listings[reply.Listing] = true
 			positions[f] = fleet.Position{Term: reply.Listing.Term, Version: reply.Listing.Version}
 		}
-		s.mu.Lock()
-		s.notifyNow()
-		s.mu.Unlock()
+		s.notifier.notifyNow()
 	}
 	t.Logf("%d listings for %d requests", len(listings), followers*rounds)
 	if len(listings) > rounds+1 {
@@ -65,8 +63,30 @@
 			s.update(func() { s.registry.Announce(time.Now(), testServer(n%3000, n)) })
 			s.changesFor(&watchRequest{ForRelay: true, Deltas: true, AcrossTerms: true}, v)
 		}
-		s.mu.Lock()
-		s.notifyNow()
-		s.mu.Unlock()
+		s.notifier.notifyNow()
+	}
+}
+
+// Guards against an overload that kept itself up: announcements and heartbeats of other
+// replicas waited for seconds at the leader, behind hundreds of watch requests.
+func TestMessagesOfReplicasDoNotWaitForWatchRequests(t *testing.T) {
+	s, v := ledService(100)
+	if reply, _, _ := s.changesFor(&watchRequest{ForRelay: true, AcrossTerms: true}, v); reply.Listing == nil {
+		t.Fatal("no listing")
+	}
+	s.relay.mu.Lock() // as a watch request does while its listing is put together
+	defer s.relay.mu.Unlock()
+	v.Routing.Revision++
+	v.Routing.Withdrawals = []fleet.Withdrawal{{ServerID: testServer(1, 1).ID, Phase: fleet.Departed}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.follow(v)
+		s.update(func() { s.registry.RecordHeartbeat(time.Now(), testServer(2, 1).ID, 2) })
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a message waits for a watch request")
 	}
 }
--- a/daemon/control/read.go
+++ b/daemon/control/read.go
@@ -11,15 +11,13 @@
 // contact with the leader.
 func (s *Service) Servers() (list []fleet.Server, fresh bool) {
 	v, _ := s.replica.View()
-	if v.Leading {
-		s.follow(v)
+	if !v.Leading {
+		return s.relay.servers(v)
 	}
+	s.follow(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if v.Leading {
-		return s.registry.Servers(), true
-	}
-	return s.relay.fleet.Servers(), s.relay.isCurrent(v)
+	return s.registry.Servers(), true
 }
 
 // Declaration returns the declaration in this replica's log, nil before the first. The
--- a/daemon/control/relay.go
+++ b/daemon/control/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -32,9 +34,18 @@
 
 // relay is this replica's copy of the leader's fleet. Hundreds of entries watch the
 // fleet; a leader that answered all of them would have no time left for the work that
-// only it can do while engines leave. Guarded by Service.mu.
+// only it can do while engines leave. The leader has one of its own, from which it answers
+// watch requests, so that these don't delay announcements. Safe for concurrent use.
 type relay struct {
-	fleet fleet.Relay
+	// knowsLeader is set once a leader's listing was applied. Only until then the fleet comes
+	// from the log.
+	knowsLeader atomic.Bool
+	mu          sync.Mutex
+	fleet       fleet.Relay
+	// listings caches encoded listings for replies to several instances.
+	listings listingCache
+	// published is the notification up to which the leader has published its registry.
+	published uint64
 	// lastReply is when the leader last replied, by boottime, which includes suspension;
 	// inForce is the version of the declaration in force that it named.
 	lastReply time.Time
@@ -46,7 +57,8 @@
 }
 
 // isCurrent reports whether this replica's fleet and declaration are recent enough to relay:
-// the leader replied within relayMaxAge, and the log has the declaration that it named.
+// the leader replied within relayMaxAge, and the log has the declaration that it named. The
+// caller holds r.mu.
 func (r *relay) isCurrent(v replica.View) bool {
 	return !r.lastReply.IsZero() && boottime.Now().Sub(r.lastReply) < relayMaxAge && v.Routing.Declared.Version >= r.inForce
 }
@@ -55,10 +67,70 @@
 // heartbeatGrace. A heartbeat accepted then reaches the leader before its server counts as
 // overdue.
 func (r *relay) recentlyConnected() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := boottime.Now()
 	return now.Sub(r.lastReply) < heartbeatGrace || now.Sub(r.lastLed) < heartbeatGrace || now.Sub(r.startedAt) < heartbeatGrace
 }
 
+// isUpToDate reports whether the leader already lists a server with everything it announces.
+func (r *relay) isUpToDate(server fleet.Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.IsUpToDate(server)
+}
+
+// recordLed records that this replica is the leader.
+func (r *relay) recordLed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastLed = boottime.Now()
+}
+
+// applyLog applies the content of the log, until a leader's fleet is known. After that it does
+// not wait for watch requests, since the messages of other replicas wait for it.
+func (r *relay) applyLog(v replica.View) {
+	if r.knowsLeader.Load() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.ApplyLog(v.Routing.Servers, v.Routing.Withdrawals, v.Routing.Revision)
+}
+
+// servers lists the servers of the copy; fresh is false without contact to the leader.
+func (r *relay) servers(v replica.View) (list []fleet.Server, fresh bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.Servers(), r.isCurrent(v)
+}
+
+// position returns the position of the copy.
+func (r *relay) position() fleet.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.Position()
+}
+
+// apply applies a leader's listing. The caller holds r.mu.
+func (r *relay) apply(l *fleet.Listing) {
+	r.fleet.Apply(*l)
+	r.knowsLeader.Store(r.fleet.Position().Term > 0)
+}
+
+// applyReply applies the leader's reply to a request from this replica. It reports whether
+// watch requests can be answered that could not before.
+func (r *relay) applyReply(reply *watchReply, v replica.View) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.isCurrent(v)
+	r.lastReply, r.inForce = boottime.Now(), reply.InForce
+	if reply.Listing != nil {
+		r.apply(reply.Listing.Listing)
+	}
+	return reply.Listing != nil || !before
+}
+
 // redirectToAny redirects an instance to any other replica.
 func redirectToAny() replica.Redirect { return replica.Redirect{NotLeader: true} }
 
@@ -76,9 +148,7 @@
 func (s *Service) pollLeader(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	s.mu.Lock()
-	at := s.relay.fleet.Position()
-	s.mu.Unlock()
+	at := s.relay.position()
 	// No declaration is requested: it comes with the log.
 	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, ForRelay: true, Declaration: math.MaxUint64, Term: at.Term, Version: at.Version}
 	reply, err := replica.CallLeader[watchReply](ctx, s.client, methodWatch, &req)
@@ -86,15 +156,7 @@
 		log.WithError(eris.Cause(err)).WithField("step", "follow fleet").Debug("no reply from the leader")
 		return
 	}
-	v, _ := s.replica.View()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before := s.relay.isCurrent(v)
-	s.relay.lastReply, s.relay.inForce = boottime.Now(), reply.InForce
-	if reply.Listing != nil {
-		s.relay.fleet.Apply(*reply.Listing.Listing)
-	}
-	if reply.Listing != nil || !before {
-		s.notifyWatchers()
+	if v, _ := s.replica.View(); s.relay.applyReply(&reply, v) {
+		s.notifier.notify()
 	}
 }
--- a/daemon/control/relay_test.go
+++ b/daemon/control/relay_test.go
@@ -13,13 +13,13 @@
 	now := boottime.Now()
 	long := now.Add(-time.Minute)
 	for name, c := range map[string]struct {
-		r    relay
+		r    *relay
 		want bool
 	}{
-		"just started":       {relay{startedAt: now}, true},
-		"lost within grace":  {relay{startedAt: long, lastReply: now.Add(-heartbeatGrace / 2)}, true},
-		"lost for the grace": {relay{startedAt: long, lastReply: now.Add(-heartbeatGrace)}, false},
-		"never had a leader": {relay{startedAt: long}, false},
+		"just started":       {&relay{startedAt: now}, true},
+		"lost within grace":  {&relay{startedAt: long, lastReply: now.Add(-heartbeatGrace / 2)}, true},
+		"lost for the grace": {&relay{startedAt: long, lastReply: now.Add(-heartbeatGrace)}, false},
+		"never had a leader": {&relay{startedAt: long}, false},
 	} {
 		if got := c.r.recentlyConnected(); got != c.want {
 			t.Errorf("%s: got %v, want %v", name, got, c.want)
--- a/daemon/control/watchreply.go
+++ b/daemon/control/watchreply.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -97,9 +97,11 @@
 // answers only entries that got no answer from the other replicas, and none while it is slow:
 // the other replicas then don't answer because they wait for the leader.
 func (s *Service) admitsWatcher(leaderRequired bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.watchers < maxLeaderWatchers || leaderRequired && time.Since(s.lastSlow) > slowLeaderPeriod
+	if s.watchers.Load() < maxLeaderWatchers {
+		return true
+	}
+	slow := s.lastSlow.Load()
+	return leaderRequired && (slow == nil || time.Since(*slow) > slowLeaderPeriod)
 }
 
 // slowLeaderPeriod is how long a leader counts as slow after it was late with a message of a
@@ -108,19 +110,12 @@
 
 // addWatcher counts a watch request until the returned function is called.
 func (s *Service) addWatcher() (done func()) {
-	add := func(n int) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.watchers += n
-	}
-	add(1)
-	return func() { add(-1) }
+	s.watchers.Add(1)
+	return func() { s.watchers.Add(-1) }
 }
 
 func (s *Service) batchDelay(holdLeft time.Duration) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return batchDelayFor(s.watchers, holdLeft)
+	return batchDelayFor(int(s.watchers.Load()), holdLeft)
 }
 
 // skipsBatching reports whether the request is answered without batching: an entry without a
@@ -147,46 +142,43 @@
 // at the next change, and whether the instance lacks anything. A replica without contact
 // to the leader redirects the instance to another replica.
 func (s *Service) changesFor(req *watchRequest, v replica.View) (reply *watchReply, changed <-chan struct{}, lacking bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	notifications, changed := s.notifier.next()
 	reply = &watchReply{Members: v.Members, InForce: v.Routing.Declared.Version}
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
 	if !v.Leading && !s.relay.isCurrent(v) {
 		reply.Redirect = redirectToAny()
-		return reply, s.changed, false
+		return reply, changed, false
+	}
+	if v.Leading {
+		s.publishFleet(v, notifications)
 	}
 	if v.Routing.Declared.Version > req.Declaration {
 		reply.Declaration = v.Routing.Declared.Declaration
 	}
-	reply.Listing = s.listings.encodeOnce(s.listing(req, v))
-	return reply, s.changed, reply.Declaration != nil || reply.Listing != nil
-}
-
-// listing returns the fleet changes that an instance lacks, nil for none. The caller holds
-// s.mu.
-func (s *Service) listing(req *watchRequest, v replica.View) *fleet.Listing {
-	if v.Leading {
-		s.publishFleet(v)
-	}
-	return s.relay.fleet.Listing(req.position(), req.AcrossTerms)
+	reply.Listing = s.relay.listings.share(s.relay.fleet.Listing(req.position(), req.AcrossTerms))
+	return reply, changed, reply.Declaration != nil || reply.Listing != nil
 }
 
 // publishFleet brings the fleet that a leader relays up to date with its registry, once after
 // each notification of the watchers. Requests in between get the same listing: the registry
 // changes with each message, and a listing of thousands of servers for each relaying replica
-// takes all of the leader's CPU time. The caller holds s.mu.
-func (s *Service) publishFleet(v replica.View) {
+// takes all of the leader's CPU time. The caller holds s.relay.mu.
+func (s *Service) publishFleet(v replica.View, notifications uint64) {
 	at := s.relay.fleet.Position()
-	if at.Term == v.Term && !s.publishDue {
+	if at.Term == v.Term && s.relay.published >= notifications {
 		return
 	}
-	s.publishDue = false
+	s.relay.published = notifications
 	if l := s.leaderListing(at, v); l != nil {
-		s.relay.fleet.Apply(*l)
+		s.relay.apply(l)
 	}
 }
 
 // leaderListing returns the changes of the leader's registry since a position, nil for none.
 func (s *Service) leaderListing(at fleet.Position, v replica.View) *fleet.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	sameTerm := at.Term == v.Term
 	if sameTerm && at.Version == s.registry.Version() {
 		return nil
@@ -211,10 +203,11 @@
 	return reply
 }
 
-// cachedReply is an encoded reply to stale reads. After a full restart hundreds of entries
-// request the same 236 KB simultaneously, and encoding it takes 3.6 ms each time on a quarter of
-// a core.
-type cachedReply struct {
+// staleReplyCache holds an encoded reply to stale reads. After a full restart hundreds of
+// entries request the same 236 KB simultaneously, and encoding it takes 3.6 ms each time on a
+// quarter of a core. Safe for concurrent use.
+type staleReplyCache struct {
+	mu                 sync.Mutex
 	body               msgpack.RawMessage
 	routing, decisions uint64
 	at                 time.Time
@@ -227,9 +220,9 @@
 // encodeStaleReply returns the encoded state of a replica without a leader: enough for an entry
 // that has just started to serve calls until the replica group has a leader.
 func (s *Service) encodeStaleReply(v replica.View) (msgpack.RawMessage, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	cached := &s.staleReply
+	cached.mu.Lock()
+	defer cached.mu.Unlock()
 	now := time.Now()
 	if cached.body != nil && cached.routing == v.Routing.Revision && cached.decisions == v.DecisionsRevision && now.Sub(cached.at) < staleReplyMaxAge {
 		return cached.body, nil
@@ -240,20 +233,20 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode stale watch reply")
 	}
-	*cached = cachedReply{body, v.Routing.Revision, v.DecisionsRevision, now}
+	cached.body, cached.routing, cached.decisions, cached.at = body, v.Routing.Revision, v.DecisionsRevision, now
 	return body, nil
 }
 
-// listingCache caches recently encoded listings, the newest last.
+// listingCache caches recently shared listings, the newest last.
 type listingCache []*encodedListing
 
 // maxCachedListings bounds the cache: a listing has 300 KB at 3,000 servers. Few are needed,
 // since most watchers lack the same changes.
 const maxCachedListings = 4
 
-// encodeOnce returns the cached encoding of a listing and adds it to the cache if necessary;
-// nil for nil.
-func (c *listingCache) encodeOnce(l *fleet.Listing) *encodedListing {
+// share returns the cached form of a listing, whose encoding is shared by all replies that
+// contain it, and adds it to the cache if necessary; nil for nil.
+func (c *listingCache) share(l *fleet.Listing) *encodedListing {
 	if l == nil {
 		return nil
 	}
@@ -263,12 +256,6 @@
 		}
 	}
 	s := &encodedListing{Listing: l}
-	encoded, err := msgpack.Marshal(l)
-	if err != nil {
-		log.WithError(err).WithField("step", "encode listing").Error("the listing is encoded with each reply")
-		return s
-	}
-	s.encoded = encoded
 	*c = append(*c, s)
 	if extra := len(*c) - maxCachedListings; extra > 0 {
 		*c = append(listingCache(nil), (*c)[extra:]...)
--- a/daemon/control/watchreply_test.go
+++ b/daemon/control/watchreply_test.go
@@ -66,12 +66,12 @@
 func TestListingsAreEncodedOnce(t *testing.T) {
 	var c listingCache
 	l := &fleet.Listing{Term: 3, Version: 4, Servers: []fleet.Server{{ID: "a", Pool: "p"}}}
-	first, second := c.encodeOnce(l), c.encodeOnce(l)
-	if first != second || c.encodeOnce(nil) != nil {
+	first, second := c.share(l), c.share(l)
+	if first != second || c.share(nil) != nil {
 		t.Error("the same listing is encoded twice, or nil is not returned for nil")
 	}
 	for i := range 2 * maxCachedListings {
-		c.encodeOnce(&fleet.Listing{Term: uint64(i)})
+		c.share(&fleet.Listing{Term: uint64(i)})
 	}
 	if len(c) > maxCachedListings {
 		t.Errorf("%d listings are cached, want at most %d", len(c), maxCachedListings)
--- a/daemon/control/wire.go
+++ b/daemon/control/wire.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -57,16 +58,22 @@
 	return fleet.Position{Term: r.Term, Version: r.Version}
 }
 
-// encodedListing is a listing whose encoding is shared by several replies.
+// encodedListing is a listing whose encoding is shared by several replies. It is encoded with
+// the first of them, while no lock of the service is held.
 type encodedListing struct {
 	*fleet.Listing
+	once    sync.Once
 	encoded msgpack.RawMessage
+	err     error
 }
 
-// EncodeMsgpack writes the shared encoding, if there is one.
+// EncodeMsgpack writes the shared encoding.
 func (l *encodedListing) EncodeMsgpack(e *msgpack.Encoder) error {
-	if l.encoded == nil {
-		return e.Encode(l.Listing)
+	l.once.Do(func() {
+		l.encoded, l.err = msgpack.Marshal(l.Listing)
+	})
+	if l.err != nil {
+		return l.err
 	}
 	return e.Encode(l.encoded)
 }
