control: followers of a slow leader keep taking heartbeats; batches are bounded

Cause that kept the overload up: a follower to whom the leader had not replied for 2 s refused heartbeats. All followers do so while the leader is slow. Each engine then tries one replica after the other, each over a new connection, 2,600 a second in all, and what gathers is sent again whole, growing, when the leader is late.

A follower now refuses only where the leader has answered nothing for 2 s, not even the probe that the transport sends: then messages don't get through, and the engine has to go elsewhere. A message to the leader has 512 announcements at most; those that are waited for go first.

--- a/daemon/control/announce.go
+++ b/daemon/control/announce.go
@@ -19,6 +19,9 @@
 	// maxQueuedAnnouncements bounds the queued announcements: twice the number of servers of the
 	// largest supported deployment.
 	maxQueuedAnnouncements = 4096
+	// maxAnnouncementsPerBatch bounds the announcements in one message to the leader, 40 KB. A
+	// message that is late is sent again: it must not grow with all that arrives meanwhile.
+	maxAnnouncementsPerBatch = 512
 	// announceBatchPause is the pause between two batches to the leader.
 	announceBatchPause = 50 * time.Millisecond
 	// announcementMaxAge bounds how long the forwarding of an announcement is retried. A
@@ -31,19 +34,18 @@
 // reaches the sender.
 var errQueueFull = eris.New("too many announcements wait")
 
-// announcementQueue queues announcements for the leader, with the callers that wait for the
-// result. Announcements are sent in batches: after a full restart thousands of engines
-// announce themselves to replicas without a leader, and a search for the leader for each
-// of them, 80 messages and more, would delay the election. Guarded by Service.mu.
-type announcementQueue struct {
-	servers map[string]announcement
-	waiters []chan error
-}
+// announcementQueue queues announcements for the leader. They are sent in batches: after a full
+// restart thousands of engines announce themselves to replicas without a leader, and a search
+// for the leader for each of them, 80 messages and more, would delay the election. Guarded by
+// Service.mu.
+type announcementQueue map[string]announcement
 
-// announcement is a server's announcement with the time of its arrival.
+// announcement is a server's announcement with the time of its arrival and the callers that
+// wait for the result of forwarding it.
 type announcement struct {
 	fleet.Server
-	at time.Time
+	at      time.Time
+	waiters []chan error
 }
 
 // enqueueAnnouncement queues an announcement and reports whether this replica may acknowledge
@@ -57,7 +59,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.queue.add(announcement{server, time.Now()}) {
+	if !s.queue.add(announcement{Server: server, at: time.Now()}) {
 		return false
 	}
 	signal(s.queued)
@@ -66,20 +68,36 @@
 
 // add queues an announcement unless the queue is full; only the latest of each server
 // is kept.
-func (q *announcementQueue) add(server announcement) bool {
-	old, known := q.servers[server.ID]
-	if !known && len(q.servers) >= maxQueuedAnnouncements {
+func (q announcementQueue) add(a announcement) bool {
+	old, known := q[a.ID]
+	if !known && len(q) >= maxQueuedAnnouncements {
 		return false
 	}
-	if q.servers == nil {
-		q.servers = map[string]announcement{}
-	}
-	if !known || server.Sequence >= old.Sequence {
-		q.servers[server.ID] = server
+	if known && a.Sequence < old.Sequence {
+		a.Server, a.at = old.Server, old.at
 	}
+	a.waiters = append(old.waiters, a.waiters...)
+	q[a.ID] = a
 	return true
 }
 
+// take removes the announcements of the next batch, those with waiters first.
+func (q announcementQueue) take() []announcement {
+	var batch []announcement
+	for _, waited := range []bool{true, false} {
+		for id, a := range q {
+			if len(batch) == maxAnnouncementsPerBatch {
+				return batch
+			}
+			if (len(a.waiters) > 0) == waited {
+				batch = append(batch, a)
+				delete(q, id)
+			}
+		}
+	}
+	return batch
+}
+
 // announceToLeader queues an announcement and waits until the leader has accepted it.
 func (s *Service) announceToLeader(ctx context.Context, server fleet.Server) error {
 	result, err := s.enqueueAndNotify(server)
@@ -98,11 +116,10 @@
 func (s *Service) enqueueAndNotify(server fleet.Server) (<-chan error, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.queue.add(announcement{server, time.Now()}) {
+	result := make(chan error, 1)
+	if !s.queue.add(announcement{server, time.Now(), []chan error{result}}) {
 		return nil, errQueueFull
 	}
-	result := make(chan error, 1)
-	s.queue.waiters = append(s.queue.waiters, result)
 	signal(s.queued)
 	return result, nil
 }
@@ -116,44 +133,52 @@
 			return
 		case <-s.queued:
 		}
-		s.mu.Lock()
-		batch := s.queue
-		s.queue = announcementQueue{}
-		s.mu.Unlock()
+		batch := s.nextBatch()
 		sentAt := time.Now()
-		err := s.sendToLeader(ctx, batch.list())
-		for _, result := range batch.waiters {
-			result <- err
+		err := s.sendToLeader(ctx, batch)
+		for _, a := range batch {
+			for _, result := range a.waiters {
+				result <- err
+			}
 		}
 		if err != nil {
-			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "forward announcements", "servers": len(batch.servers), "ms": time.Since(sentAt).Milliseconds()}).Warn("told again with the next ones")
-			s.requeueAnnouncements(batch.servers)
+			log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "forward announcements", "servers": len(batch), "ms": time.Since(sentAt).Milliseconds()}).Warn("told again with the next ones")
+			s.requeueAnnouncements(batch)
 		}
 		wait(ctx, announceBatchPause)
 	}
 }
 
-func (q *announcementQueue) list() []fleet.Server {
-	out := make([]fleet.Server, 0, len(q.servers))
-	for _, server := range q.servers {
-		out = append(out, server.Server)
+// nextBatch takes the next batch from the queue and schedules another one if announcements are
+// left.
+func (s *Service) nextBatch() []announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := s.queue.take()
+	if len(s.queue) > 0 {
+		signal(s.queued)
 	}
-	return out
+	return batch
 }
 
 // requeueAnnouncements puts announcements that were not forwarded back into the queue.
-func (s *Service) requeueAnnouncements(servers map[string]announcement) {
+func (s *Service) requeueAnnouncements(batch []announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, server := range servers {
-		if time.Since(server.at) < announcementMaxAge {
-			s.queue.add(server) // if the queue is full, the server's next heartbeat brings it again
+	for _, a := range batch {
+		if time.Since(a.at) < announcementMaxAge {
+			a.waiters = nil
+			s.queue.add(a) // if the queue is full, the server's next heartbeat brings it again
 		}
 	}
 	signal(s.queued)
 }
 
-func (s *Service) sendToLeader(ctx context.Context, servers []fleet.Server) error {
+func (s *Service) sendToLeader(ctx context.Context, batch []announcement) error {
+	servers := make([]fleet.Server, 0, len(batch))
+	for _, a := range batch {
+		servers = append(servers, a.Server)
+	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	_, err := replica.CallLeader[announceReply](ctx, s.client, methodAnnounce, servers)
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -62,6 +62,8 @@
 	lastSlow atomic.Pointer[time.Time]
 	// queued wakes forwardAnnouncements, unregistered wakes registerServers.
 	queued, unregistered chan struct{}
+	// heardFrom returns when a peer last answered anything, by boottime.
+	heardFrom func(address string) time.Time
 	// instances lists the live instances.
 	instances func() []membership.Instance
 	// liveReplicas are the live replicas, among which the servers are distributed.
@@ -78,9 +80,9 @@
 
 // New returns a Service and registers its frame handlers.
 func New(t *frame.Transport, r *replica.Replica, c *replica.Client) *Service {
-	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), notifier: newNotifier(), heartbeats: heartbeatBatch{},
+	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), notifier: newNotifier(), heartbeats: heartbeatBatch{}, queue: announcementQueue{},
 		queued: make(chan struct{}, 1), unregistered: make(chan struct{}, 1), relay: relay{startedAt: boottime.Now()},
-		instances: func() []membership.Instance { return nil }}
+		heardFrom: t.HeardFrom, instances: func() []membership.Instance { return nil }}
 	t.HandleRequest(methodAnnounce, s.handleAnnounce)
 	t.HandleRequest(methodHeartbeats, s.handleHeartbeats)
 	t.HandleRequest(methodNewestStart, s.handleNewestStart)
@@ -107,6 +109,9 @@
 		s.updateLiveReplicas(v.Members)
 		s.follow(v)
 		if !v.Leading {
+			if v.Leader != "" {
+				s.relay.recordContact(s.heardFrom(v.Leader))
+			}
 			return
 		}
 		s.relay.recordLed()
--- a/daemon/control/publish_test.go
+++ b/daemon/control/publish_test.go
@@ -90,3 +90,30 @@
 		t.Fatal("a message waits for a watch request")
 	}
 }
+
+// Guards against messages that grow while the leader is late: all that had gathered was sent
+// again at once, and took the leader longer each time.
+func TestBatchesOfAnnouncementsAreBounded(t *testing.T) {
+	q := announcementQueue{}
+	for i := range 3000 {
+		q.add(announcement{Server: testServer(i, 1)})
+	}
+	waiting := make(chan error, 1)
+	q.add(announcement{Server: testServer(7, 1), waiters: []chan error{waiting}})
+	sent := map[string]bool{}
+	for round := 0; len(q) > 0; round++ {
+		batch := q.take()
+		if len(batch) == 0 || len(batch) > maxAnnouncementsPerBatch {
+			t.Fatalf("a batch of %d announcements", len(batch))
+		}
+		if round == 0 && len(batch[0].waiters) != 1 {
+			t.Error("the announcement that is waited for is not first")
+		}
+		for _, a := range batch {
+			sent[a.ID] = true
+		}
+	}
+	if len(sent) != 3000 {
+		t.Errorf("%d servers were sent", len(sent))
+	}
+}
--- a/daemon/control/relay.go
+++ b/daemon/control/relay.go
@@ -21,8 +21,8 @@
 	// been cut off leaves it after this time and one hold, 1.4 s at most; a change must be
 	// in force within 2 s.
 	relayMaxAge = 800 * time.Millisecond
-	// heartbeatGrace is how long a replica without a leader accepts heartbeats. It is well
-	// below the time after which servers count as overdue.
+	// heartbeatGrace is how long a replica without contact to a leader accepts heartbeats. It is
+	// well below the time after which servers count as overdue.
 	heartbeatGrace = 2 * time.Second
 	// noLeaderHold is how long a replica without a leader holds a watch request before
 	// it redirects the entry: a new leader is elected after half a second, and the entries
@@ -50,8 +50,9 @@
 	// inForce is the version of the declaration in force that it named.
 	lastReply time.Time
 	inForce   uint64
-	// lastLed is when this replica was last known to be the leader, by boottime.
-	lastLed time.Time
+	// lastLed is when this replica was last known to be the leader, lastContact when the leader
+	// last answered anything, by boottime.
+	lastLed, lastContact time.Time
 	// startedAt is when this replica started, by boottime.
 	startedAt time.Time
 }
@@ -65,12 +66,15 @@
 
 // recentlyConnected reports whether the replica started, led or heard from the leader within
 // heartbeatGrace. A heartbeat accepted then reaches the leader before its server counts as
-// overdue.
+// overdue. A leader that is slow counts as heard: if all its followers refused heartbeats, each
+// server would try one after the other, each time over a new connection, and the replicas would
+// have no time left to recover.
 func (r *relay) recentlyConnected() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := boottime.Now()
-	return now.Sub(r.lastReply) < heartbeatGrace || now.Sub(r.lastLed) < heartbeatGrace || now.Sub(r.startedAt) < heartbeatGrace
+	return now.Sub(r.lastReply) < heartbeatGrace || now.Sub(r.lastLed) < heartbeatGrace ||
+		now.Sub(r.lastContact) < heartbeatGrace || now.Sub(r.startedAt) < heartbeatGrace
 }
 
 // isUpToDate reports whether the leader already lists a server with everything it announces.
@@ -87,6 +91,15 @@
 	r.lastLed = boottime.Now()
 }
 
+// recordContact records when the leader last answered anything, be it a probe.
+func (r *relay) recordContact(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.lastContact) {
+		r.lastContact = at
+	}
+}
+
 // applyLog applies the content of the log, until a leader's fleet is known. After that it does
 // not wait for watch requests, since the messages of other replicas wait for it.
 func (r *relay) applyLog(v replica.View) {
--- a/daemon/control/relay_test.go
+++ b/daemon/control/relay_test.go
@@ -20,6 +20,10 @@
 		"lost within grace":  {&relay{startedAt: long, lastReply: now.Add(-heartbeatGrace / 2)}, true},
 		"lost for the grace": {&relay{startedAt: long, lastReply: now.Add(-heartbeatGrace)}, false},
 		"never had a leader": {&relay{startedAt: long}, false},
+		// Guards against an overload that kept itself up: all followers of a slow leader refused
+		// heartbeats, and each engine tried one after the other.
+		"leader is slow, but answers probes":  {&relay{startedAt: long, lastReply: long, lastContact: now.Add(-heartbeatGrace / 2)}, true},
+		"leader has answered no probe either": {&relay{startedAt: long, lastReply: long, lastContact: now.Add(-heartbeatGrace)}, false},
 	} {
 		if got := c.r.recentlyConnected(); got != c.want {
 			t.Errorf("%s: got %v, want %v", name, got, c.want)
--- a/daemon/frame/link.go
+++ b/daemon/frame/link.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/silence"
+	"cardamomwick.example/daemon/boottime"
 )
 
 // pendingCall is a call that awaits its response; done is closed once body or err is set.
@@ -40,6 +41,9 @@
 	failedAt time.Time
 	failures int
 	monitor  silence.Monitor
+	// heardAt is when the last response of the peer arrived, by boottime, which includes
+	// suspension.
+	heardAt time.Time
 }
 
 func (l *link) close() { l.once.Do(func() { close(l.closing) }) }
@@ -258,6 +262,7 @@
 	defer l.mu.Unlock()
 	p := l.pending[id]
 	delete(l.pending, id)
+	l.heardAt = boottime.Now()
 	l.monitor.Received(time.Now(), len(l.pending) > 0)
 	return p
 }
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -355,6 +355,21 @@
 	return eris.Wrap(wire.Decode(p.body, out), "decode response")
 }
 
+// HeardFrom returns when the last response from an address arrived, by boottime, which shows
+// that messages get through both ways; zero if there was none or the link was idle and is gone. A peer that
+// is too slow for its requests still answers probes.
+func (t *Transport) HeardFrom(address string) time.Time {
+	t.mu.Lock()
+	l := t.links[address]
+	t.mu.Unlock()
+	if l == nil {
+		return time.Time{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heardAt
+}
+
 // link returns the link to an address, which it creates if necessary.
 func (t *Transport) link(address string) *link {
 	t.mu.Lock()
