state: a repeat of a refused order gets the first answer

An operator who sent an order again after a lost answer was told another generation with 'conflict' than the first time, as if the order had been decided twice.

Cause: the refusal named the generation in force at that moment, which later orders raise. It names the generation of the publish that the order conflicts with now. The same in an order to retire a server that is retired already: it names the generation of the retirement, and is answered so whatever generation the order expects.

Not covered: a publish of a version that is too old to be stored (32 versions) names the generation in force.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -192,8 +192,9 @@
 
 // OrderResult describes the effect of an operator's order.
 type OrderResult struct {
-	// Generation is the generation the order created, or the current one if the order
-	// changed nothing.
+	// Generation is the generation the order created. If the order changed nothing, it is the
+	// generation of the publish or retirement that was there before it, otherwise the current
+	// one.
 	Generation uint64 `msgpack:"g" json:"generation"`
 	Version    uint64 `msgpack:"v" json:"version"`
 	// WinnerDigest and WinnerOperator describe the bundle already published under a
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -18,6 +18,9 @@
 	if err := o.Verify(m.config.operators()); err != nil {
 		return m.config.refusal(CodeRefused, err.Error())
 	}
+	if r, ok := m.config.existingRetirement(o); ok {
+		return r
+	}
 	before := m.config.history.current.Generation
 	if o.Expected != before {
 		return m.config.refusal(CodeStale, fmt.Sprintf("the order expects generation %d; %d is in force", o.Expected, before))
@@ -38,7 +41,8 @@
 
 // existingPublish handles a publish order whose version already exists. It returns the
 // original result if the digest is the same, else a conflict with the published bundle's
-// digest and operator.
+// generation, digest and operator. Neither depends on later orders, so that a repeated order
+// gets the first answer again.
 func (s *configState) existingPublish(o *bundle.SignedOrder) (Result, bool) {
 	if o.Kind != bundle.OrderPublish {
 		return Result{}, false
@@ -50,10 +54,19 @@
 	if v.Digest == o.Digest {
 		return Result{Code: CodeOK, Order: OrderResult{Generation: v.Generation, Version: v.Version}}, true
 	}
-	r := s.refusal(CodeConflict, fmt.Sprintf("version %d was published by %s with digest %s", v.Version, v.Operator, v.Digest))
-	r.Order.WinnerDigest = v.Digest
-	r.Order.WinnerOperator = v.Operator
-	return r, true
+	return Result{Code: CodeConflict, Message: fmt.Sprintf("version %d was published by %s with digest %s", v.Version, v.Operator, v.Digest),
+		Order: OrderResult{Generation: v.Generation, Version: v.Version, WinnerDigest: v.Digest, WinnerOperator: v.Operator}}, true
+}
+
+// existingRetirement handles an order to retire a server that is retired already. It returns
+// the generation of the retirement, for the same reason.
+func (s *configState) existingRetirement(o *bundle.SignedOrder) (Result, bool) {
+	g, ok := s.history.current.Retired[o.Server]
+	if o.Kind != bundle.OrderRetire || !ok {
+		return Result{}, false
+	}
+	return Result{Code: CodeExists, Message: fmt.Sprintf("backend server %s was retired in generation %d", o.Server, g),
+		Order: OrderResult{Generation: g}}, true
 }
 
 func (s *configState) execute(o *bundle.SignedOrder) Result {
@@ -142,9 +155,6 @@
 	if o.Server == "" {
 		return s.refusal(CodeRefused, "the order names no backend server")
 	}
-	if g, ok := s.history.current.Retired[o.Server]; ok {
-		return s.refusal(CodeExists, fmt.Sprintf("backend server %s was retired in generation %d", o.Server, g))
-	}
 	s.history.advance(Change{Retire: o.Server})
 	return Result{Code: CodeOK}
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// Guards against an operator who repeats a refused order after a lost answer and is told another
+// generation than the first time, as if the order had been decided twice.
+func TestRepeatOfARefusedOrderGetsTheFirstAnswer(t *testing.T) {
+	m := fresh()
+	applyOrder(m, publishOrder(testBundle(1, "a"), 0))
+	applyOrder(m, order(bundle.OrderRetire, 0, "s1", 1))
+	conflicting := publishOrder(testBundle(1, "b"), 0)
+	again := order(bundle.OrderRetire, 0, "s1", 2)
+	for _, o := range []*bundle.SignedOrder{conflicting, again} {
+		first := applyOrder(m, o)
+		g := m.Config().Generation
+		if r := applyOrder(m, order(bundle.OrderRetire, 0, fmt.Sprint("other", g), g)); r.Code != CodeOK {
+			t.Fatalf("%+v", r)
+		}
+		if repeat := applyOrder(m, o); first.Code == CodeOK || fmt.Sprint(repeat) != fmt.Sprint(first) {
+			t.Errorf("%s: first answer %+v, repeat %+v", o.Kind, first, repeat)
+		}
+	}
+}
+
 func TestWithdrawRaisesGeneration(t *testing.T) {
 	m := fresh()
 	applyOrder(m, publishOrder(testBundle(1, "one"), 0))
