frame, control: a response that arrives slowly is not taken for lost; listings compressed

Cause, from the sizes: after a full restart 32 entries fetch 212 KB each from one replica, 6.8 MB over a link of 10 Mbit/s, 5.4 s. The entry gave up after 1 s (0.7 s in a watch) and asked again; the transport closed the connection after 1.2 s without a complete message, and the sender's deadline of 5 s covered the whole message. Each of them sends the bytes again.

Now bytes that arrive count as an answer for the connection; a time-out waits while a response is arriving (0.5 s between two parts, 10 s at most); the write deadline is for 16 KB; and listings from 4 KB on are compressed once for all that accept it: 212 KB to 39 KB for 3,000 servers, 0.6 ms.

--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -68,8 +68,9 @@
 	instances func() []membership.Instance
 	// liveReplicas are the live replicas, among which the servers are distributed.
 	liveReplicas atomic.Pointer[[]membership.Instance]
-	// staleReply caches the reply to entries that start while there is no leader.
-	staleReply staleReplyCache
+	// staleReply and compressedStaleReply cache the reply to entries that start while there is no
+	// leader.
+	staleReply, compressedStaleReply staleReplyCache
 	// decoded caches the last decoded declaration, guarded by mu.
 	decoded *routing.Declaration
 }
--- a/daemon/control/relay.go
+++ b/daemon/control/relay.go
@@ -159,12 +159,15 @@
 
 // pollLeader requests the changes since the last reply from the leader.
 func (s *Service) pollLeader(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
 	at := s.relay.position()
 	// No declaration is requested: it comes with the log.
-	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, ForRelay: true, Declaration: math.MaxUint64, Term: at.Term, Version: at.Version}
-	reply, err := replica.CallLeader[watchReply](ctx, s.client, methodWatch, &req)
+	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, Compressed: true, ForRelay: true, Declaration: math.MaxUint64, Term: at.Term, Version: at.Version}
+	reply, err := replica.CallLeaderWithin[watchReply](ctx, s.client, methodWatch, &req, watchTimeout)
+	if err == nil {
+		err = reply.unpack()
+	}
 	if err != nil {
 		log.WithError(eris.Cause(err)).WithField("step", "follow fleet").Debug("no reply from the leader")
 		return
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -22,15 +22,18 @@
 // of 0.7 s, and the next one finds the new leader.
 const (
 	watchHold = 450 * time.Millisecond
-	// watchTimeout bounds one request including the search for the leader.
+	// watchTimeout bounds one request including the search for the leader, but for a response
+	// that is arriving.
 	watchTimeout = 1500 * time.Millisecond
-	watchPause   = 20 * time.Millisecond
+	// maxTransferTime bounds the transfer of a response.
+	maxTransferTime = 10 * time.Second
+	watchPause      = 20 * time.Millisecond
 	// bootstrapTimeout bounds the brief requests to the replicas at the start.
 	bootstrapTimeout = 150 * time.Millisecond
-	// fetchTimeout bounds the transfer of a replica's full state: 2,000 engines are
-	// 240 KB, 0.2 s on an otherwise idle link of 10 Mbit/s. Requesting it from all replicas
-	// simultaneously, and again after 150 ms, saturated the links of entries for seconds after a
-	// full restart.
+	// fetchTimeout is the time in which a replica's full state must begin to arrive. 2,000 engines
+	// are 240 KB, 0.2 s on an otherwise idle link of 10 Mbit/s, and seconds where dozens of
+	// entries fetch from one replica. Requesting it from all replicas simultaneously, and again
+	// after 150 ms, saturated the links of entries for seconds after a full restart.
 	fetchTimeout = time.Second
 	// minBootstrapPause is the pause after a round that no replica answered; it grows by half
 	// each time, up to maxBootstrapPause. It is short because instances that restart
@@ -149,9 +152,11 @@
 // fetch applies the full state of a replica, leader or not, and reports whether a
 // declaration is in force now.
 func (w *Watch) fetch(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
-	reply := w.query(ctx, address, &watchRequest{Stale: true})
+	ctx, cancel = w.transport.WithResponseTimeout(ctx, address, fetchTimeout)
+	defer cancel()
+	reply := w.query(ctx, address, &watchRequest{Stale: true, Compressed: true})
 	if reply == nil || reply.NotLeader {
 		return false
 	}
@@ -167,6 +172,10 @@
 		log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "bootstrap watch", "peer": address}).Debug("no answer from this replica yet")
 		return nil
 	}
+	if err := reply.unpack(); err != nil {
+		log.WithError(err).WithFields(log.Fields{"step": "bootstrap watch", "peer": address}).Error("the reply is ignored")
+		return nil
+	}
 	return &reply
 }
 
@@ -176,14 +185,17 @@
 		w.queryReplicas(ctx)
 		timeout = bootstrapTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
 	at := w.mirror.Position()
-	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, LeaderRequired: w.lastFailed, Term: at.Term, Version: at.Version}
+	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, Compressed: true, LeaderRequired: w.lastFailed, Term: at.Term, Version: at.Version}
 	if t := w.table.Load(); t != nil {
 		req.Declaration = t.Version()
 	}
-	reply, err := replica.CallLeader[watchReply](ctx, w.client, methodWatch, &req)
+	reply, err := replica.CallLeaderWithin[watchReply](ctx, w.client, methodWatch, &req, timeout)
+	if err == nil {
+		err = reply.unpack()
+	}
 	w.recordResult(err)
 	w.lastFailed = err != nil
 	if err == nil {
--- a/daemon/control/watchreply.go
+++ b/daemon/control/watchreply.go
@@ -56,13 +56,14 @@
 			return &watchReply{Members: v.Members, InForce: v.Routing.Declared.Version}, nil
 		}
 		if !v.Leading && req.Stale && v.Ready {
-			return s.encodeStaleReply(v)
+			return s.encodeStaleReply(v, req.Compressed)
 		}
 		if !v.Leading && req.ForRelay {
 			return &watchReply{Redirect: replica.NotLeaderReply(v)}, nil
 		}
 		reply, changed, lacking := s.changesFor(&req, v)
 		if lacking && (batched || reply.isUrgent(&req)) {
+			reply.pack(&req)
 			return withDecisions(reply, &req, v), nil
 		}
 		if lacking {
@@ -219,8 +220,11 @@
 
 // encodeStaleReply returns the encoded state of a replica without a leader: enough for an entry
 // that has just started to serve calls until the replica group has a leader.
-func (s *Service) encodeStaleReply(v replica.View) (msgpack.RawMessage, error) {
+func (s *Service) encodeStaleReply(v replica.View, compressed bool) (msgpack.RawMessage, error) {
 	cached := &s.staleReply
+	if compressed {
+		cached = &s.compressedStaleReply
+	}
 	cached.mu.Lock()
 	defer cached.mu.Unlock()
 	now := time.Now()
@@ -229,6 +233,7 @@
 	}
 	reply := &watchReply{Declaration: v.Routing.Declared.Declaration, Members: v.Members,
 		Listing: &encodedListing{Listing: &fleet.Listing{Version: v.Routing.Revision, Servers: v.Routing.Servers}}}
+	reply.pack(&watchRequest{Compressed: compressed})
 	body, err := msgpack.Marshal(withDecisions(reply, &watchRequest{}, v))
 	if err != nil {
 		return nil, eris.Wrap(err, "encode stale watch reply")
--- a/daemon/control/wire.go
+++ b/daemon/control/wire.go
@@ -4,10 +4,13 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/replica"
 )
 
@@ -48,6 +51,8 @@
 	AcrossTerms bool `msgpack:"a,omitempty"`
 	// ForRelay: the requesting replica relays the reply; only the leader may answer.
 	ForRelay bool `msgpack:"r,omitempty"`
+	// Compressed: the requesting instance accepts compressed listings.
+	Compressed bool `msgpack:"z,omitempty"`
 	// LeaderRequired: the last request got no answer, so a leader answers whatever its number
 	// of watchers.
 	LeaderRequired bool `msgpack:"i,omitempty"`
@@ -58,24 +63,46 @@
 	return fleet.Position{Term: r.Term, Version: r.Version}
 }
 
-// encodedListing is a listing whose encoding is shared by several replies. It is encoded with
+// encodedListing is a listing whose encodings are shared by several replies. It is encoded with
 // the first of them, while no lock of the service is held.
 type encodedListing struct {
 	*fleet.Listing
-	once    sync.Once
-	encoded msgpack.RawMessage
-	err     error
+	encode, compress    sync.Once
+	encoded, compressed []byte
+	encodeErr           error
 }
 
 // EncodeMsgpack writes the shared encoding.
 func (l *encodedListing) EncodeMsgpack(e *msgpack.Encoder) error {
-	l.once.Do(func() {
-		l.encoded, l.err = msgpack.Marshal(l.Listing)
-	})
-	if l.err != nil {
-		return l.err
+	data, err := l.plain()
+	if err != nil {
+		return err
 	}
-	return e.Encode(l.encoded)
+	return e.Encode(msgpack.RawMessage(data))
+}
+
+func (l *encodedListing) plain() ([]byte, error) {
+	l.encode.Do(func() { l.encoded, l.encodeErr = msgpack.Marshal(l.Listing) })
+	return l.encoded, l.encodeErr
+}
+
+// minCompressedBytes is the size from which listings are compressed. Smaller ones fit into a few
+// packets.
+const minCompressedBytes = 4 << 10
+
+// pack returns the compressed encoding, nil for a listing that is small or can't be encoded. The
+// latter is reported when the reply is encoded.
+func (l *encodedListing) pack() []byte {
+	l.compress.Do(func() {
+		data, err := l.plain()
+		if err != nil || len(data) < minCompressedBytes {
+			return
+		}
+		if l.compressed, err = compress(data); err != nil {
+			log.WithError(err).WithField("step", "compress listing").Error("the listing is sent uncompressed")
+		}
+	})
+	return l.compressed
 }
 
 // DecodeMsgpack reads a listing.
@@ -91,6 +118,8 @@
 	Declaration []byte `msgpack:"d,omitempty"`
 	// Listing is nil if the requesting instance lacks nothing.
 	Listing *encodedListing `msgpack:"f,omitempty"`
+	// Packed is the compressed encoding of the listing, which is then absent.
+	Packed []byte `msgpack:"z,omitempty"`
 	// Members are the replicas' peer addresses.
 	Members []string `msgpack:"m"`
 	// InForce is the version of the declaration in force.
@@ -99,3 +128,26 @@
 	// declaration.
 	QuarantineDecisions []quarantine.Decision `msgpack:"q,omitempty"`
 }
+
+// pack compresses the listing of a reply if the requesting instance accepts that.
+func (r *watchReply) pack(req *watchRequest) {
+	if !req.Compressed || r.Listing == nil {
+		return
+	}
+	if r.Packed = r.Listing.pack(); r.Packed != nil {
+		r.Listing = nil
+	}
+}
+
+// unpack restores the listing of a reply.
+func (r *watchReply) unpack() error {
+	if len(r.Packed) == 0 {
+		return nil
+	}
+	data, err := decompress(r.Packed)
+	if err != nil {
+		return err
+	}
+	r.Listing, r.Packed = &encodedListing{Listing: &fleet.Listing{}}, nil
+	return eris.Wrap(wire.Decode(data, r.Listing.Listing), "decode listing")
+}
--- a/daemon/frame/frame.go
+++ b/daemon/frame/frame.go
@@ -77,6 +77,8 @@
 	recvSeq uint64
 	// limit is the maximum size of an incoming frame, small until the peer is authenticated.
 	limit uint32
+	// progress is the connection's progress in receiving.
+	progress progress
 	// PeerAddress is the address that the peer stated in the handshake, authenticated by
 	// the shared key.
 	PeerAddress string
@@ -119,7 +121,8 @@
 	if err := raw.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, err
 	}
-	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, bufferBytes), w: bufio.NewWriterSize(raw, bufferBytes), limit: maxHelloBytes}
+	c := &Conn{raw: raw, w: bufio.NewWriterSize(writer{raw}, bufferBytes), limit: maxHelloBytes}
+	c.r = bufio.NewReaderSize(&progressReader{raw, &c.progress}, bufferBytes)
 	mine := hello{Nonce: make([]byte, nonceBytes), Address: self}
 	if _, err := rand.Read(mine.Nonce); err != nil {
 		return nil, err
@@ -281,9 +284,11 @@
 		return nil, ErrTooLarge
 	}
 	data := make([]byte, n)
+	c.progress.startFrame()
 	if _, err := io.ReadFull(c.r, data); err != nil {
 		return nil, err
 	}
+	c.progress.endFrame()
 	c.recvSeq++
 	if !hmac.Equal(head[4:], mac(c.recvMAC, c.recvSeq, data)) {
 		return nil, ErrMAC
@@ -297,6 +302,3 @@
 
 // Close ends the connection.
 func (c *Conn) Close() error { return c.raw.Close() }
-
-// SetWriteDeadline sets the deadline of later writes.
-func (c *Conn) SetWriteDeadline(t time.Time) error { return c.raw.SetWriteDeadline(t) }
--- a/daemon/frame/link.go
+++ b/daemon/frame/link.go
@@ -41,6 +41,8 @@
 	failedAt time.Time
 	failures int
 	monitor  silence.Monitor
+	// conn is the open connection, nil without one.
+	conn *Conn
 	// heardAt is when the last response of the peer arrived, by boottime, which includes
 	// suspension.
 	heardAt time.Time
@@ -124,11 +126,15 @@
 		l.reportDown(ErrUnreachable)
 		return false
 	}
-	l.connected()
+	c.progress.onBytes = l.recordBytes
+	l.connected(c)
 	broken := make(chan struct{})
 	go l.readLoop(c, broken)
 	idle = l.writeUntilBroken(c, first, broken)
 	c.Close()
+	l.mu.Lock()
+	l.conn = nil
+	l.mu.Unlock()
 	if !idle {
 		l.dropQueued()
 		l.reportDown(ErrLost)
@@ -137,14 +143,23 @@
 }
 
 // connected records a new connection, on which queued messages are sent immediately.
-func (l *link) connected() {
+func (l *link) connected(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.conn = c
 	l.failures = 0
 	l.monitor.Connected()
 	l.monitor.Sent(time.Now(), len(l.pending) > 0)
 }
 
+// recordBytes records that a part of a response arrived.
+func (l *link) recordBytes() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heardAt = boottime.Now()
+	l.monitor.Received(time.Now(), len(l.pending) > 0)
+}
+
 // writeUntilBroken writes queued messages until the connection breaks, no longer delivers
 // anything or is idle. It reports whether the connection was idle.
 func (l *link) writeUntilBroken(c *Conn, m *Message, broken <-chan struct{}) (idle bool) {
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -21,8 +21,11 @@
 const (
 	// dialTimeout is longer than any round trip between instances. A dial to one that does
 	// not respond must end soon, since the instance may be back meanwhile.
-	dialTimeout  = 250 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
+	// writeTimeout bounds a write of at most maxWriteBytes.
 	writeTimeout = 5 * time.Second
+	// maxReceivePause is the longest pause in a response that still arrives.
+	maxReceivePause = 500 * time.Millisecond
 	// minRedialDelay is the delay before an unreachable address is dialled again. It doubles
 	// with each failure up to maxRedialDelay. It starts low because instances that restart
 	// together begin to listen within some tens of milliseconds of each other.
@@ -282,9 +285,6 @@
 
 // writeBatch writes m and everything queued, then flushes.
 func (t *Transport) writeBatch(c *Conn, m *Message, out <-chan *Message) error {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	for {
 		if err := c.Write(m); err != nil {
 			return err
@@ -347,7 +347,7 @@
 	case <-p.done:
 	case <-ctx.Done():
 		p.link.forget(p.id)
-		return eris.Wrapf(ctx.Err(), "%s at peer %s", method, address)
+		return eris.Wrapf(context.Cause(ctx), "%s at peer %s", method, address)
 	}
 	if p.err != nil {
 		return eris.Wrapf(p.err, "%s at peer %s", method, address)
@@ -370,6 +370,41 @@
 	return l.heardAt
 }
 
+// WithResponseTimeout returns a context for a call to an address that ends after the timeout,
+// or, if a response is arriving from there then, when no more of it comes.
+func (t *Transport) WithResponseTimeout(parent context.Context, address string, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	t.cancelUnlessReceiving(ctx, cancel, address, timeout)
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+// cancelUnlessReceiving cancels a context after a time unless a response is arriving then, and
+// then checks again.
+func (t *Transport) cancelUnlessReceiving(ctx context.Context, cancel context.CancelCauseFunc, address string, after time.Duration) {
+	timer := time.AfterFunc(after, func() {
+		if ctx.Err() == nil && t.receivingFrom(address) {
+			t.cancelUnlessReceiving(ctx, cancel, address, maxReceivePause)
+			return
+		}
+		cancel(context.DeadlineExceeded)
+	})
+	context.AfterFunc(ctx, func() { timer.Stop() })
+}
+
+// receivingFrom reports whether a response is arriving from an address.
+func (t *Transport) receivingFrom(address string) bool {
+	t.mu.Lock()
+	l := t.links[address]
+	t.mu.Unlock()
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	c := l.conn
+	l.mu.Unlock()
+	return c != nil && c.progress.receiving(maxReceivePause)
+}
+
 // link returns the link to an address, which it creates if necessary.
 func (t *Transport) link(address string) *link {
 	t.mu.Lock()
--- a/daemon/replica/client.go
+++ b/daemon/replica/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -85,12 +86,22 @@
 // call sends a request to replicas until the leader has answered or the context
 // ends. All requests are idempotent. Each attempt decodes into a new reply.
 func call[T redirectable](ctx context.Context, c *Client, method string, in any) (T, error) {
+	return callWithin[T](ctx, c, method, in, noTimeLimit)
+}
+
+// noTimeLimit stands for no limit but the context's.
+const noTimeLimit = time.Duration(math.MaxInt64)
+
+// callWithin is call with a time limit, after which it waits only for a response that is
+// arriving then.
+func callWithin[T redirectable](ctx context.Context, c *Client, method string, in any, limit time.Duration) (T, error) {
 	var zero T
 	var lastErr error
 	wait := retryPause
-	for redirects := 0; ctx.Err() == nil; {
+	start := time.Now()
+	for redirects := 0; ctx.Err() == nil && time.Since(start) < limit; {
 		target := c.target()
-		out, err := attempt[T](ctx, c.transport, target, method, in)
+		out, err := attempt[T](ctx, c.transport, target, method, in, min(attemptTimeout, limit-time.Since(start)))
 		if errors.Is(ctx.Err(), context.Canceled) {
 			break // cancelled by the caller; the target may be healthy
 		}
@@ -116,13 +127,13 @@
 		}
 	}
 	if lastErr == nil {
-		lastErr = ctx.Err()
+		lastErr = context.Cause(ctx)
 	}
 	return zero, eris.Wrapf(lastErr, "%s: no answer from the replicas", method)
 }
 
-func attempt[T any](ctx context.Context, t *frame.Transport, target, method string, in any) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func attempt[T any](ctx context.Context, t *frame.Transport, target, method string, in any, timeout time.Duration) (T, error) {
+	ctx, cancel := t.WithResponseTimeout(ctx, target, timeout)
 	defer cancel()
 	var out T
 	err := t.Call(ctx, target, method, in, &out)
--- a/daemon/replica/wire.go
+++ b/daemon/replica/wire.go
@@ -80,6 +80,12 @@
 	return call[T](ctx, c, method, in)
 }
 
+// CallLeaderWithin is CallLeader with a time limit, after which it waits only for a response that
+// is arriving then, until the context ends.
+func CallLeaderWithin[T redirectable](ctx context.Context, c *Client, method string, in any, limit time.Duration) (T, error) {
+	return callWithin[T](ctx, c, method, in, limit)
+}
+
 type joinReply struct {
 	redirect `msgpack:",inline"`
 }
