replica: a commit waits for one sync instead of two

Operators saw declarations that were not acknowledged, and usage that was reported late, while the machine's disk was busy (two tests, red once each, not traced until now).

Cause: the replicas' loop waits for each sync, and each commit took two: one of the entry, one of the commit index, which no message relies on.

A commit index alone is written without a sync, and synced with the next entry or 0.5 s later.

--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -31,7 +31,10 @@
 	// Entries are to be persisted. The first one replaces all persisted entries at and
 	// above its index.
 	Entries []Entry
-	// Messages may be sent only after all of the above is synced to disk.
+	// MustSync is set if the above has to be synced to disk before Messages are sent. Otherwise
+	// only the commit index is new, on which no message relies.
+	MustSync bool
+	// Messages may be sent only after all of the above is persisted.
 	Messages []Message
 	// Committed entries are to be applied in order.
 	Committed []Entry
@@ -274,9 +277,11 @@
 	rd := Ready{Snapshot: n.pendingSnapshot, Messages: n.messages, Reads: n.reads}
 	if hs := n.hardState(); hs != n.savedState {
 		rd.HardState = &hs
+		rd.MustSync = hs.Term != n.savedState.Term || hs.Vote != n.savedState.Vote
 	}
 	if n.log.stable < n.log.last() {
 		rd.Entries = slices.Clone(n.log.entries[n.log.stable-n.log.snap.Index:])
+		rd.MustSync = true
 	}
 	if n.pendingSnapshot == nil && n.log.applied < n.log.commit {
 		rd.Committed = n.log.slice(n.log.applied+1, n.log.commit, 4*maxAppendBytes)
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -15,11 +15,16 @@
 	state   HardState
 	snap    SnapshotMeta
 	entries []Entry
+	// unsynced is a state that a crash may lose, nil for none.
+	unsynced *HardState
 }
 
 func (d *disk) persist(rd Ready) {
 	if rd.HardState != nil {
-		d.state = *rd.HardState
+		d.unsynced = rd.HardState
+	}
+	if rd.MustSync || rd.Snapshot != nil {
+		d.sync()
 	}
 	if rd.Snapshot != nil {
 		d.snap, d.entries = rd.Snapshot.Meta, nil
@@ -30,6 +35,12 @@
 	}
 }
 
+func (d *disk) sync() {
+	if d.unsynced != nil {
+		d.state, d.unsynced = *d.unsynced, nil
+	}
+}
+
 // maxID is the highest replica ID. Loops run up to it instead of ranging over maps, to
 // keep runs reproducible.
 const maxID = 9
@@ -66,6 +77,10 @@
 
 func (w *network) start(id uint64) {
 	d := w.disks[id]
+	if w.rnd.Intn(2) == 0 {
+		d.sync()
+	}
+	d.unsynced = nil
 	w.nodes[id] = New(Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 1, Rand: w.rnd.Intn, State: d.state, Snapshot: d.snap, Entries: append([]Entry(nil), d.entries...)})
 	w.applied[id] = d.snap.Index
 }
@@ -125,6 +140,9 @@
 
 func (w *network) deliver(m Message) {
 	if w.disconnected[m.From] || w.disconnected[m.To] || w.rnd.Intn(100) < w.dropPct {
+		if m.Type == MsgSnapshot {
+			w.nodes[m.From].ReportSnapshot(m.To) // the driver reports a failure, too
+		}
 		return
 	}
 	if w.rnd.Intn(100) < w.dropPct {
@@ -206,6 +224,7 @@
 		w.start(id)
 	case 2:
 		w.nodes[id].Compact(w.applied[id])
+		w.disks[id].sync()
 		w.disks[id].snap = w.nodes[id].log.snap
 		w.disks[id].entries = append([]Entry(nil), w.nodes[id].log.entries...)
 	case 3:
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -29,6 +29,9 @@
 	// leaderlessAfter is twice the maximum election timeout.
 	leaderlessAfter = 2 * time.Second
 	transferTimeout = 2 * time.Second
+	// commitSyncDelay bounds for how long a commit index may be lost by a power loss. Entries that
+	// start after the loss of all instances read the state up to it until there is a leader.
+	commitSyncDelay = 500 * time.Millisecond
 )
 
 // Bounds of the replica.
@@ -85,6 +88,8 @@
 	// lastMessage is when each member's last message arrived.
 	lastMessage  map[uint64]time.Time
 	leadingSince time.Time
+	// unsyncedSince is when the first commit index that is not synced was written.
+	unsyncedSince time.Time
 	// leaderKnownAt is when this replica last knew a leader.
 	leaderKnownAt time.Time
 
@@ -238,10 +243,8 @@
 				return err
 			}
 		}
-		if rd.HardState != nil || len(rd.Entries) > 0 {
-			if err := r.store.Append(rd.HardState, rd.Entries); err != nil {
-				return err
-			}
+		if err := r.persist(rd); err != nil {
+			return err
 		}
 		r.send(afterSync)
 		r.apply(rd.Committed)
@@ -250,9 +253,36 @@
 	}
 	r.handleLeadershipChange()
 	r.publishView()
+	if err := r.syncCommit(); err != nil {
+		return err
+	}
 	return r.snapshotIfDue()
 }
 
+// persist writes a batch to the log. A new commit index alone is not synced at once: commits wait
+// for nothing but the entries, which a majority has synced, and syncs are what limits a group
+// on slow disks.
+func (r *Replica) persist(rd raft.Ready) error {
+	switch {
+	case rd.MustSync:
+		return r.store.Append(rd.HardState, rd.Entries)
+	case rd.HardState != nil:
+		if !r.store.Unsynced() {
+			r.unsyncedSince = time.Now()
+		}
+		return r.store.AppendCommit(rd.HardState)
+	}
+	return nil
+}
+
+// syncCommit syncs a commit index that no later entry has synced within commitSyncDelay.
+func (r *Replica) syncCommit() error {
+	if !r.store.Unsynced() || time.Since(r.unsyncedSince) < commitSyncDelay {
+		return nil
+	}
+	return r.store.Sync()
+}
+
 // splitMessages separates messages that may be sent before the local disk is synced, such
 // as a leader's appends and heartbeats, from votes and acknowledgements, which may not.
 func splitMessages(list []raft.Message) (early, afterSync []raft.Message) {
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -77,6 +77,8 @@
 	number   uint64
 	size     int64
 	failed   bool
+	// unsynced is set while an appended commit index is not synced.
+	unsynced bool
 	// createFile creates a file and opens it for writing.
 	createFile func(path string) (File, error)
 }
@@ -371,6 +373,38 @@
 // Append persists consensus state and entries. They are synced when it returns without an
 // error.
 func (s *Store) Append(state *raft.HardState, entries []raft.Entry) error {
+	if err := s.write(state, entries); err != nil {
+		return err
+	}
+	return s.Sync()
+}
+
+// AppendCommit appends consensus state of which only the commit index is new. It is not synced:
+// a power loss may lose it until the next Sync or Append. A replica that restarts without it
+// knows fewer of its entries as committed until it hears from a leader.
+func (s *Store) AppendCommit(state *raft.HardState) error {
+	s.unsynced = true
+	return s.write(state, nil)
+}
+
+// Unsynced reports whether an appended commit index is not synced.
+func (s *Store) Unsynced() bool { return s.unsynced }
+
+// Sync syncs everything appended.
+func (s *Store) Sync() error {
+	if s.failed {
+		return ErrFailed
+	}
+	if err := s.segment.Sync(); err != nil {
+		s.failed = true
+		return eris.Wrap(err, "sync log record")
+	}
+	s.unsynced = false
+	return nil
+}
+
+// write appends a record without syncing it.
+func (s *Store) write(state *raft.HardState, entries []raft.Entry) error {
 	if s.failed {
 		return ErrFailed
 	}
@@ -383,10 +417,6 @@
 		s.failed = true
 		return eris.Wrap(err, "write log record")
 	}
-	if err := s.segment.Sync(); err != nil {
-		s.failed = true
-		return eris.Wrap(err, "sync log record")
-	}
 	s.size += int64(len(framed))
 	return nil
 }
