control: a listing's codec compresses it, instead of each sender and receiver

The compressed form had a field of its own in the reply, which the sender had to fill and each of three receivers had to unpack. The encoding of a listing is now a map or, compressed, binary data, and its decoder tells them apart.

--- a/daemon/control/relay.go
+++ b/daemon/control/relay.go
@@ -165,9 +165,6 @@
 	// No declaration is requested: it comes with the log.
 	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, Compressed: true, ForRelay: true, Declaration: math.MaxUint64, Term: at.Term, Version: at.Version}
 	reply, err := replica.CallLeaderWithin[watchReply](ctx, s.client, methodWatch, &req, watchTimeout)
-	if err == nil {
-		err = reply.unpack()
-	}
 	if err != nil {
 		log.WithError(eris.Cause(err)).WithField("step", "follow fleet").Debug("no reply from the leader")
 		return
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -172,10 +172,6 @@
 		log.WithError(eris.Cause(err)).WithFields(log.Fields{"step": "bootstrap watch", "peer": address}).Debug("no answer from this replica yet")
 		return nil
 	}
-	if err := reply.unpack(); err != nil {
-		log.WithError(err).WithFields(log.Fields{"step": "bootstrap watch", "peer": address}).Error("the reply is ignored")
-		return nil
-	}
 	return &reply
 }
 
@@ -193,9 +189,6 @@
 		req.Declaration = t.Version()
 	}
 	reply, err := replica.CallLeaderWithin[watchReply](ctx, w.client, methodWatch, &req, timeout)
-	if err == nil {
-		err = reply.unpack()
-	}
 	w.recordResult(err)
 	w.lastFailed = err != nil
 	if err == nil {
--- a/daemon/control/watchreply.go
+++ b/daemon/control/watchreply.go
@@ -63,7 +63,6 @@
 		}
 		reply, changed, lacking := s.changesFor(&req, v)
 		if lacking && (batched || reply.isUrgent(&req)) {
-			reply.pack(&req)
 			return withDecisions(reply, &req, v), nil
 		}
 		if lacking {
@@ -157,7 +156,7 @@
 	if v.Routing.Declared.Version > req.Declaration {
 		reply.Declaration = v.Routing.Declared.Declaration
 	}
-	reply.Listing = s.relay.listings.share(s.relay.fleet.Listing(req.position(), req.AcrossTerms))
+	reply.Listing = s.relay.listings.share(s.relay.fleet.Listing(req.position(), req.AcrossTerms), req.Compressed)
 	return reply, changed, reply.Declaration != nil || reply.Listing != nil
 }
 
@@ -232,8 +231,7 @@
 		return cached.body, nil
 	}
 	reply := &watchReply{Declaration: v.Routing.Declared.Declaration, Members: v.Members,
-		Listing: &encodedListing{Listing: &fleet.Listing{Version: v.Routing.Revision, Servers: v.Routing.Servers}}}
-	reply.pack(&watchRequest{Compressed: compressed})
+		Listing: &encodedListing{Listing: &fleet.Listing{Version: v.Routing.Revision, Servers: v.Routing.Servers}, compressed: compressed}}
 	body, err := msgpack.Marshal(withDecisions(reply, &watchRequest{}, v))
 	if err != nil {
 		return nil, eris.Wrap(err, "encode stale watch reply")
@@ -251,16 +249,16 @@
 
 // share returns the cached form of a listing, whose encoding is shared by all replies that
 // contain it, and adds it to the cache if necessary; nil for nil.
-func (c *listingCache) share(l *fleet.Listing) *encodedListing {
+func (c *listingCache) share(l *fleet.Listing, compressed bool) *encodedListing {
 	if l == nil {
 		return nil
 	}
 	for _, s := range *c {
-		if s.Listing == l {
+		if s.Listing == l && s.compressed == compressed {
 			return s
 		}
 	}
-	s := &encodedListing{Listing: l}
+	s := &encodedListing{Listing: l, compressed: compressed}
 	*c = append(*c, s)
 	if extra := len(*c) - maxCachedListings; extra > 0 {
 		*c = append(listingCache(nil), (*c)[extra:]...)
--- a/daemon/control/watchreply_test.go
+++ b/daemon/control/watchreply_test.go
@@ -66,12 +66,12 @@
 func TestListingsAreEncodedOnce(t *testing.T) {
 	var c listingCache
 	l := &fleet.Listing{Term: 3, Version: 4, Servers: []fleet.Server{{ID: "a", Pool: "p"}}}
-	first, second := c.share(l), c.share(l)
-	if first != second || c.share(nil) != nil {
+	first, second := c.share(l, true), c.share(l, true)
+	if first != second || c.share(nil, true) != nil {
 		t.Error("the same listing is encoded twice, or nil is not returned for nil")
 	}
 	for i := range 2 * maxCachedListings {
-		c.share(&fleet.Listing{Term: uint64(i)})
+		c.share(&fleet.Listing{Term: uint64(i)}, true)
 	}
 	if len(c) > maxCachedListings {
 		t.Errorf("%d listings are cached, want at most %d", len(c), maxCachedListings)
@@ -102,8 +102,7 @@
 	}
 	var c listingCache
 	for _, accepted := range []bool{true, false} {
-		reply := watchReply{Listing: c.share(l)}
-		reply.pack(&watchRequest{Compressed: accepted})
+		reply := watchReply{Listing: c.share(l, accepted)}
 		body, err := msgpack.Marshal(&reply)
 		if err != nil {
 			t.Fatal(err)
@@ -116,8 +115,8 @@
 		if err := wire.Decode(body, &got); err != nil {
 			t.Fatal(err)
 		}
-		if err := got.unpack(); err != nil || fmt.Sprint(*got.Listing.Listing) != fmt.Sprint(*l) {
-			t.Errorf("the listing was decoded with other content (%v)", err)
+		if fmt.Sprint(*got.Listing.Listing) != fmt.Sprint(*l) {
+			t.Error("the listing was decoded with other content")
 		}
 	}
 }
--- a/daemon/control/wire.go
+++ b/daemon/control/wire.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/quarantine"
@@ -63,52 +63,62 @@
 	return fleet.Position{Term: r.Term, Version: r.Version}
 }
 
-// encodedListing is a listing whose encodings are shared by several replies. It is encoded with
+// encodedListing is a listing whose encoding is shared by several replies. It is encoded with
 // the first of them, while no lock of the service is held.
 type encodedListing struct {
 	*fleet.Listing
-	encode, compress    sync.Once
-	encoded, compressed []byte
-	encodeErr           error
+	// compressed: the requesting instances accept a compressed encoding.
+	compressed bool
+	once       sync.Once
+	encoded    msgpack.RawMessage
+	err        error
 }
 
 // EncodeMsgpack writes the shared encoding.
 func (l *encodedListing) EncodeMsgpack(e *msgpack.Encoder) error {
-	data, err := l.plain()
-	if err != nil {
-		return err
+	l.once.Do(func() { l.encoded, l.err = l.encode() })
+	if l.err != nil {
+		return l.err
 	}
-	return e.Encode(msgpack.RawMessage(data))
-}
-
-func (l *encodedListing) plain() ([]byte, error) {
-	l.encode.Do(func() { l.encoded, l.encodeErr = msgpack.Marshal(l.Listing) })
-	return l.encoded, l.encodeErr
+	return e.Encode(l.encoded)
 }
 
 // minCompressedBytes is the size from which listings are compressed. Smaller ones fit into a few
 // packets.
 const minCompressedBytes = 4 << 10
 
-// pack returns the compressed encoding, nil for a listing that is small or can't be encoded. The
-// latter is reported when the reply is encoded.
-func (l *encodedListing) pack() []byte {
-	l.compress.Do(func() {
-		data, err := l.plain()
-		if err != nil || len(data) < minCompressedBytes {
-			return
-		}
-		if l.compressed, err = compress(data); err != nil {
-			log.WithError(err).WithField("step", "compress listing").Error("the listing is sent uncompressed")
-		}
-	})
-	return l.compressed
+// encode returns the encoding of a listing: a map, or binary data if it is compressed.
+func (l *encodedListing) encode() ([]byte, error) {
+	data, err := msgpack.Marshal(l.Listing)
+	if err != nil || !l.compressed || len(data) < minCompressedBytes {
+		return data, err
+	}
+	compressed, err := compress(data)
+	if err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(compressed)
 }
 
-// DecodeMsgpack reads a listing.
+// DecodeMsgpack reads a listing, compressed or not.
 func (l *encodedListing) DecodeMsgpack(d *msgpack.Decoder) error {
 	l.Listing = &fleet.Listing{}
-	return d.Decode(l.Listing)
+	code, err := d.PeekCode()
+	if err != nil {
+		return err
+	}
+	if !msgpcode.IsBin(code) {
+		return d.Decode(l.Listing)
+	}
+	compressed, err := d.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	data, err := decompress(compressed)
+	if err != nil {
+		return err
+	}
+	return eris.Wrap(wire.Decode(data, l.Listing), "decode compressed listing")
 }
 
 type watchReply struct {
@@ -118,8 +128,6 @@
 	Declaration []byte `msgpack:"d,omitempty"`
 	// Listing is nil if the requesting instance lacks nothing.
 	Listing *encodedListing `msgpack:"f,omitempty"`
-	// Packed is the compressed encoding of the listing, which is then absent.
-	Packed []byte `msgpack:"z,omitempty"`
 	// Members are the replicas' peer addresses.
 	Members []string `msgpack:"m"`
 	// InForce is the version of the declaration in force.
@@ -128,26 +136,3 @@
 	// declaration.
 	QuarantineDecisions []quarantine.Decision `msgpack:"q,omitempty"`
 }
-
-// pack compresses the listing of a reply if the requesting instance accepts that.
-func (r *watchReply) pack(req *watchRequest) {
-	if !req.Compressed || r.Listing == nil {
-		return
-	}
-	if r.Packed = r.Listing.pack(); r.Packed != nil {
-		r.Listing = nil
-	}
-}
-
-// unpack restores the listing of a reply.
-func (r *watchReply) unpack() error {
-	if len(r.Packed) == 0 {
-		return nil
-	}
-	data, err := decompress(r.Packed)
-	if err != nil {
-		return err
-	}
-	r.Listing, r.Packed = &encodedListing{Listing: &fleet.Listing{}}, nil
-	return eris.Wrap(wire.Decode(data, r.Listing.Listing), "decode listing")
-}
