frame: one look-up of a link, one place that notes an answer, no goroutine a call

HeardFrom and receivingFrom looked up a link each; a whole response and a part of one were noted in two places; each call with a time-out that waits for an arriving response started a goroutine at its end to stop its timer. Checks as they were; TestLargeResponseArrivesOverASlowLink is still red without recordBytes.

--- a/daemon/frame/frame_test.go
+++ b/daemon/frame/frame_test.go
@@ -35,11 +35,17 @@
 		_ = msgpack.Unmarshal(body, &s)
 		got <- s
 	})
+	listen(t, tr)
+	return tr, got
+}
+
+// listen runs a transport until the test ends.
+func listen(t *testing.T, tr *Transport) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = tr.Serve(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return tr, got
 }
 
 func call(tr *Transport, to, text string) (string, error) {
--- a/daemon/frame/link.go
+++ b/daemon/frame/link.go
@@ -156,6 +156,11 @@
 func (l *link) recordBytes() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.recordHeard()
+}
+
+// recordHeard records that the peer has answered. The caller holds l.mu.
+func (l *link) recordHeard() {
 	l.heardAt = boottime.Now()
 	l.monitor.Received(time.Now(), len(l.pending) > 0)
 }
@@ -277,7 +282,6 @@
 	defer l.mu.Unlock()
 	p := l.pending[id]
 	delete(l.pending, id)
-	l.heardAt = boottime.Now()
-	l.monitor.Received(time.Now(), len(l.pending) > 0)
+	l.recordHeard()
 	return p
 }
--- a/daemon/frame/silent_test.go
+++ b/daemon/frame/silent_test.go
@@ -8,24 +8,28 @@
 	"time"
 )
 
-// blackholeProxy forwards connections to a peer. After a call of blackhole, the connections
+// faultyProxy forwards connections to a peer. After a call of blackhole, the connections
 // that are open at that time stay open but deliver nothing back; new ones work.
-type blackholeProxy struct {
+type faultyProxy struct {
 	address string
-	mu      sync.Mutex
+	// pause is the time after each chunk of proxyChunkBytes that is passed back.
+	pause time.Duration
+	mu    sync.Mutex
 	// dead holds the connections whose responses are dropped.
 	dead map[net.Conn]bool
 	open []net.Conn
 }
 
-func newBlackholeProxy(t *testing.T, target string) *blackholeProxy {
+const proxyChunkBytes = 4 << 10
+
+func newFaultyProxy(t *testing.T, target string, pause time.Duration) *faultyProxy {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &blackholeProxy{address: l.Addr().String(), dead: map[net.Conn]bool{}}
+	s := &faultyProxy{address: l.Addr().String(), pause: pause, dead: map[net.Conn]bool{}}
 	go func() {
 		for {
 			in, err := l.Accept()
@@ -38,7 +42,7 @@
 	return s
 }
 
-func (s *blackholeProxy) forward(in net.Conn, target string) {
+func (s *faultyProxy) forward(in net.Conn, target string) {
 	out, err := net.Dial("tcp", target)
 	if err != nil {
 		in.Close()
@@ -48,7 +52,7 @@
 	s.open = append(s.open, in)
 	s.mu.Unlock()
 	go func() { _, _ = io.Copy(out, in); out.Close() }()
-	buf := make([]byte, 4<<10)
+	buf := make([]byte, proxyChunkBytes)
 	for {
 		n, err := out.Read(buf)
 		if err != nil {
@@ -61,10 +65,18 @@
 		if !drop {
 			_, _ = in.Write(buf[:n])
 		}
+		time.Sleep(s.pause)
 	}
 }
 
-func (s *blackholeProxy) blackhole() {
+// connections returns how many connections were made.
+func (s *faultyProxy) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+func (s *faultyProxy) blackhole() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.open {
@@ -81,7 +93,7 @@
 func TestSilentConnectionIsClosed(t *testing.T) {
 	peer, _ := serve(t, []Key{keyA}, nil)
 	a, _ := serve(t, []Key{keyA}, nil)
-	proxy := newBlackholeProxy(t, peer.Self())
+	proxy := newFaultyProxy(t, peer.Self(), 0)
 	until := time.Now().Add(5 * time.Second)
 	for time.Now().Before(until) {
 		if _, err := call(a, proxy.address, "before"); err == nil {
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -356,12 +356,10 @@
 }
 
 // HeardFrom returns when the last response from an address arrived, by boottime, which shows
-// that messages get through both ways; zero if there was none or the link was idle and is gone. A peer that
-// is too slow for its requests still answers probes.
+// that messages get through both ways. A peer that is too slow for its requests still answers
+// probes. The time is zero if there was no response or the link was idle and is gone.
 func (t *Transport) HeardFrom(address string) time.Time {
-	t.mu.Lock()
-	l := t.links[address]
-	t.mu.Unlock()
+	l := t.existingLink(address)
 	if l == nil {
 		return time.Time{}
 	}
@@ -374,28 +372,28 @@
 // or, if a response is arriving from there then, when no more of it comes.
 func (t *Transport) WithResponseTimeout(parent context.Context, address string, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
-	t.cancelUnlessReceiving(ctx, cancel, address, timeout)
-	return ctx, func() { cancel(context.Canceled) }
+	timer := t.cancelUnlessReceiving(ctx, cancel, address, timeout)
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
 }
 
 // cancelUnlessReceiving cancels a context after a time unless a response is arriving then, and
-// then checks again.
-func (t *Transport) cancelUnlessReceiving(ctx context.Context, cancel context.CancelCauseFunc, address string, after time.Duration) {
-	timer := time.AfterFunc(after, func() {
+// then checks again, until the context ends.
+func (t *Transport) cancelUnlessReceiving(ctx context.Context, cancel context.CancelCauseFunc, address string, after time.Duration) *time.Timer {
+	return time.AfterFunc(after, func() {
 		if ctx.Err() == nil && t.receivingFrom(address) {
 			t.cancelUnlessReceiving(ctx, cancel, address, maxReceivePause)
 			return
 		}
 		cancel(context.DeadlineExceeded)
 	})
-	context.AfterFunc(ctx, func() { timer.Stop() })
 }
 
 // receivingFrom reports whether a response is arriving from an address.
 func (t *Transport) receivingFrom(address string) bool {
-	t.mu.Lock()
-	l := t.links[address]
-	t.mu.Unlock()
+	l := t.existingLink(address)
 	if l == nil {
 		return false
 	}
@@ -405,6 +403,13 @@
 	return c != nil && c.progress.receiving(maxReceivePause)
 }
 
+// existingLink returns the link to an address, nil without one.
+func (t *Transport) existingLink(address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.links[address]
+}
+
 // link returns the link to an address, which it creates if necessary.
 func (t *Transport) link(address string) *link {
 	t.mu.Lock()
