control: followed state without a nil case; storage: one counting file in tests; comments

The state that the registry has followed starts as that of the empty log instead of nil. Comments that read oddly, and the order of the two locks, are said in the usual terms. No behaviour changes.

--- a/core/fleet/relay_test.go
+++ b/core/fleet/relay_test.go
@@ -19,7 +19,7 @@
 	registry *Registry
 	term     uint64
 	relays   []*Relay
-	// leading is the index of the leader's own relay, from which the other one is told.
+	// leading is the index of the leader's own relay, which the other relay follows.
 	leading int
 	// logged and withdrawn are the content of the log at a revision.
 	logged    map[string]Server
@@ -97,8 +97,8 @@
 }
 
 // Entries that apply differences from relays, one of which follows the other, and switch
-// between these, must end up with the leader's servers, across changes of the leader, restarts of the relays and starts
-// from the log. They must never list a server whose departure the relays know.
+// between these, must end up with the leader's servers, across changes of the leader, restarts
+// of the relays and starts from the log. They must never list a server whose departure the relays know.
 func TestDifferencesConvergeToTheLeadersFleet(t *testing.T) {
 	differences, full := 0, 0
 	p := gopter.NewProperties(nil)
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// Guards against an operator who repeats a refused order after a lost answer and is told another
-// generation than the first time, as if the order had been decided twice.
+// Guards against a retried order that gets another response than the first time: the generation
+// differed, as if the order had been executed twice.
 func TestRepeatOfARefusedOrderGetsTheFirstAnswer(t *testing.T) {
 	m := fresh()
 	applyOrder(m, publishOrder(testBundle(1, "a"), 0))
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -44,14 +44,14 @@
 	replica *replica.Replica
 	client  *replica.Client
 
-	// mu guards what announcements need: registry, heartbeats and queue. It is held briefly:
-	// whatever grows with the number of watchers happens under relay.mu, which may be held
-	// when mu is locked, but not the other way round.
+	// mu guards what announcements need: registry, heartbeats and queue. It is held briefly;
+	// work that grows with the number of watchers is done under relay.mu. Whoever needs both
+	// locks relay.mu first.
 	mu         sync.Mutex
 	registry   *fleet.Registry
 	heartbeats heartbeatBatch
 	queue      announcementQueue
-	// followed is the state of the log that the registry has, nil before the first.
+	// followed is the state of the log that the registry has. It is changed under mu.
 	followed atomic.Pointer[followedState]
 	foreign  foreignCounter
 	relay    relay
@@ -76,7 +76,7 @@
 }
 
 // followedState identifies a state of the log and the last term in which this replica was the
-// leader.
+// leader; the zero value is the empty log.
 type followedState struct{ revision, lastLedTerm uint64 }
 
 // New returns a Service and registers its frame handlers.
@@ -84,6 +84,7 @@
 	s := &Service{replica: r, client: c, registry: fleet.NewRegistry(), notifier: newNotifier(), heartbeats: heartbeatBatch{}, queue: announcementQueue{},
 		queued: make(chan struct{}, 1), unregistered: make(chan struct{}, 1), relay: relay{startedAt: boottime.Now()},
 		heardFrom: t.HeardFrom, instances: func() []membership.Instance { return nil }}
+	s.followed.Store(&followedState{})
 	t.HandleRequest(methodAnnounce, s.handleAnnounce)
 	t.HandleRequest(methodHeartbeats, s.handleHeartbeats)
 	t.HandleRequest(methodNewestStart, s.handleNewestStart)
@@ -310,10 +311,7 @@
 		for _, w := range v.Routing.Withdrawals {
 			s.registry.Withdraw(w.ServerID, w.Phase)
 		}
-		next := followedState{revision: v.Routing.Revision}
-		if last := s.followed.Load(); last != nil {
-			next.lastLedTerm = last.lastLedTerm
-		}
+		next := followedState{revision: v.Routing.Revision, lastLedTerm: s.followed.Load().lastLedTerm}
 		if v.Leading && v.Term != next.lastLedTerm {
 			next.lastLedTerm = v.Term
 			s.registry.Restore(time.Now(), v.Routing.Servers)
@@ -325,8 +323,5 @@
 // hasFollowed reports whether the registry has the state of the log in a view.
 func (s *Service) hasFollowed(v replica.View) bool {
 	last := s.followed.Load()
-	if last == nil {
-		return v.Routing.Revision == 0 && !v.Leading
-	}
 	return last.revision == v.Routing.Revision && (!v.Leading || last.lastLedTerm == v.Term)
 }
--- a/daemon/control/publish_test.go
+++ b/daemon/control/publish_test.go
@@ -12,6 +12,7 @@
 // ledService returns the service of a leader with a fleet of ready servers.
 func ledService(servers int) (*Service, replica.View) {
 	s := &Service{registry: fleet.NewRegistry(), notifier: newNotifier(), heartbeats: heartbeatBatch{}}
+	s.followed.Store(&followedState{})
 	s.update(func() {
 		for i := range servers {
 			s.registry.Announce(time.Now(), testServer(i, 1))
--- a/daemon/replica/client.go
+++ b/daemon/replica/client.go
@@ -89,7 +89,7 @@
 	return callWithin[T](ctx, c, method, in, noTimeLimit)
 }
 
-// noTimeLimit stands for no limit but the context's.
+// noTimeLimit leaves the limit to the context.
 const noTimeLimit = time.Duration(math.MaxInt64)
 
 // callWithin is call with a time limit, after which it waits only for a response that is
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -380,8 +380,8 @@
 }
 
 // AppendCommit appends consensus state of which only the commit index is new. It is not synced:
-// a power loss may lose it until the next Sync or Append. A replica that restarts without it
-// knows fewer of its entries as committed until it hears from a leader.
+// a power loss may lose it until the next Sync or Append. A replica that restarts without it has
+// an older commit index until a leader sends the current one.
 func (s *Store) AppendCommit(state *raft.HardState) error {
 	s.unsynced = true
 	return s.write(state, nil)
--- a/daemon/storage/storage_test.go
+++ b/daemon/storage/storage_test.go
@@ -133,6 +133,38 @@
 	}
 }
 
+// Guards against proposals that expire while disks are slow: each commit waited for a sync of the
+// commit index, in addition to that of the entry.
+func TestCommitIndexAloneIsNotSynced(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const start = 100
+	left := start
+	s.segment = failingFile{s.segment, &left}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must(s.Append(&raft.HardState{Term: 1}, []raft.Entry{entry(1)}))
+	must(s.AppendCommit(&raft.HardState{Term: 1, Commit: 1}))
+	if syncs := start - left; syncs != 1 || !s.Unsynced() {
+		t.Errorf("%d syncs, unsynced %v", syncs, s.Unsynced())
+	}
+	must(s.Sync())
+	if syncs := start - left; syncs != 2 || s.Unsynced() {
+		t.Errorf("%d syncs, unsynced %v after a sync", syncs, s.Unsynced())
+	}
+	must(s.Close())
+	if _, l, err := Open(dir); err != nil || l.State.Commit != 1 || len(l.Entries) != 1 {
+		t.Errorf("read back %+v: %v", l, err)
+	}
+}
+
 func FuzzReplay(f *testing.F) {
 	dir := f.TempDir()
 	s, _, _ := Open(dir)
