--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomwick.example/core/ratelimit"
+	"cardamomwick.example/core/rendezvous"
 )
 
 // brittleState is what is known of a server's brittleness.
@@ -34,10 +35,10 @@
 	if s.brittle.ownersRevision == b.ownersRevision {
 		return s.brittle.rank
 	}
-	own := score(s.ID, b.name)
+	own := rendezvous.Score(s.ID, b.name)
 	rank := 0
 	for _, name := range b.slotOwners {
-		if name != b.name && score(s.ID, name) > own {
+		if name != b.name && rendezvous.Score(s.ID, name) > own {
 			rank++
 		}
 	}
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -7,6 +7,7 @@
 
 	"cardamomwick.example/core/counts"
 	"cardamomwick.example/core/ratelimit"
+	"cardamomwick.example/core/rendezvous"
 )
 
 // limitState is the known request limit of a server.
@@ -84,7 +85,7 @@
 // between instances and between starts of an instance, so that their tokens do not
 // become available at the same time.
 func (b *Balancer) bucketPhase(server string) float64 {
-	return float64(score(b.name, server)^uint64(b.firstStream)<<32) / math.MaxUint64
+	return float64(rendezvous.Score(b.name, server)^uint64(b.firstStream)<<32) / math.MaxUint64
 }
 
 // limitRates returns a function that computes the requests per second this instance
--- a/core/balance/rank.go
+++ b/core/balance/rank.go
@@ -3,11 +3,9 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
+	"cardamomwick.example/core/rendezvous"
 )
 
-func score(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
-
 // otherSide is the rank of a server on the other side of the boundary.
 const otherSide = -1
 
@@ -24,7 +22,7 @@
 			continue
 		}
 		order = append(order, i)
-		scores[i] = score(affinityKey, s.ID)
+		scores[i] = rendezvous.Score(affinityKey, s.ID)
 	}
 	if affinityKey == "" {
 		return ranks
@@ -40,7 +38,7 @@
 func rendezvousFirst(prefix string, list []*server) *server {
 	best := list[0]
 	for _, s := range list[1:] {
-		if score(prefix, s.ID) > score(prefix, best.ID) {
+		if rendezvous.Score(prefix, s.ID) > rendezvous.Score(prefix, best.ID) {
 			best = s
 		}
 	}
--- a/core/balance/servers.go
+++ b/core/balance/servers.go
@@ -6,6 +6,7 @@
 
 	"cardamomwick.example/core/counts"
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/rendezvous"
 )
 
 // noSlot is the slot of a server that has been removed.
@@ -119,7 +120,7 @@
 
 // add creates a server and applies the counts that peers have already reported for it.
 func (b *Balancer) add(f *fleet.Server) {
-	s := &server{Server: *f, order: score("", f.ID), fleetRevision: b.fleetRevision, slowness: 1}
+	s := &server{Server: *f, order: rendezvous.Score("", f.ID), fleetRevision: b.fleetRevision, slowness: 1}
 	b.servers[f.ID] = s
 	b.allocateSlot(s)
 	b.markChanged(s)
--- a/core/membership/rendezvous.go
+++ b/core/membership/rendezvous.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
+	"cardamomwick.example/core/rendezvous"
 )
 
 // TopTwo returns the first instances of the ranking for a key, at most two. It is for keys
@@ -12,7 +12,7 @@
 	best, second := -1, -1
 	var bestScore, secondScore uint64
 	for i := range instances {
-		s := score(key, instances[i].Name)
+		s := rendezvous.Score(key, instances[i].Name)
 		switch {
 		case best < 0 || s > bestScore:
 			second, secondScore = best, bestScore
@@ -30,15 +30,6 @@
 	return out
 }
 
-func score(key, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key) // hash writes never fail
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(name)
-	return d.Sum64()
-}
-
 // Rank orders instances for a key by rendezvous hashing (highest random weight): all that
 // know the same instances agree on the first one, and the loss of an instance moves only
 // the keys it held.
@@ -49,7 +40,7 @@
 	}
 	list := make([]scored, 0, len(instances))
 	for _, i := range instances {
-		list = append(list, scored{score(key, i.Name), i})
+		list = append(list, scored{rendezvous.Score(key, i.Name), i})
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].score > list[b].score })
 	out := make([]Instance, len(list))
