collect: an entry that comes or goes moves few others to another collector

Cause: a leaf's group was its position in the list of its zone modulo the number of groups, so that one entry that came or went moved 44 of 290 others on average, 89 at most, and 290 that joined one by one made 6,534 moves. Every restart of an entry did so, also long after the loss.

Change: rendezvous hashing with bounded loads, groups of 12 on average and 16 at most. The plan is computed once a change of the entries instead of for each report.

--- a/core/collect/collect.go
+++ b/core/collect/collect.go
@@ -19,6 +19,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"cardamomwick.example/core/rendezvous"
 )
 
 // Limits of a plan.
@@ -34,6 +36,9 @@
 	// answers to them this is as many messages as the collectors of seven zones send each
 	// other.
 	maxGroupMembers = 16
+	// targetGroupMembers is the average size of a group. It is below the maximum, so that a
+	// member that joins rarely displaces another one.
+	targetGroupMembers = 12
 	// basePeriod is the usual time between two reports. Bursts build up over a few hundred
 	// milliseconds; a fifth of this period was no better.
 	basePeriod = 100 * time.Millisecond
@@ -84,7 +89,7 @@
 		return Plan{Level: LevelZone, Peers: otherCollectors(zones, self.Name), Period: period}
 	}
 	collectors := zoneCollectors(zone)
-	level, list := placeMember(index-len(collectors), zone[len(collectors):], collectors)
+	level, list := placeMember(self, zone[len(collectors):], collectors)
 	return Plan{Level: level, Collectors: list, Period: period}
 }
 
@@ -94,20 +99,64 @@
 }
 
 // placeMember returns the level of a member that is not a collector of its zone, and the
-// collectors it reports to. index is its position in below, which lists the zone's members
-// that are not collectors of the zone; it is negative if the member is not listed yet.
-func placeMember(index int, below, collectors []Member) (uint8, []Member) {
+// collectors it reports to. below lists the zone's members that are not collectors of the zone;
+// the member may be missing there.
+func placeMember(self Member, below, collectors []Member) (uint8, []Member) {
 	if len(below) <= maxGroupMembers {
 		return LevelLeaf, collectors
 	}
-	groups := (len(below) + maxGroupMembers) / (maxGroupMembers + 1)
-	if index >= 0 && index < groups {
+	groups := below[:groupCount(len(below))]
+	if slices.ContainsFunc(groups, func(m Member) bool { return m.Name == self.Name }) {
 		return LevelGroup, collectors
 	}
-	own := max(0, index) % groups
-	list := append([]Member(nil), below[own:groups]...)
-	list = append(list, below[:own]...)
-	return LevelLeaf, append(list, collectors...)
+	return LevelLeaf, append(groupsFor(self, groups, below[len(groups):]), collectors...)
+}
+
+// groupCount returns the number of groups of the members below a zone's collectors.
+func groupCount(members int) int { return (members + targetGroupMembers) / (targetGroupMembers + 1) }
+
+// groupsFor returns the collectors of groups in a leaf's order of preference. It is rendezvous
+// hashing with bounded loads: each leaf, in the order of the list, takes the collector with the
+// highest score for its name that has room. A member that comes or goes thus moves few others,
+// and each move costs the whole list of servers in both directions.
+func groupsFor(self Member, groups, leaves []Member) []Member {
+	members := make([]int, len(groups))
+	for _, leaf := range leaves {
+		if leaf.Name == self.Name {
+			break
+		}
+		if first := highestScore(leaf.Name, groups, func(i int) bool { return members[i] < maxGroupMembers }); first >= 0 {
+			members[first]++
+		}
+	}
+	order := make([]int, 0, len(groups))
+	for range groups {
+		next := highestScore(self.Name, groups, func(i int) bool { return members[i] < maxGroupMembers && !slices.Contains(order, i) })
+		if next < 0 {
+			break
+		}
+		order = append(order, next)
+	}
+	out := make([]Member, 0, len(groups)+collectorsPerZone)
+	for _, i := range order {
+		out = append(out, groups[i])
+	}
+	return out
+}
+
+// highestScore returns the index of the accepted collector with the highest score for a name, or
+// -1 if none is accepted.
+func highestScore(name string, groups []Member, accepts func(i int) bool) int {
+	best, highest := -1, uint64(0)
+	for i, g := range groups {
+		if !accepts(i) {
+			continue
+		}
+		if s := rendezvous.Score(name, g.Name); best < 0 || s > highest {
+			best, highest = i, s
+		}
+	}
+	return best
 }
 
 // otherCollectors returns the collectors of all zones, except the named instance.
--- a/core/collect/collect_test.go
+++ b/core/collect/collect_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand"
+	"slices"
 	"testing"
 	"time"
 )
@@ -90,6 +92,67 @@
 	}
 }
 
+func firstCollector(p Plan) string {
+	if len(p.Collectors) == 0 {
+		return ""
+	}
+	return p.Collectors[0].Name
+}
+
+// collectorsOf returns the collector of each member.
+func collectorsOf(list []Member) map[string]string {
+	out := make(map[string]string, len(list))
+	for _, m := range list {
+		out[m.Name] = firstCollector(NewPlan(m, list))
+	}
+	return out
+}
+
+// movedMembers counts the members of both plans that have another collector.
+func movedMembers(before, after map[string]string) int {
+	moved := 0
+	for name, collector := range after {
+		if old, known := before[name]; known && old != collector {
+			moved++
+		}
+	}
+	return moved
+}
+
+// Each move to another collector sends all servers anew in both directions. An instance that
+// comes or goes may move as many others as a group has on average; hundreds that join one after
+// the other may not make each other move all the time.
+func TestMemberThatComesOrGoesMovesOneGroup(t *testing.T) {
+	const limit = maxGroupMembers
+	for _, each := range []int{33, 97, 125} {
+		list := newMembers(3, each)
+		all := collectorsOf(list)
+		total, samples := 0, 0
+		for i := 0; i < len(list); i += 7 {
+			missing := collectorsOf(slices.Delete(slices.Clone(list), i, i+1))
+			total += movedMembers(all, missing)
+			samples++
+		}
+		if average := float64(total) / float64(samples); average > limit {
+			t.Errorf("one of %d members that is missing moves %.1f others", len(list), average)
+		}
+		joined := slices.Clone(list)
+		rand.New(rand.NewSource(1)).Shuffle(len(joined), func(i, j int) { joined[i], joined[j] = joined[j], joined[i] })
+		const step = 3
+		moves := 0
+		before := map[string]string{}
+		for n := step; n <= len(joined); n += step {
+			after := collectorsOf(joined[:n])
+			moves += movedMembers(before, after)
+			before = after
+		}
+		t.Logf("%d members: one missing moves %.1f, joining %d at a time makes %d moves", len(list), float64(total)/float64(samples), step, moves)
+		if moves > len(list)*limit/step {
+			t.Errorf("%d members that join make %d moves", len(list), moves)
+		}
+	}
+}
+
 // Every zone's sum must reach every collector.
 func TestCollectorsReachEachOther(t *testing.T) {
 	list := newMembers(5, 12)
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -79,9 +79,10 @@
 	runners    []*duties.Runner
 	router     *router.Router
 	relays     *relay.Server
-	// peers and owners cache relayPeers and slotOwners.
+	// peers, owners and plans cache relayPeers, slotOwners and collectPlan.
 	peers    entryCache[[]core.Peer]
 	owners   entryCache[[]string]
+	plans    entryCache[collect.Plan]
 	services []suture.Service
 	metrics  *telemetry.Metrics
 	draining atomic.Bool
@@ -180,8 +181,7 @@
 	// found, and would always send the watch there.
 	d.watch = control.NewWatch(d.transport, replica.NewClient(d.transport, d.directory), d.applyTable, d.applyFleet)
 	d.watch.OnQuarantineDecisions(d.quarantine.MergeDecisions)
-	self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
-	exchange := router.NewExchange(d.router, d.transport, self, d.collectMembers)
+	exchange := router.NewExchange(d.router, d.transport, d.collectPlan)
 	if d.reporter != nil {
 		d.reporter.SetDemands(d.router.Demands)
 	}
@@ -215,12 +215,16 @@
 // ready reports whether this instance accepts new calls.
 func (d *Routed) ready() bool { return !d.draining.Load() && d.watch.Table() != nil }
 
-func (d *Routed) collectMembers() []collect.Member {
-	var out []collect.Member
-	for _, i := range d.gossip.Entries() {
-		out = append(out, collect.Member{Name: i.Name, Zone: i.Zone, Address: i.PeerAddress})
-	}
-	return out
+// collectPlan returns this instance's part in the exchange of load counts.
+func (d *Routed) collectPlan() collect.Plan {
+	return d.plans.get(d.gossip.Entries(), func(entries []membership.Instance) collect.Plan {
+		members := make([]collect.Member, 0, len(entries))
+		for _, i := range entries {
+			members = append(members, collect.Member{Name: i.Name, Zone: i.Zone, Address: i.PeerAddress})
+		}
+		self := collect.Member{Name: d.settings.Instance.Name, Zone: d.settings.Instance.AvailabilityZone, Address: d.settings.Peers.Address}
+		return collect.NewPlan(self, members)
+	})
 }
 
 // reaches reports whether this instance reaches the other servers of a server's pool, or has
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -22,8 +22,7 @@
 type Exchange struct {
 	router    *Router
 	transport *frame.Transport
-	self      collect.Member
-	entries   func() []collect.Member
+	plan      func() collect.Plan
 
 	mu       sync.Mutex
 	reporter collect.Reporter
@@ -31,9 +30,9 @@
 	collector string
 }
 
-// NewExchange registers the frame handler; entries returns all entries that serve callers.
-func NewExchange(r *Router, t *frame.Transport, self collect.Member, entries func() []collect.Member) *Exchange {
-	x := &Exchange{router: r, transport: t, self: self, entries: entries}
+// NewExchange registers the frame handler; plan returns this entry's current plan.
+func NewExchange(r *Router, t *frame.Transport, plan func() collect.Plan) *Exchange {
+	x := &Exchange{router: r, transport: t, plan: plan}
 	t.HandleOneWay(methodCounts, x.handle)
 	return x
 }
@@ -44,7 +43,7 @@
 // Serve sends load counts periodically until the context ends.
 func (x *Exchange) Serve(ctx context.Context) error {
 	for {
-		plan := collect.NewPlan(x.self, x.entries())
+		plan := x.plan()
 		x.send(time.Now(), plan)
 		x.router.logBoundaryMoves()
 		x.router.logLimits()
@@ -114,7 +113,7 @@
 	defer x.mu.Unlock()
 	c, ok := x.reporter.Pick(now, plan)
 	if c.Address != x.collector {
-		log.WithFields(log.Fields{"step": "pick collector", "peer": c.Address, "before": x.collector, "entries": len(x.entries())}).Info("load counts are reported to another entry")
+		log.WithFields(log.Fields{"step": "pick collector", "peer": c.Address, "before": x.collector, "entries": x.router.opt.Entries()}).Info("load counts are reported to another entry")
 		x.collector = c.Address
 	}
 	return c, ok
