balance: servers whose rank alone costs too much are not compared

Cause: each call compared the state of all engines of its pool (24% of an entry's time with 2,400 engines, 10 of them the losses), though the loss of a server's rank alone is beyond that of the best one for nearly all.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -200,19 +200,28 @@
 	r := p.request(now, c)
 	candidates = p.filterHolders(now, r, candidates)
 	onLong := c.usesLongSide(&p.speed)
-	ranks := rankByHome(c.AffinityKey, candidates, func(s *server) bool { return c.Tokens == 0 || s.long == onLong })
-	best := 0
-	least := math.Inf(1)
-	for i, s := range candidates {
-		loss := p.loss(now, s, r, ranks[i])
-		if ranks[i] != 0 || c.AffinityKey == "" {
+	list := rankByHome(c.AffinityKey, candidates, func(s *server) bool { return c.Tokens == 0 || s.long == onLong })
+	best, least := p.leastLoss(now, r, list, random)
+	return Choice{best.Server, best.rank, least}, true
+}
+
+// leastLoss returns the candidate with the least loss. It skips those whose rank alone costs more
+// than that: in a pool of thousands of servers they are nearly all.
+func (p *pool) leastLoss(now time.Time, r request, list []ranked, random func() float64) (best ranked, least float64) {
+	least = math.Inf(1)
+	for _, s := range list {
+		if r.rankLoss(s.rank) >= least {
+			continue
+		}
+		loss := p.loss(now, s.server, r, s.rank)
+		if s.rank != 0 || r.AffinityKey == "" {
 			loss += jitterLoss * random()
 		}
 		if loss < least {
-			best, least = i, loss
+			best, least = s, loss
 		}
 	}
-	return Choice{candidates[best].Server, ranks[best], least}, true
+	return best, least
 }
 
 // sampleTwo returns two random servers. Counts of other instances are older than a
--- a/core/balance/loss.go
+++ b/core/balance/loss.go
@@ -15,9 +15,9 @@
 	// missTokensPerCall is the number of shared tokens processed again that equals one
 	// missed call, since that takes engine time from others.
 	missTokensPerCall = 8000
-	// rankLoss is the loss per rank below the home server. It limits the number of
+	// lossPerRank is the loss per rank below the home server. It limits the number of
 	// copies of a shared prefix.
-	rankLoss = 0.02
+	lossPerRank = 0.02
 	// runningWeight is the loss of a full batch over an empty one. The loss grows with
 	// the square of the occupancy, because the last slots are taken while a burst is
 	// still growing.
@@ -60,12 +60,10 @@
 	if own > float64(c.Unshared) && (c.cached || rank != 0) {
 		loss += (own - float64(c.Unshared)) / missTokensPerCall
 	}
-	if rank != 0 {
-		loss += rankLoss * float64(max(rank, 1))
-	}
+	loss += c.rankLoss(rank)
 	pending := float64(l.PendingPromptTokens) + own
 	if rank == otherSide {
-		loss += c.crossingLoss(l)
+		loss += c.disturbanceLoss(l)
 	}
 	delay := time.Duration(s.slowness * float64(p.speed.prefillTime(pending)))
 	loss += delayLoss(delay, c.targetLatency())
@@ -76,17 +74,29 @@
 	return loss + occupancyLoss(now, p, s, c.Call, l)
 }
 
-// crossingLoss is the loss of crossing the boundary. A long prompt delays the events
-// of latency-sensitive streams on the short side, and long prompts delay a
-// latency-sensitive stream on the long side. Other short calls only lose time.
-func (c *Call) crossingLoss(l Load) float64 {
+// rankLoss is the loss of a server's rank, whatever its state: of its distance from the home
+// server, or of crossing the boundary. A long prompt delays the events of latency-sensitive streams
+// on the short side, and long prompts delay a latency-sensitive stream on the long side. Other
+// short calls only lose time.
+func (c *Call) rankLoss(rank int) float64 {
 	switch {
-	case c.Tokens >= LongPromptTokens:
-		return crossLossLatencySensitive + min(maxLatencySensitiveLoss, latencySensitiveLoss*float64(l.LatencySensitive))
-	case c.latencySensitive():
-		return crossLossLatencySensitive
+	case rank == 0:
+		return 0
+	case rank != otherSide:
+		return lossPerRank * float64(rank)
+	case c.Tokens >= LongPromptTokens || c.latencySensitive():
+		return lossPerRank + crossLossLatencySensitive
+	}
+	return lossPerRank + crossLoss
+}
+
+// disturbanceLoss is the additional loss of a long prompt on the short side, by the
+// latency-sensitive streams there.
+func (c *Call) disturbanceLoss(l Load) float64 {
+	if c.Tokens < LongPromptTokens {
+		return 0
 	}
-	return crossLoss
+	return min(maxLatencySensitiveLoss, latencySensitiveLoss*float64(l.LatencySensitive))
 }
 
 // occupancyLoss is the loss of placing a call on an occupied or full server.
