--- a/core/collect/collect_test.go
+++ b/core/collect/collect_test.go
@@ -217,3 +217,12 @@
 		t.Errorf("191 instances report every %v", p)
 	}
 }
+
+// BenchmarkNewPlan measures the plan of a leaf at the largest supported size. It is computed once
+// for each change of the entries.
+func BenchmarkNewPlan(b *testing.B) {
+	list := newMembers(5, 75)
+	for b.Loop() {
+		NewPlan(list[len(list)-1], list)
+	}
+}
--- a/core/membership/convergence_test.go
+++ b/core/membership/convergence_test.go
@@ -255,3 +255,30 @@
 		t.Errorf("the members send %d bytes a second each, more than %d", perMember, maxSettledBytes)
 	}
 }
+
+// BenchmarkExchange measures an exchange by digest of two tables that agree, at the largest
+// supported size, and its bytes.
+func BenchmarkExchange(b *testing.B) {
+	const members = 376
+	now := time.Unix(1_800_000_000, 0)
+	var tables [2]*Table
+	for i := range tables {
+		address := fmt.Sprint("self-", i)
+		tables[i] = New(Instance{Name: address, PeerAddress: address}, nil, now, rand.New(rand.NewSource(1)).Intn)
+		for k := range members - 2 {
+			name := fmt.Sprintf("front-zone-%d-%d", k%3, k)
+			tables[i].merge(now, Instance{Name: name, PeerAddress: name, Incarnation: 1}, false)
+		}
+	}
+	tables[0].merge(now, tables[1].self, false)
+	tables[1].merge(now, tables[0].self, false)
+	bytes := 0
+	for b.Loop() {
+		request := Message{Type: DigestRequest, From: tables[0].self.PeerAddress, Updates: []Instance{tables[0].self}, Digest: tables[0].digest()}
+		bytes = len(request.Digest)
+		if out := tables[1].Handle(now, request); len(out) > 0 {
+			b.Fatalf("tables that agree exchange %d messages", len(out))
+		}
+	}
+	b.ReportMetric(float64(bytes), "bytes")
+}
