--- a/core/balance/servers.go
+++ b/core/balance/servers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"cardamomwick.example/core/counts"
 	"cardamomwick.example/core/fleet"
@@ -17,8 +16,8 @@
 // cost of a comparison: in a large fleet some servers change all the time while most
 // do not. Lists sorted by ID cost least.
 func (b *Balancer) SetFleet(list []fleet.Server) {
-	if !slices.IsSortedFunc(list, compareIDs) {
-		list = slices.SortedFunc(slices.Values(list), compareIDs)
+	if !slices.IsSortedFunc(list, fleet.CompareIDs) {
+		list = slices.SortedFunc(slices.Values(list), fleet.CompareIDs)
 	}
 	d := b.diffFleet(list)
 	for _, s := range d.removed {
@@ -33,8 +32,6 @@
 	}
 }
 
-func compareIDs(x, y fleet.Server) int { return strings.Compare(x.ID, y.ID) }
-
 // ReadyServers returns the servers of a pool that accept calls; the overdue ones only if there
 // are no others.
 func (b *Balancer) ReadyServers(poolName string) []fleet.Server {
--- a/core/balance/servers_test.go
+++ b/core/balance/servers_test.go
@@ -32,7 +32,7 @@
 			lists := make([][]fleet.Server, 16)
 			for n := range lists {
 				z.list[engines*n/len(lists)].ID = fmt.Sprintf("j-%010d", n)
-				lists[n] = slices.SortedFunc(slices.Values(z.list), compareIDs)
+				lists[n] = slices.SortedFunc(slices.Values(z.list), fleet.CompareIDs)
 			}
 			b.ResetTimer()
 			for n := range b.N {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// compareIDs is the sort order of server lists.
-func compareIDs(a, b Server) int { return cmp.Compare(a.ID, b.ID) }
+// CompareIDs is the sort order of server lists: by ID.
+func CompareIDs(a, b Server) int { return cmp.Compare(a.ID, b.ID) }
 
 // Find returns the index of a server in a list sorted by ID, or the index at which it would
 // be inserted.
@@ -386,6 +386,6 @@
 	for _, s := range r.servers {
 		out = append(out, s.Server)
 	}
-	slices.SortFunc(out, compareIDs)
+	slices.SortFunc(out, CompareIDs)
 	return out
 }
--- a/core/fleet/mirror.go
+++ b/core/fleet/mirror.go
@@ -207,7 +207,7 @@
 			}
 		}
 	}
-	slices.SortFunc(out, compareIDs)
+	slices.SortFunc(out, CompareIDs)
 	return out
 }
 
--- a/core/fleet/relay.go
+++ b/core/fleet/relay.go
@@ -231,5 +231,5 @@
 }
 
 func (l *Listing) sort() {
-	slices.SortFunc(l.Servers, compareIDs)
+	slices.SortFunc(l.Servers, CompareIDs)
 }
--- a/core/membership/exchange.go
+++ b/core/membership/exchange.go
@@ -87,7 +87,7 @@
 			delete(lacking, f)
 			continue
 		}
-		if known.State == Dead && !takesForLiving(lacking, known) {
+		if known.State == Dead && !holdsAsAlive(lacking, known) {
 			continue
 		}
 		reply.Updates = append(reply.Updates, known)
@@ -101,9 +101,9 @@
 	}
 }
 
-// takesForLiving reports whether a digest holds a dead member as alive or suspect, in the
+// holdsAsAlive reports whether a digest holds a dead member as alive or suspect, in the
 // incarnation in which it died.
-func takesForLiving(digest map[uint64]bool, dead Instance) bool {
+func holdsAsAlive(digest map[uint64]bool, dead Instance) bool {
 	alive, suspect := dead, dead
 	alive.State, suspect.State = Alive, Suspect
 	return digest[alive.fingerprint()] || digest[suspect.fingerprint()]
