Test: listings that followers share are counted on a simulated clock

Cause: the notifier wakes watchers 100 ms after the last notification; on a slow machine a round of the test takes longer, and a notification in it is due. Provoked: with 15 ms more for each request 56 listings, the product untouched. The test runs in a synctest bubble now, where no time passes while it works; its bound stays, and it is red when the leader publishes at each request. Green 30 times in a row with the race detector.

--- a/daemon/control/publish_test.go
+++ b/daemon/control/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cardamomwick.example/core/fleet"
@@ -29,28 +30,32 @@
 // leader built and encoded a listing of the whole fleet for each of eight replicas that follow
 // it, answered none of them in time, and built all of them again.
 func TestFollowersShareTheListingsOfALeaderThatTakesAnnouncements(t *testing.T) {
-	const servers, followers, rounds = 3000, 8, 10
-	s, v := ledService(servers)
-	listings := map[*encodedListing]bool{}
-	positions := make([]fleet.Position, followers)
-	for round := range rounds {
-		for f := range followers {
-			// Each message from another replica changes the registry.
-			s.update(func() { s.registry.Announce(time.Now(), testServer(round, 2+f)) })
-			req := watchRequest{ForRelay: true, Deltas: true, AcrossTerms: true, Term: positions[f].Term, Version: positions[f].Version}
-			reply, _, _ := s.changesFor(&req, v)
-			if reply.Listing == nil {
-				continue
+	// On a simulated clock: on a slow machine a round would take longer than
+	// minNotifyInterval, and another notification would be due within it.
+	synctest.Test(t, func(t *testing.T) {
+		const servers, followers, rounds = 3000, 8, 10
+		s, v := ledService(servers)
+		listings := map[*encodedListing]bool{}
+		positions := make([]fleet.Position, followers)
+		for round := range rounds {
+			for f := range followers {
+				// Each message from another replica changes the registry.
+				s.update(func() { s.registry.Announce(time.Now(), testServer(round, 2+f)) })
+				req := watchRequest{ForRelay: true, Deltas: true, AcrossTerms: true, Term: positions[f].Term, Version: positions[f].Version}
+				reply, _, _ := s.changesFor(&req, v)
+				if reply.Listing == nil {
+					continue
+				}
+				listings[reply.Listing] = true
+				positions[f] = fleet.Position{Term: reply.Listing.Term, Version: reply.Listing.Version}
 			}
-			listings[reply.Listing] = true
-			positions[f] = fleet.Position{Term: reply.Listing.Term, Version: reply.Listing.Version}
+			s.notifier.notifyNow()
 		}
-		s.notifier.notifyNow()
-	}
-	t.Logf("%d listings for %d requests", len(listings), followers*rounds)
-	if len(listings) > rounds+1 {
-		t.Errorf("%d listings were built and encoded in %d rounds", len(listings), rounds)
-	}
+		t.Logf("%d listings for %d requests", len(listings), followers*rounds)
+		if len(listings) > rounds+1 {
+			t.Errorf("%d listings were built and encoded in %d rounds", len(listings), rounds)
+		}
+	})
 }
 
 // BenchmarkListingsForFollowers measures a leader's work for eight replicas that follow it and
