--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -407,9 +407,9 @@
 	}
 }
 
-// merge applies an update about one instance, and queues it for dissemination if asked to. A higher incarnation wins; within one, the
-// worse state wins. An update that declares this instance itself suspect or dead is refuted
-// with a higher incarnation.
+// merge applies an update about one instance, and queues it for dissemination if asked to. A
+// higher incarnation wins; within one, the worse state wins. An update that declares this instance
+// itself suspect or dead is refuted with a higher incarnation.
 func (t *Table) merge(now time.Time, u Instance, enqueue bool) {
 	if u.Name == t.self.Name {
 		if u.Incarnation > t.self.Incarnation || (u.Incarnation == t.self.Incarnation && u.State != Alive) {
