Metrics and log lines of retry budgets and of brittle pools

Cause: neither logs nor metrics could tell who spent which part of a retry budget, by which number of instances, or what an instance knows of a pool's brittleness. Change: counters of retries taken and refused, gauges of use, allowance and instances, the same in the line of a call that failed for want of budget; gauges of brittleness, age of the announcement and slot owners; a line and a counter for each rejection by a brittle server. No logic changes. Measured: tests of core/retry, core/balance and daemon/router green.

--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -83,6 +83,34 @@
 	return out
 }
 
+// PoolBrittleness is what this instance knows of the brittleness of a pool's servers.
+type PoolBrittleness struct {
+	Pool string
+	// Limit holds the rejections per second that end a server, announced at Since and last
+	// confirmed at Confirmed.
+	ratelimit.Limit
+	Since, Confirmed time.Time
+	// Owners is the number of instances among which the slots are divided.
+	Owners int
+}
+
+// Brittle returns the pools whose servers have announced that they are brittle.
+func (b *Balancer) Brittle() []PoolBrittleness {
+	var out []PoolBrittleness
+	for name, p := range b.pools {
+		if p.brittle.Limited {
+			out = append(out, PoolBrittleness{Pool: name, Limit: p.brittle.Limit, Since: p.brittle.Since, Confirmed: p.brittle.Confirmed(), Owners: len(b.slotOwners)})
+		}
+	}
+	return out
+}
+
+// IsBrittle reports whether a server is treated as brittle.
+func (b *Balancer) IsBrittle(now time.Time, id string) bool {
+	s := b.servers[id]
+	return s != nil && b.brittleness(now, b.pool(s.Pool), s).Limited
+}
+
 // brittleness returns the rejections per second that a server bears; not limited if it is not
 // brittle.
 func (b *Balancer) brittleness(now time.Time, p *pool, s *server) ratelimit.Limit {
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -45,17 +45,32 @@
 	w.calls[w.epoch%windowBuckets]++
 }
 
-// Take spends a retry and reports whether this instance, one of the given number, had
-// one left.
-func (w *Window) Take(now time.Time, instances int) bool {
+// Usage is one instance's use of a budget in the current window.
+type Usage struct {
+	// Calls and Retries were recorded in the window.
+	Calls, Retries float64
+	// Allowed is the number of retries that this instance may use in the window.
+	Allowed float64
+	// Instances is the number of instances that share the slack.
+	Instances int
+}
+
+// Usage returns the use by this instance, one of the given number.
+func (w *Window) Usage(now time.Time, instances int) Usage {
 	w.advance(now)
-	var calls, retries float64
+	u := Usage{Instances: max(1, instances)}
 	for i := range w.calls {
-		calls += w.calls[i]
-		retries += w.retries[i]
+		u.Calls += w.calls[i]
+		u.Retries += w.retries[i]
 	}
-	allowed := safetyFactor * (w.Ratio*calls + w.Slack/float64(max(1, instances)))
-	if retries+1 > allowed {
+	u.Allowed = safetyFactor * (w.Ratio*u.Calls + w.Slack/float64(u.Instances))
+	return u
+}
+
+// Take spends a retry and reports whether this instance, one of the given number, had
+// one left.
+func (w *Window) Take(now time.Time, instances int) bool {
+	if u := w.Usage(now, instances); u.Retries+1 > u.Allowed {
 		return false
 	}
 	w.retries[w.epoch%windowBuckets]++
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 func (d *Routed) registerGauges() {
@@ -78,6 +79,20 @@
 	}
 }
 
+// writeSharedBounds writes an entry's use of the bounds that all instances share.
+func (d *Routed) writeSharedBounds(w io.Writer) {
+	for pool, u := range d.router.RetryBudgets() {
+		fmt.Fprintf(w, "cardamomwick_retry_budget_retries{pool=%q} %g\n", pool, u.Retries)
+		fmt.Fprintf(w, "cardamomwick_retry_budget_allowed{pool=%q} %g\n", pool, u.Allowed)
+		fmt.Fprintf(w, "cardamomwick_retry_budget_instances{pool=%q} %d\n", pool, u.Instances)
+	}
+	for _, b := range d.router.BrittlePools() {
+		fmt.Fprintf(w, "cardamomwick_brittle_rejections_per_second{pool=%q} %g\n", b.Pool, b.PerSecond)
+		fmt.Fprintf(w, "cardamomwick_brittle_unconfirmed_seconds{pool=%q} %g\n", b.Pool, time.Since(b.Confirmed).Seconds())
+		fmt.Fprintf(w, "cardamomwick_slot_owners{pool=%q} %d\n", b.Pool, b.Owners)
+	}
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
@@ -92,6 +107,7 @@
 	if d.router == nil {
 		return
 	}
+	d.writeSharedBounds(w)
 	for pool, list := range d.router.ServerStates() {
 		for _, b := range list {
 			labels := fmt.Sprintf("{pool=%q,server=%q}", pool, b.ID)
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/upstream"
@@ -46,6 +48,10 @@
 		r.balancer.RecordFailure(now, s.ID, true)
 		return notRun
 	}
+	if r.balancer.IsBrittle(now, s.ID) {
+		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name}).Warn("brittle server had no room for the call")
+		r.opt.Metrics.BrittleRejection(c.pool.Name)
+	}
 	r.balancer.RecordFull(now, s.ID)
 	return notRun
 }
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -13,6 +13,7 @@
 	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/core/reachability"
 	"cardamomwick.example/core/resumption"
+	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/upstream"
 )
@@ -62,7 +63,10 @@
 	waited time.Duration
 	// retryReserved is set when the next attempt is already taken from the retry budget.
 	retryReserved bool
-	stream        *streamState
+	// overBudget is the use of the retry budget when it last had no retry left. The watchdog
+	// sets it too.
+	overBudget atomic.Pointer[retry.Usage]
+	stream     *streamState
 	// origin is where the stream began; nil before its first event. The watchdog reads it too.
 	origin atomic.Pointer[resumption.Origin]
 	// recordEnded is called when the stream, whose origin was recorded, has ended here.
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -21,6 +21,9 @@
 	if c.identity != nil || c.last != nil {
 		entry = entry.WithField("request", c.digest().String())
 	}
+	if u := c.overBudget.Load(); u != nil {
+		entry = entry.WithFields(log.Fields{"budget_retries": u.Retries, "budget_allowed": rounded(u.Allowed), "budget_calls": u.Calls, "budget_instances": u.Instances})
+	}
 	entry.Info("call failed")
 	if c.servedFor != nil {
 		c.servedFor.end.Reason = reason
--- a/daemon/router/final.go
+++ b/daemon/router/final.go
@@ -7,6 +7,7 @@
 	"time"
 
 	core "cardamomwick.example/core/relay"
+	"cardamomwick.example/core/retry"
 )
 
 // Limits of one call's attempts.
@@ -47,13 +48,32 @@
 		c.retryReserved = false
 		return true
 	}
-	return c.router.takeRetry(c.pool.Name)
+	return c.router.takeRetry(c)
 }
 
-func (r *Router) takeRetry(pool string) bool {
+// takeRetry takes a retry of the call from its pool's budget, and reports whether one was left.
+func (r *Router) takeRetry(c *call) bool {
+	r.mu.Lock()
+	now, b, entries := time.Now(), r.budget(c.pool.Name), r.opt.Entries()
+	taken := b.Take(now, entries)
+	u := b.Usage(now, entries)
+	r.mu.Unlock()
+	r.opt.Metrics.RetryTaken(c.pool.Name, taken)
+	if !taken {
+		c.overBudget.Store(&u)
+	}
+	return taken
+}
+
+// RetryBudgets returns this instance's use of the retry budgets, by pool.
+func (r *Router) RetryBudgets() map[string]retry.Usage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(pool).Take(time.Now(), r.opt.Entries())
+	out := map[string]retry.Usage{}
+	for pool, b := range r.budgets {
+		out[pool] = b.Usage(time.Now(), r.opt.Entries())
+	}
+	return out
 }
 
 // giveUp sends the final answer of a call that no server has answered.
--- a/daemon/router/limit.go
+++ b/daemon/router/limit.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// BrittlePools returns the pools whose servers have announced that they are brittle.
+func (r *Router) BrittlePools() []balance.PoolBrittleness {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Brittle()
+}
+
 // logLimits logs the changes of servers' request limits.
 func (r *Router) logLimits() {
 	r.mu.Lock()
--- a/daemon/router/watchdog.go
+++ b/daemon/router/watchdog.go
@@ -41,7 +41,7 @@
 	}
 	d := &watchdog{}
 	d.timer = time.AfterFunc(c.firstSilenceTimeout(), func() {
-		if time.Until(c.deadline) > minRemaining && c.router.hasOtherServer(c) && c.router.takeRetry(c.pool.Name) {
+		if time.Until(c.deadline) > minRemaining && c.router.hasOtherServer(c) && c.router.takeRetry(c) {
 			d.fired.Store(true)
 			end()
 		}
--- a/daemon/telemetry/metrics.go
+++ b/daemon/telemetry/metrics.go
@@ -100,6 +100,16 @@
 	}
 }
 
+// RetryTaken counts a retry that was taken from a pool's budget, or for which none was left.
+func (m *Metrics) RetryTaken(pool string, taken bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomwick_retry_budget_requests_total{pool=%q,taken=\"%t\"}", pool, taken)).Inc()
+}
+
+// BrittleRejection counts a call that a brittle server of a pool had no room for.
+func (m *Metrics) BrittleRejection(pool string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomwick_brittle_rejections_total{pool=%q}", pool)).Inc()
+}
+
 // Relayed counts a call that was offered to a peer, by the outcome: answered, lost, or why
 // the peer declined.
 func (m *Metrics) Relayed(outcome string) {
