retry: the budget is kept over restarts, partitions and steps of the clock

What was seen: more repeats at a failing service than all instances together are allowed, up to 354 of 264 in 10 s. Cause: a bound on the whole fleet was kept as each process's own memory, by the time of day, and divided by the entries in sight. A start began with its whole share, a step of the clock emptied the window, entries cut off from each other each took more, what was spent 9.5 s ago was forgotten, and a call that was relayed after a failed attempt earned at both instances. Change: the window's clock is monotonic and its retries count for the whole span; a start uses only what its own calls earn for the first span; the slack is divided by membership.ShareHolders: entries that drain, lack a declaration or are out of sight (10 minutes) count, and members tell each other of the dead with the time since, so that a start learns of those beyond a partition; a relayed call says whether it was counted. The same number divides servers' connections and, until others' calls are known, their request limits.

--- a/core/membership/exchange.go
+++ b/core/membership/exchange.go
@@ -64,14 +64,11 @@
 	t.send(to, Message{Type: DigestRequest, Updates: []Instance{t.self}, Digest: t.digest()})
 }
 
-// digest returns the fingerprints of all members that are not dead. Others may have forgotten
-// those that are.
+// digest returns the fingerprints of all members.
 func (t *Table) digest() []byte {
 	out := make([]byte, 0, fingerprintBytes*len(t.members))
 	for _, m := range t.members {
-		if m.State != Dead {
-			out = binary.BigEndian.AppendUint64(out, m.fingerprint())
-		}
+		out = binary.BigEndian.AppendUint64(out, m.fingerprint())
 	}
 	return out
 }
@@ -81,21 +78,22 @@
 func (t *Table) answerDigest(now time.Time, m Message) {
 	lacking := fingerprints(m.Digest)
 	reply := Message{Type: DigestReply}
+	differences := 0
 	for _, known := range t.allMembers() {
 		f := known.fingerprint()
 		if lacking[f] {
 			delete(lacking, f)
 			continue
 		}
-		if known.State == Dead && !holdsAsAlive(lacking, known) {
-			continue
+		if known.State != Dead || holdsAsAlive(lacking, known) {
+			differences++ // one that is dead only here may just be forgotten there
 		}
 		reply.Updates = append(reply.Updates, known)
 	}
 	for f := range lacking {
 		reply.Digest = binary.BigEndian.AppendUint64(reply.Digest, f)
 	}
-	t.recordDifference(now, len(reply.Updates)+len(lacking))
+	t.recordDifference(now, differences+len(lacking))
 	if len(reply.Updates) > 0 || len(lacking) > 0 {
 		t.send(m.From, reply)
 	}
@@ -138,7 +136,7 @@
 func (t *Table) allMembers() []Instance {
 	out := make([]Instance, 0, len(t.members))
 	for _, m := range t.members {
-		out = append(out, m.Instance)
+		out = append(out, m.forMessage(t.now))
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -20,7 +20,9 @@
 	directTimeout  = 150 * time.Millisecond
 	probeTimeout   = 400 * time.Millisecond
 	suspectTimeout = 1500 * time.Millisecond
-	deadRetention  = 60 * time.Second
+	// deadRetention is how long a dead member is kept. Until then it may be alive beyond a
+	// partition, and holds its share of bounds on all instances together.
+	deadRetention = 10 * time.Minute
 	// syncPeriod is the time between two exchanges of full tables for up to syncBaseMembers
 	// members; it grows with their number, so that the bytes per second stay constant.
 	syncPeriod      = 5 * time.Second
@@ -64,6 +66,15 @@
 	// Partitioned is set while the instance can't reach backend servers that others reach.
 	// Peers serve its calls.
 	Partitioned bool `msgpack:"x,omitempty" json:"partitioned,omitempty"`
+	// DeadMillis is, in messages, how long the instance has been dead.
+	DeadMillis uint32 `msgpack:"y,omitempty" json:"-"`
+}
+
+// holdsShare reports whether the instance counts as one of those among which bounds on all
+// instances together are divided: it accepts calls, and may still be at work. One that drained
+// before its death has ended by itself.
+func (i *Instance) holdsShare() bool {
+	return i.CallerAddress != "" && !(i.State == Dead && i.Draining)
 }
 
 // Owner identifies one process of an instance; a restarted instance is another owner.
@@ -111,6 +122,16 @@
 	changedAt time.Time
 }
 
+// forMessage returns the member's state for a message. Without its age, a death would be kept
+// for ever by members that tell each other of it in turn.
+func (m *memberEntry) forMessage(now time.Time) Instance {
+	out := m.Instance
+	if out.State == Dead {
+		out.DeadMillis = uint32(min(now.Sub(m.changedAt), deadRetention).Milliseconds())
+	}
+	return out
+}
+
 type queuedUpdate struct {
 	name string
 	sent int
@@ -142,7 +163,9 @@
 	// of an exchange last differed.
 	lastExchange, differedAt time.Time
 	outgoing                 []Outgoing
-	// version increases whenever the result of Instances changes.
+	// now is the time of the latest Tick or Handle.
+	now time.Time
+	// version increases whenever the result of Instances or ShareHolders changes.
 	version uint64
 }
 
@@ -175,7 +198,7 @@
 	t.enqueueUpdate(t.self.Name)
 }
 
-// Version increases whenever the result of Instances may have changed.
+// Version increases whenever the result of Instances or ShareHolders may have changed.
 func (t *Table) Version() uint64 { return t.version }
 
 // Instances returns the members that are not dead, sorted by name. Suspects are included:
@@ -191,9 +214,17 @@
 	return out
 }
 
+// ShareHolders returns the instances among which bounds on all of them together are divided,
+// sorted by name. Those that drain, lack a declaration or are out of sight are included: they may
+// have used their share, or go on to use it.
+func (t *Table) ShareHolders() []Instance {
+	return slices.DeleteFunc(t.allMembers(), func(i Instance) bool { return !i.holdsShare() })
+}
+
 // Tick runs the periodic work: probes, timeouts and syncs. Call it several times per
 // ProbePeriod.
 func (t *Table) Tick(now time.Time) []Outgoing {
+	t.now = now
 	t.checkProbes(now)
 	t.checkSuspects(now)
 	if now.Sub(t.lastPing) >= ProbePeriod {
@@ -306,6 +337,7 @@
 			dead = append(dead, m)
 		case m.State == Dead && now.Sub(m.changedAt) >= deadRetention:
 			delete(t.members, name)
+			t.version++
 		}
 	}
 	slices.SortFunc(dead, func(a, b *memberEntry) int { return strings.Compare(a.Name, b.Name) })
@@ -367,6 +399,7 @@
 
 // Handle processes one message and returns the messages to send.
 func (t *Table) Handle(now time.Time, m Message) []Outgoing {
+	t.now = now
 	t.mergeAll(now, m.Updates)
 	switch m.Type {
 	case Ping:
@@ -419,7 +452,7 @@
 	}
 	m := t.members[u.Name]
 	if m == nil {
-		if u.State == Dead || len(t.members) >= MaxMembers {
+		if u.deadFor() >= deadRetention || len(t.members) >= MaxMembers {
 			return
 		}
 		t.storeInstance(now, u, enqueue)
@@ -431,8 +464,18 @@
 	t.storeInstance(now, u, enqueue)
 }
 
+// deadFor returns how long an instance in a message has been dead.
+func (i *Instance) deadFor() time.Duration {
+	if i.State != Dead {
+		return 0
+	}
+	return time.Duration(i.DeadMillis) * time.Millisecond
+}
+
 func (t *Table) storeInstance(now time.Time, u Instance, enqueue bool) {
-	t.members[u.Name] = &memberEntry{Instance: u, changedAt: now}
+	changedAt := now.Add(-u.deadFor())
+	u.DeadMillis = 0
+	t.members[u.Name] = &memberEntry{Instance: u, changedAt: changedAt}
 	t.version++
 	if enqueue {
 		t.enqueueUpdate(u.Name)
@@ -455,7 +498,7 @@
 			break
 		}
 		if m := t.members[t.updates[i].name]; m != nil {
-			out = append(out, m.Instance)
+			out = append(out, m.forMessage(t.now))
 		}
 		t.updates[i].sent++
 	}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -2,14 +2,22 @@
 
 import "time"
 
-// windowBuckets is the number of buckets of a Window.
-const windowBuckets = 20
+const (
+	// windowBuckets is the number of buckets of a span.
+	windowBuckets = 20
+	// keptBuckets includes the bucket that the begin of the span lies in.
+	keptBuckets = windowBuckets + 1
+)
 
 // Window limits the retries at a pool, in any period of length Span and over all
-// instances, to a ratio of the calls in that period plus a slack. Each instance uses an
-// equal part of the slack and earns the ratio from its own calls. This protects failing
-// or refusing servers, to which every instance would otherwise send every call twice.
-// Not safe for concurrent use.
+// instances, to a ratio of the calls in that period plus a slack. Each instance earns the
+// ratio from its own calls and uses an equal part of the slack. This protects failing or
+// refusing servers, to which every instance would otherwise send every call twice.
+//
+// Times are monotonic, since the start of the process: a change of the time of day must not
+// empty the window. An earlier process of the same instance may have used its part of the
+// slack until its end, so that a new one has none for the first Span. Not safe for
+// concurrent use.
 type Window struct {
 	// Span is the length of the sliding window.
 	Span time.Duration
@@ -18,31 +26,33 @@
 	// Slack is the number of additional retries for all instances together.
 	Slack float64
 
-	calls, retries [windowBuckets]float64
-	epoch          int64
+	calls, retries [keptBuckets]float64
+	// bucket is the number of the latest bucket since the start of the process.
+	bucket int64
 }
 
-// safetyFactor leaves a margin for calls near the edges of a bucket and for instances
-// that are not known yet.
+// safetyFactor leaves a margin for calls near the edges of the window.
 const safetyFactor = 0.8
 
-func (w *Window) advance(now time.Time) {
-	epoch := now.UnixNano() / (w.Span.Nanoseconds() / windowBuckets)
-	if epoch-w.epoch >= windowBuckets || epoch < w.epoch {
-		w.calls, w.retries = [windowBuckets]float64{}, [windowBuckets]float64{}
-		w.epoch = epoch
+// advance empties the buckets that are older than the window.
+func (w *Window) advance(now time.Duration) {
+	bucket := int64(now / (w.Span / windowBuckets))
+	if bucket-w.bucket >= keptBuckets {
+		w.calls, w.retries = [keptBuckets]float64{}, [keptBuckets]float64{}
+		w.bucket = bucket
 		return
 	}
-	for ; w.epoch < epoch; w.epoch++ {
-		i := (w.epoch + 1) % windowBuckets
+	for w.bucket < bucket {
+		w.bucket++
+		i := w.bucket % keptBuckets
 		w.calls[i], w.retries[i] = 0, 0
 	}
 }
 
 // RecordCall records a call; its retries are recorded by Take.
-func (w *Window) RecordCall(now time.Time) {
+func (w *Window) RecordCall(now time.Duration) {
 	w.advance(now)
-	w.calls[w.epoch%windowBuckets]++
+	w.calls[w.bucket%keptBuckets]++
 }
 
 // Usage is one instance's use of a budget in the current window.
@@ -55,24 +65,31 @@
 	Instances int
 }
 
-// Usage returns the use by this instance, one of the given number.
-func (w *Window) Usage(now time.Time, instances int) Usage {
+// Usage returns the use by this instance, one of the given number. The oldest bucket lies partly
+// outside of the window: its retries count, its calls don't.
+func (w *Window) Usage(now time.Duration, instances int) Usage {
 	w.advance(now)
 	u := Usage{Instances: max(1, instances)}
+	oldest := int((w.bucket + 1) % keptBuckets)
 	for i := range w.calls {
-		u.Calls += w.calls[i]
+		if i != oldest {
+			u.Calls += w.calls[i]
+		}
 		u.Retries += w.retries[i]
 	}
-	u.Allowed = safetyFactor * (w.Ratio*u.Calls + w.Slack/float64(u.Instances))
+	u.Allowed = safetyFactor * w.Ratio * u.Calls
+	if now >= w.Span {
+		u.Allowed += safetyFactor * w.Slack / float64(u.Instances)
+	}
 	return u
 }
 
 // Take spends a retry and reports whether this instance, one of the given number, had
 // one left.
-func (w *Window) Take(now time.Time, instances int) bool {
+func (w *Window) Take(now time.Duration, instances int) bool {
 	if u := w.Usage(now, instances); u.Retries+1 > u.Allowed {
 		return false
 	}
-	w.retries[w.epoch%windowBuckets]++
+	w.retries[w.bucket%keptBuckets]++
 	return true
 }
--- a/daemon/gossip/gossip.go
+++ b/daemon/gossip/gossip.go
@@ -42,6 +42,7 @@
 	// the servers themselves.
 	entries  []membership.Instance
 	reaching []membership.Instance
+	holders  []membership.Instance
 	mu       sync.Mutex
 	rankings map[string][]membership.Instance
 }
@@ -99,7 +100,7 @@
 		s.version = v
 		instances := s.table.Instances()
 		accepting := entries(instances)
-		s.view.Store(&view{instances: instances, entries: accepting, reaching: reaching(accepting), rankings: map[string][]membership.Instance{}})
+		s.view.Store(&view{instances: instances, entries: accepting, reaching: reaching(accepting), holders: s.table.ShareHolders(), rankings: map[string][]membership.Instance{}})
 	}
 }
 
@@ -141,6 +142,10 @@
 // does. Callers must not change it.
 func (s *Service) ReachingEntries() []membership.Instance { return s.view.Load().reaching }
 
+// ShareHolders lists the entries among which bounds on all of them together are divided; see
+// membership.Table. Callers must not change it.
+func (s *Service) ShareHolders() []membership.Instance { return s.view.Load().holders }
+
 // Self returns this instance.
 func (s *Service) Self() membership.Instance { return s.self }
 
--- a/daemon/relay/messages.go
+++ b/daemon/relay/messages.go
@@ -63,6 +63,8 @@
 	Elapsed time.Duration `msgpack:"t"`
 	// Runs is the number of attempts that may have run before.
 	Runs int `msgpack:"r"`
+	// Counted is set if the call has been recorded in the sender's retry budget.
+	Counted bool `msgpack:"c,omitempty"`
 	// LastEventID is the last event of the stream that the caller has, "" for none.
 	LastEventID string `msgpack:"l"`
 	// Origin is where the stream began, nil before its first event.
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -174,9 +174,9 @@
 	tuned := d.settings.Tuning()
 	d.router = router.New(router.Options{Protocol: a, Name: d.settings.Instance.Name,
 		Table:   func() *routing.Table { return d.watch.Table() },
-		Entries: func() int { return len(d.gossip.Entries()) },
-		Usage:   d.usage(),
-		Retry:   router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.quarantine,
+		Entries: func() int { return len(d.gossip.Entries()) }, ShareHolders: func() int { return len(d.gossip.ShareHolders()) },
+		Usage: d.usage(),
+		Retry: router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.quarantine,
 		Dial: newPartitionDialer(d.settings.Faults.CutFile),
 		Zone: d.settings.Instance.AvailabilityZone, SlotOwners: d.slotOwners, Relays: relay.NewClient(d.transport), Peers: d.relayPeers, Records: d.records, OnlySoftware: resumption.NewHistory(client.OnlySoftware).OnlySoftware, OnPartition: d.setPartitioned})
 	d.relays = relay.NewServer(d.transport, d.router)
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -63,6 +63,8 @@
 	waited time.Duration
 	// retryReserved is set when the next attempt is already taken from the retry budget.
 	retryReserved bool
+	// counted is set once the call has been recorded in this instance's retry budget.
+	counted bool
 	// overBudget is the use of the retry budget when it last had no retry left. The watchdog
 	// sets it too.
 	overBudget atomic.Pointer[retry.Usage]
@@ -210,8 +212,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.RecordArrival(now, c.pool.Name, c.size)
-	if c.servedFor == nil || c.servedFor.runs == 0 {
-		r.budget(c.pool.Name).RecordCall(now)
+	if c.servedFor == nil || !c.servedFor.counted {
+		r.budget(c.pool.Name).RecordCall(r.budgetTime())
+		c.counted = true
 	}
 }
 
@@ -253,7 +256,7 @@
 func (r *Router) target(s fleet.Server, maxConnections int) upstream.Target {
 	t := upstream.Target{ID: s.ID, Pool: s.Pool, Address: s.Address}
 	if maxConnections > 0 {
-		part := maxConnections / max(1, r.opt.Entries())
+		part := maxConnections / max(1, r.opt.ShareHolders())
 		t.MaxConnections, t.CloseAfterUse = max(1, part), part == 0
 	}
 	return t
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -76,7 +76,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.SetLevel(plan.Level)
-	r.balancer.SetInstances(r.opt.Entries())
+	r.balancer.SetInstances(r.opt.ShareHolders())
 	r.balancer.SetSlotOwners(owners)
 	r.balancer.DropSilentPeers(now)
 	var out []outgoingMessage
--- a/daemon/router/final.go
+++ b/daemon/router/final.go
@@ -54,9 +54,9 @@
 // takeRetry takes a retry of the call from its pool's budget, and reports whether one was left.
 func (r *Router) takeRetry(c *call) bool {
 	r.mu.Lock()
-	now, b, entries := time.Now(), r.budget(c.pool.Name), r.opt.Entries()
-	taken := b.Take(now, entries)
-	u := b.Usage(now, entries)
+	now, b, instances := r.budgetTime(), r.budget(c.pool.Name), r.opt.ShareHolders()
+	taken := b.Take(now, instances)
+	u := b.Usage(now, instances)
 	r.mu.Unlock()
 	r.opt.Metrics.RetryTaken(c.pool.Name, taken)
 	if !taken {
@@ -71,7 +71,7 @@
 	defer r.mu.Unlock()
 	out := map[string]retry.Usage{}
 	for pool, b := range r.budgets {
-		out[pool] = b.Usage(time.Now(), r.opt.Entries())
+		out[pool] = b.Usage(r.budgetTime(), r.opt.ShareHolders())
 	}
 	return out
 }
--- a/daemon/router/relay.go
+++ b/daemon/router/relay.go
@@ -23,6 +23,8 @@
 	pool string
 	// runs is the number of attempts that may have run before.
 	runs int
+	// counted is set if the call has earned retries at the peer already.
+	counted bool
 	// lastEventID is the last event of the stream that the caller has.
 	lastEventID string
 	// declined is set if the call goes back to the peer; it was sent to no server.
@@ -79,7 +81,7 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	elapsed := max(0, min(rc.Elapsed, maxElapsed))
-	c := &call{router: r, w: w, req: req, arrived: time.Now().Add(-elapsed), runs: rc.Runs, servedFor: &servedFor{peer: peer, pool: rc.Pool, runs: rc.Runs, lastEventID: rc.LastEventID}}
+	c := &call{router: r, w: w, req: req, arrived: time.Now().Add(-elapsed), runs: rc.Runs, servedFor: &servedFor{peer: peer, pool: rc.Pool, runs: rc.Runs, counted: rc.Counted || rc.Runs > 0, lastEventID: rc.LastEventID}}
 	c.origin.Store(rc.Origin)
 	if c.accept() {
 		c.serve()
@@ -183,7 +185,7 @@
 		lastEventID = c.stream.lastID
 	}
 	return &relay.Call{LastEventID: lastEventID, Method: c.req.Method, URI: requestURI(c.req), Host: c.req.Host, Header: endToEndHeaders(c.req.Header), Body: c.body,
-		Pool: c.pool.Name, Elapsed: time.Since(c.arrived), Runs: c.runs, Origin: c.origin.Load()}
+		Pool: c.pool.Name, Elapsed: time.Since(c.arrived), Runs: c.runs, Counted: c.counted, Origin: c.origin.Load()}
 }
 
 // forwardRelayed sends a peer's answer to the caller: a stream part by part, anything else
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -45,6 +45,9 @@
 	Table func() *routing.Table
 	// Entries returns how many instances serve callers, this one included.
 	Entries func() int
+	// ShareHolders returns among how many instances bounds on all of them together are
+	// divided, this one included; nil for those of Entries.
+	ShareHolders func() int
 	// Name is this instance's name.
 	Name  string
 	Retry RetryLimits
@@ -145,6 +148,9 @@
 		alone := []string{o.Name}
 		o.SlotOwners = func() []string { return alone }
 	}
+	if o.ShareHolders == nil {
+		o.ShareHolders = o.Entries
+	}
 	if o.OnPartition == nil {
 		o.OnPartition = func(bool) {}
 	}
@@ -332,6 +338,9 @@
 	return true
 }
 
+// budgetTime returns the time on the clock of the retry budgets.
+func (r *Router) budgetTime() time.Duration { return time.Since(r.started) }
+
 // budget returns the pool's retry budget. The caller must hold r.mu.
 func (r *Router) budget(pool string) *retry.Window {
 	w := r.budgets[pool]
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -86,6 +86,7 @@
 	table := routing.NewTable(declared())
 	w.router = New(Options{Protocol: testProtocol{}, Name: "entry", Table: func() *routing.Table { return table },
 		Entries: func() int { return 1 }, Retry: RetryLimits{Span: 10 * time.Second, Ratio: 0.2, Slack: 50}})
+	w.router.started = w.router.started.Add(-w.router.opt.Retry.Span) // an instance has no slack in its first window
 	for i, h := range servers {
 		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 			w.runs.Add(1)
@@ -433,6 +434,29 @@
 	}
 }
 
+// Steps of the time of day emptied the window of the retry budget.
+func TestRetryBudgetHasAMonotonicClock(t *testing.T) {
+	w := newHarness(t, good)
+	if text := w.router.started.String(); !strings.Contains(text, " m=") {
+		t.Errorf("the start %s has no monotonic time", text)
+	}
+}
+
+// A call that is relayed after a failed attempt earned retries at both instances.
+func TestRelayedCallEarnsRetriesOnce(t *testing.T) {
+	w := newHarness(t, good)
+	for counted, want := range map[bool]float64{true: 0, false: 1} {
+		c := &call{router: w.router, pool: &routing.Pool{Name: fmt.Sprint(counted)}, servedFor: &servedFor{counted: counted}}
+		w.router.recordArrival(c)
+		if got := w.router.RetryBudgets()[c.pool.Name].Calls; got != want {
+			t.Errorf("counted by the peer: %v; %v calls are recorded, want %v", counted, got, want)
+		}
+		if relayed := c.counted; relayed == counted {
+			t.Errorf("counted by the peer: %v; the call states %v", counted, relayed)
+		}
+	}
+}
+
 // Each retry is taken from the budget once.
 func TestRetryIsTakenFromTheBudgetOnce(t *testing.T) {
 	w := newHarness(t, failing, failing, failing)
