--- /dev/null
+++ b/core/balance/brittle_fleet_test.go
@@ -0,0 +1,308 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/ratelimit"
+)
+
+// Bound documented by the platform: in one time in which the servers of a pool are brittle, at
+// most this many of them may end for what they rejected.
+func allowedEnds(servers int) int { return 2 + servers/10 }
+
+// Times of the replay.
+const (
+	brittleReplayTime = 9 * time.Second
+	replayStep        = 10 * time.Millisecond
+	brittleCallTime   = 100 * time.Millisecond
+	// exchangeStep is the time between two exchanges of counts.
+	exchangeStep = 100 * time.Millisecond
+	// waitTime is how long a call waits for room, in a queue of at most maxWaiting calls at an
+	// instance.
+	waitTime   = 200 * time.Millisecond
+	maxWaiting = 4
+	// knownAfter is the time from the first announcement until the servers take no more calls
+	// than they have slots.
+	knownAfter = 3 * time.Second
+	// joinDelay is the time after a start until an instance knows the others.
+	joinDelay = time.Second
+	// outOfSight is the time after which an instance that can't be reached is taken for dead.
+	outOfSight = 2 * time.Second
+)
+
+// brittleFleet is a replay of instances and brittle servers that end when they reject too much.
+type brittleFleet struct {
+	instances, servers, slots, rejections int
+	// pause is when no calls arrive, and cut when the halves of the fleet don't reach each
+	// other. killed are the times at which all instances are killed and started again.
+	pause, cut period
+	killed     []time.Duration
+	// crash is when every third server ends by itself; away is how long a server that has ended
+	// stays away.
+	crash, away time.Duration
+
+	rnd     *rand.Rand
+	members []*fleetMember
+	pool    []*brittleServer
+	byID    map[string]*brittleServer
+	started int
+	ends    int
+	served  int
+}
+
+type period struct{ from, to time.Duration }
+
+func (p period) contains(at time.Duration) bool { return at >= p.from && at < p.to }
+
+type fleetMember struct {
+	*Balancer
+	started time.Duration
+	// waiting holds until when each waiting call waits.
+	waiting []time.Duration
+}
+
+type brittleServer struct {
+	fleet.Server
+	// starts counts the starts; a call ends unanswered if its server has started again.
+	starts     int
+	awayUntil  time.Duration
+	running    []*runningCall
+	rejectedAt []time.Duration
+}
+
+type runningCall struct {
+	end    time.Duration
+	caller *fleetMember
+	ticket Ticket
+}
+
+func (f *brittleFleet) names() (names []string) {
+	for i := range f.instances {
+		names = append(names, fmt.Sprint("entry-", i))
+	}
+	return names
+}
+
+func (f *brittleFleet) start(i int, at time.Duration) *fleetMember {
+	f.started++
+	m := &fleetMember{Balancer: New(fmt.Sprint("entry-", i), uint32(f.started)), started: at}
+	list := make([]fleet.Server, 0, f.servers)
+	for _, s := range f.pool {
+		list = append(list, s.Server)
+	}
+	m.SetFleet(list)
+	m.SetInstances(f.instances)
+	return m
+}
+
+// setOwners tells an instance of the others that it knows at a time.
+func (f *brittleFleet) setOwners(i int, m *fleetMember, at time.Duration) {
+	var known []string
+	for k, name := range f.names() {
+		alone := at-m.started < joinDelay && m.started > 0
+		lost := f.cut.contains(at) && at >= f.cut.from+outOfSight && k%2 != i%2
+		if k == i || !alone && !lost {
+			known = append(known, name)
+		}
+	}
+	m.SetSlotOwners(known)
+}
+
+// exchange sends the counts of all instances to all that they reach, through a collector.
+func (f *brittleFleet) exchange(now time.Time, at time.Duration) {
+	for i, m := range f.members {
+		f.setOwners(i, m, at)
+		collector := f.members[0]
+		if f.cut.contains(at) {
+			collector = f.members[i%2]
+		}
+		if at-m.started < joinDelay && m.started > 0 || m == collector {
+			continue
+		}
+		m.DropSilentPeers(now)
+		collector.SetLevel(1)
+		m.SetLevel(0)
+		sendMemberReport(now, m.Balancer, collector.Balancer)
+		sendMemberReply(now, collector.Balancer, m.Balancer)
+	}
+	f.members[0].DropSilentPeers(now)
+}
+
+// answer passes what a server announces to the instance that called it.
+func (f *brittleFleet) answer(now time.Time, m *fleetMember, s *brittleServer, at time.Duration) {
+	l := ratelimit.Limit{}
+	if at >= -knownAfter {
+		l, _ = ratelimit.NewLimit(float64(f.rejections))
+	}
+	m.RecordBrittle(now, s.ID, l)
+}
+
+// arrive records a call's arrival and places it.
+func (f *brittleFleet) arrive(now time.Time, m *fleetMember, at time.Duration) {
+	m.RecordArrival(now, "p", plain)
+	if len(m.waiting) > 0 || !f.place(now, m, at) {
+		m.waiting = append(m.waiting, at+waitTime)
+		m.waiting = m.waiting[max(0, len(m.waiting)-maxWaiting):]
+	}
+}
+
+// placeWaiting places the calls that wait at an instance.
+func (f *brittleFleet) placeWaiting(now time.Time, m *fleetMember, at time.Duration) {
+	for len(m.waiting) > 0 && (m.waiting[0] < at || f.place(now, m, at)) {
+		m.waiting = m.waiting[1:]
+	}
+}
+
+// place sends a call to a server, and reports whether there was one that takes it.
+func (f *brittleFleet) place(now time.Time, m *fleetMember, at time.Duration) bool {
+	choice, ok := m.Choose(now, "p", plain, nil, f.rnd.Float64)
+	if ok {
+		f.send(now, m, f.byID[choice.ID], at)
+	}
+	return ok
+}
+
+// send sends a call to a server.
+func (f *brittleFleet) send(now time.Time, m *fleetMember, s *brittleServer, at time.Duration) {
+	if at < s.awayUntil {
+		m.RecordFailure(now, s.ID, true)
+		return
+	}
+	ticket := m.Start(now, s.ID, plain)
+	room := s.Slots
+	if at < 0 {
+		room *= 4 // at first more may wait
+	}
+	if len(s.running) < room {
+		s.running = append(s.running, &runningCall{end: at + brittleCallTime, caller: m, ticket: ticket})
+		return
+	}
+	f.answer(now, m, s, at)
+	m.RecordFull(now, s.ID)
+	m.End(ticket)
+	s.rejectedAt = append(s.rejectedAt, at)
+	for at-s.rejectedAt[0] > time.Second {
+		s.rejectedAt = s.rejectedAt[1:]
+	}
+	if at >= 0 && len(s.rejectedAt) > f.rejections {
+		f.ends++
+		f.end(now, s, at)
+	}
+}
+
+// end ends a server with all its calls.
+func (f *brittleFleet) end(now time.Time, s *brittleServer, at time.Duration) {
+	for _, c := range s.running {
+		c.caller.End(c.ticket)
+		c.caller.RecordFailure(now, s.ID, false)
+	}
+	s.running, s.rejectedAt, s.awayUntil = nil, nil, at+f.away
+}
+
+// finish answers the calls that are done.
+func (f *brittleFleet) finish(now time.Time, at time.Duration) {
+	for _, s := range f.pool {
+		kept := s.running[:0]
+		for _, c := range s.running {
+			if c.end > at {
+				kept = append(kept, c)
+				continue
+			}
+			f.answer(now, c.caller, s, at)
+			c.caller.RecordSuccess(now, s.ID)
+			c.caller.End(c.ticket)
+			if at >= 0 {
+				f.served++
+			}
+		}
+		s.running = kept
+	}
+}
+
+// restartAll replaces all instances; servers drop the calls of those that were killed.
+func (f *brittleFleet) restartAll(at time.Duration) {
+	for _, s := range f.pool {
+		s.running = nil
+	}
+	for i := range f.members {
+		f.members[i] = f.start(i, at)
+	}
+}
+
+// run replays one and a half times the calls that the servers have room for.
+func (f *brittleFleet) run() {
+	f.rnd, f.byID = rand.New(rand.NewPCG(1, 1)), map[string]*brittleServer{}
+	for i := range f.servers {
+		s := &brittleServer{Server: fleet.Server{ID: fmt.Sprint("s", i), Pool: "p", Slots: f.slots}}
+		f.pool = append(f.pool, s)
+		f.byID[s.ID] = s
+	}
+	for i := range f.instances {
+		f.members = append(f.members, f.start(i, 0))
+	}
+	perStep := 3 * f.servers * f.slots * int(replayStep) / int(brittleCallTime) / 2
+	for at := -2 * knownAfter; at < brittleReplayTime; at += replayStep {
+		now := t0.Add(at)
+		f.finish(now, at)
+		for _, killed := range f.killed {
+			if at == killed {
+				f.restartAll(at)
+			}
+		}
+		if at == f.crash && at > 0 {
+			for i := 0; i < f.servers; i += 3 {
+				f.end(now, f.pool[i], at)
+			}
+		}
+		if at%exchangeStep == 0 {
+			f.exchange(now, at)
+		}
+		if f.pause.contains(at) {
+			continue
+		}
+		for _, m := range f.members {
+			f.placeWaiting(now, m, at)
+		}
+		for range perStep {
+			f.arrive(now, f.members[f.rnd.IntN(len(f.members))], at)
+		}
+	}
+}
+
+// Brittle servers kept ending under what they had to reject after a silence of more than three
+// seconds, after all instances had started again, and while these lost sight of each other.
+func TestFleetSparesBrittleServers(t *testing.T) {
+	// leastServed is the part of the room that must be used when nothing is disturbed.
+	const leastServed = 0.9
+	for name, f := range map[string]brittleFleet{
+		"steady":                 {away: 5 * time.Second},
+		"callers pause":          {away: 5 * time.Second, pause: period{time.Second, 5 * time.Second}},
+		"all killed twice":       {away: time.Second, killed: []time.Duration{time.Second, 4 * time.Second}},
+		"servers return late":    {away: 5 * time.Second, crash: 500 * time.Millisecond},
+		"halves cut off":         {away: time.Second, cut: period{time.Second, 7 * time.Second}},
+		"pause, then all killed": {away: time.Second, pause: period{time.Second, 5 * time.Second}, killed: []time.Duration{5 * time.Second}},
+	} {
+		for _, size := range []struct{ instances, servers, slots, rejections int }{
+			{6, 8, 6, 2}, {6, 8, 16, 0}, {6, 12, 16, 300}, {67, 30, 8, 2}, {376, 30, 32, 2},
+		} {
+			t.Run(fmt.Sprintf("%s, %d instances, %d servers of %d slots, %d rejections", name, size.instances, size.servers, size.slots, size.rejections), func(t *testing.T) {
+				f := f
+				f.instances, f.servers, f.slots, f.rejections = size.instances, size.servers, size.slots, size.rejections
+				f.run()
+				room := float64(f.servers*f.slots) * brittleReplayTime.Seconds() / brittleCallTime.Seconds()
+				used := float64(f.served) / room
+				t.Logf("%d servers ended, %.2f of the room was used", f.ends, used)
+				if f.ends > allowedEnds(f.servers) {
+					t.Errorf("%d servers ended, at most %d may", f.ends, allowedEnds(f.servers))
+				}
+				if name == "steady" && used < leastServed {
+					t.Errorf("%.2f of the room was used, at least %.2f must be", used, leastServed)
+				}
+			})
+		}
+	}
+}
