router: no stream continues by a list of servers that is not current

What callers saw: streams with events of two software versions where engines start again under their names with other software while no replica runs. Cause: an engine that keeps its name passes for its former start until it is listed; entries took the time in which all instances in touch know a start for granted also when they were not in touch. Change: an entry knows since when the replicas have answered without a gap of 750 ms (resumption.Contact); a stream that such a server began, or would continue, goes on only if the list has been current since the attempt, else it is refused with a time. Servers whose names identify their starts are not concerned.

--- a/core/balance/brittle_fleet_test.go
+++ b/core/balance/brittle_fleet_test.go
@@ -66,8 +66,6 @@
 
 type brittleServer struct {
 	fleet.Server
-	// starts counts the starts; a call ends unanswered if its server has started again.
-	starts     int
 	awayUntil  time.Duration
 	running    []*runningCall
 	rejectedAt []time.Duration
--- /dev/null
+++ b/core/resumption/contact.go
@@ -0,0 +1,29 @@
+package resumption
+
+import "time"
+
+// maxContactGap is the longest time between two answers of the replica group during which the
+// list of servers still counts as current. It covers a request that is held and one that is lost.
+const maxContactGap = 750 * time.Millisecond
+
+// Contact tracks since when the list of servers has been current: where the replica group does not
+// answer, servers may start again without being listed. The zero value has no contact. Not safe
+// for concurrent use.
+type Contact struct {
+	// since is when the replica group answered first without a longer gap since, and last
+	// when it answered last.
+	since, last time.Time
+}
+
+// Answered records an answer of the replica group.
+func (c *Contact) Answered(now time.Time) {
+	if c.last.IsZero() || now.Sub(c.last) > maxContactGap {
+		c.since = now
+	}
+	c.last = now
+}
+
+// CurrentSince reports whether the list of servers has been current from a time until now.
+func (c *Contact) CurrentSince(from, now time.Time) bool {
+	return !c.last.IsZero() && now.Sub(c.last) <= maxContactGap && !from.Before(c.since)
+}
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/quarantine"
+	"cardamomwick.example/core/resumption"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/replica"
@@ -56,6 +58,8 @@
 	mirror      *fleet.Mirror
 	lastSuccess time.Time
 	lost        bool
+	mu          sync.Mutex
+	contact     resumption.Contact
 	// lastFailed: the last request got no answer.
 	lastFailed bool
 	// onFleet receives the list of servers after each request.
@@ -81,6 +85,14 @@
 // Table returns the declaration in force, nil before the first.
 func (w *Watch) Table() *routing.Table { return w.table.Load() }
 
+// CurrentSince reports whether the list of servers has been current from a time until now. Safe
+// for concurrent use.
+func (w *Watch) CurrentSince(from time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.contact.CurrentSince(from, time.Now())
+}
+
 // Serve watches until the context ends.
 func (w *Watch) Serve(ctx context.Context) error {
 	w.bootstrap(ctx)
@@ -239,6 +251,9 @@
 			log.WithFields(log.Fields{"step": "watch", "silent_ms": now.Sub(w.lastSuccess).Milliseconds()}).Info("replica group is back")
 		}
 		w.lastSuccess, w.lost = now, false
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.contact.Answered(now)
 		return
 	}
 	if !w.lost && now.Sub(w.lastSuccess) >= lossTimeout {
--- a/daemon/router/resumption.go
+++ b/daemon/router/resumption.go
@@ -57,6 +57,9 @@
 	}
 	o := resumption.OriginAt(&s)
 	c.origin.Store(&o)
+	if s.StartedAt > 0 {
+		c.originStart, c.originSince = s.Start(), c.attemptStart
+	}
 	if !c.route.Resumable || !o.Software.Known() || c.info.ID == "" {
 		return
 	}
@@ -95,14 +98,23 @@
 	c.keepRecord(r)
 }
 
-// errOtherStart means that a newer start of a server has answered in place of the one that the
-// call was sent to.
-var errOtherStart = errors.New("another start of the server answered")
+// Causes for which an answer does not continue a stream.
+var (
+	// errOtherStart: a newer start of a server has answered in place of the one that the call
+	// was sent to.
+	errOtherStart = errors.New("another start of the server answered")
+	// errUnknownStart: the replicas were out of reach, so that a newer start may not be listed.
+	errUnknownStart = errors.New("it is not known which start of the server answered")
+)
 
 // confirmStart waits until a newer start of the server that has answered would be known here, and
-// returns an error if there is one with other software. It returns at once for a server whose
-// name identifies its start.
+// returns an error if there is one with other software, or if that can't be known. The same holds
+// for the server that began the stream. It returns at once for servers whose names identify their
+// starts.
 func (c *call) confirmStart(ctx context.Context, s fleet.Server) error {
+	if c.originStart.StartedAt > 0 && !c.router.opt.ListCurrentSince(c.originSince) {
+		return errUnknownStart
+	}
 	if s.StartedAt == 0 {
 		return nil
 	}
@@ -112,8 +124,11 @@
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
-	if c.router.changedSoftware(s.Start(), c.origin.Load()) {
+	switch {
+	case c.router.changedSoftware(s.Start(), c.origin.Load()), c.router.changedSoftware(c.originStart, c.origin.Load()):
 		return errOtherStart
+	case !c.router.opt.ListCurrentSince(c.attemptStart):
+		return errUnknownStart
 	}
 	return nil
 }
@@ -174,6 +189,7 @@
 	noRecord     = "it is not known where the stream began"
 	severalBegan = "several streams began under this call"
 	startedAgain = "the server of the stream has started again with other software"
+	startUnknown = "it is not known whether the server of the stream has started again"
 )
 
 // findRecord finds the record of the stream that the caller resumes; reason says why there is
@@ -193,10 +209,19 @@
 		return f, severalBegan
 	case c.router.changedSoftware(f.Start, &f.Origin):
 		return f, startedAgain
+	case f.Start.StartedAt > 0 && !c.router.listsAnnounced():
+		return f, startUnknown
 	}
+	c.originStart, c.originSince = f.Start, time.Now().Add(-resumption.AnnounceTime)
 	return f, ""
 }
 
+// listsAnnounced reports whether the list of servers has been current for long enough that it holds
+// all starts that serve.
+func (r *Router) listsAnnounced() bool {
+	return r.opt.ListCurrentSince(time.Now().Add(-resumption.AnnounceTime))
+}
+
 // fromLog is logged as the source of an origin that follows from the replicated log.
 const fromLog = "replicated log"
 
--- a/daemon/router/resumption_test.go
+++ b/daemon/router/resumption_test.go
@@ -403,3 +403,20 @@
 		t.Errorf("got %q, %v", got.body, got.err)
 	}
 }
+
+// A server that keeps its name may have started again with other software while no replica
+// answered; the list that an instance still has does not show it.
+func TestStreamOfAnUnlistedStartIsNotContinued(t *testing.T) {
+	for current, want := range map[bool]error{true: nil, false: errUnknownStart} {
+		w := newHarness(t, good)
+		w.router.opt.ListCurrentSince = func(time.Time) bool { return current }
+		started := fleet.Server{ID: "s9", Pool: "p", StartedAt: 1, Software: "v1"}
+		for name, s := range map[string]fleet.Server{"at a server with other names": {ID: "s8", Pool: "p"}, "at a server that keeps its name": started} {
+			c := &call{router: w.router, route: &routing.Route{}, attemptStart: time.Now().Add(-time.Hour)}
+			c.bindTo(started)
+			if got := c.confirmStart(context.Background(), s); !errors.Is(got, want) {
+				t.Errorf("list current: %v, %s: got %v, want %v", current, name, got, want)
+			}
+		}
+	}
+}
