--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -127,7 +127,7 @@
 func (m *memberEntry) forMessage(now time.Time) Instance {
 	out := m.Instance
 	if out.State == Dead {
-		out.DeadMillis = uint32(min(now.Sub(m.changedAt), deadRetention).Milliseconds())
+		out.DeadMillis = uint32(max(0, min(now.Sub(m.changedAt), deadRetention)).Milliseconds())
 	}
 	return out
 }
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -40,20 +40,26 @@
 	c.refusals++
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
 	_, _ = io.Copy(io.Discard, resp.Body) // drained so that the connection can be reused; on an error it is closed
-	r := c.router
+	if c.router.recordRefusal(s.ID, resp.Answer.WrongServer) {
+		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name}).Warn("brittle server had no room for the call")
+		c.router.opt.Metrics.BrittleRejection(c.pool.Name)
+	}
+	return notRun
+}
+
+// recordRefusal records that a server did not run a call, and reports whether it is brittle and had
+// no room.
+func (r *Router) recordRefusal(id string, wrongServer bool) (brittle bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if resp.Answer.WrongServer {
-		r.balancer.RecordFailure(now, s.ID, true)
-		return notRun
-	}
-	if r.balancer.IsBrittle(now, s.ID) {
-		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name}).Warn("brittle server had no room for the call")
-		r.opt.Metrics.BrittleRejection(c.pool.Name)
+	if wrongServer {
+		r.balancer.RecordFailure(now, id, true)
+		return false
 	}
-	r.balancer.RecordFull(now, s.ID)
-	return notRun
+	brittle = r.balancer.IsBrittle(now, id)
+	r.balancer.RecordFull(now, id)
+	return brittle
 }
 
 var errRefused = errors.New("the server did not run the call")
