router: the start that began a stream is checked wherever the stream continues

Trace: its call went from a partitioned entry through a peer to engine-1, which was listed as v1.1 and had just started again under its name as v1.2; its caller resumed at another partitioned entry 12 ms after the record was written, whose peer found that engine-1 had changed, and continued at engine-3 of v1.1. Cause: a relayed call carried the version, not the start that began the stream; and a record of less than 750 ms may be of a start that is not listed yet. Change: the start and its age go along; before a stream continues, 750 ms have passed since its first event, unless a newer start is listed. Its first list comes from a group that takes announcements and counts as current.

--- a/core/resumption/contact.go
+++ b/core/resumption/contact.go
@@ -7,17 +7,19 @@
 const maxContactGap = 750 * time.Millisecond
 
 // Contact tracks since when the list of servers has been current: where the replica group does not
-// answer, servers may start again without being listed. The zero value has no contact. Not safe
+// answer, servers may start again without being listed. The first list of an instance counts as
+// current: it comes from a group that takes announcements. The zero value has no contact. Not safe
 // for concurrent use.
 type Contact struct {
-	// since is when the replica group answered first without a longer gap since, and last
-	// when it answered last.
-	since, last time.Time
+	// since is when the latest gap between two answers ended; zero without one.
+	since time.Time
+	// last is when the group answered last.
+	last time.Time
 }
 
 // Answered records an answer of the replica group.
 func (c *Contact) Answered(now time.Time) {
-	if c.last.IsZero() || now.Sub(c.last) > maxContactGap {
+	if !c.last.IsZero() && now.Sub(c.last) > maxContactGap {
 		c.since = now
 	}
 	c.last = now
--- a/daemon/relay/messages.go
+++ b/daemon/relay/messages.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/relay"
 	"cardamomwick.example/core/resumption"
 	"cardamomwick.example/daemon/frame"
@@ -69,6 +70,10 @@
 	LastEventID string `msgpack:"l"`
 	// Origin is where the stream began, nil before its first event.
 	Origin *resumption.Origin `msgpack:"o,omitempty"`
+	// OriginStart is the start of the server that sent the stream's first event, OriginAge ago
+	// or later; zero if the server's name identifies it.
+	OriginStart fleet.Start   `msgpack:"s"`
+	OriginAge   time.Duration `msgpack:"g,omitempty"`
 }
 
 // declined is a peer's refusal of an offer or a call.
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -73,9 +73,8 @@
 	stream     *streamState
 	// origin is where the stream began; nil before its first event. The watchdog reads it too.
 	origin atomic.Pointer[resumption.Origin]
-	// originStart is the start of the server that sent the stream's first event; zero if the
-	// server's name identifies it. Starts that had begun by originSince must be listed before
-	// the stream continues.
+	// originStart is the start of the server that sent the stream's first event, at originSince
+	// or later; zero if the server's name identifies it.
 	originStart fleet.Start
 	originSince time.Time
 	// recordEnded is called when the stream, whose origin was recorded, has ended here.
--- a/daemon/router/relay.go
+++ b/daemon/router/relay.go
@@ -83,6 +83,7 @@
 	elapsed := max(0, min(rc.Elapsed, maxElapsed))
 	c := &call{router: r, w: w, req: req, arrived: time.Now().Add(-elapsed), runs: rc.Runs, servedFor: &servedFor{peer: peer, pool: rc.Pool, runs: rc.Runs, counted: rc.Counted || rc.Runs > 0, lastEventID: rc.LastEventID}}
 	c.origin.Store(rc.Origin)
+	c.originStart, c.originSince = rc.OriginStart, time.Now().Add(-max(0, min(rc.OriginAge, maxElapsed)))
 	if c.accept() {
 		c.serve()
 	}
@@ -185,7 +186,7 @@
 		lastEventID = c.stream.lastID
 	}
 	return &relay.Call{LastEventID: lastEventID, Method: c.req.Method, URI: requestURI(c.req), Host: c.req.Host, Header: endToEndHeaders(c.req.Header), Body: c.body,
-		Pool: c.pool.Name, Elapsed: time.Since(c.arrived), Runs: c.runs, Counted: c.counted, Origin: c.origin.Load()}
+		Pool: c.pool.Name, Elapsed: time.Since(c.arrived), Runs: c.runs, Counted: c.counted, Origin: c.origin.Load(), OriginStart: c.originStart, OriginAge: time.Since(c.originSince)}
 }
 
 // forwardRelayed sends a peer's answer to the caller: a stream part by part, anything else
--- a/daemon/router/resumption.go
+++ b/daemon/router/resumption.go
@@ -107,27 +107,33 @@
 	errUnknownStart = errors.New("it is not known which start of the server answered")
 )
 
-// confirmStart waits until a newer start of the server that has answered would be known here, and
-// returns an error if there is one with other software, or if that can't be known. The same holds
-// for the server that began the stream. It returns at once for servers whose names identify their
-// starts.
+// confirmStart waits until newer starts of the server that has answered, and of the one that began
+// the stream, would be known here. It returns an error if there is one with other software, or if
+// that can't be known. It returns at once for servers whose names identify their starts.
 func (c *call) confirmStart(ctx context.Context, s fleet.Server) error {
-	if c.originStart.StartedAt > 0 && !c.router.opt.ListCurrentSince(c.originSince) {
-		return errUnknownStart
+	var began time.Time // when the latest event or attempt that is in question began
+	if c.originStart.StartedAt > 0 && !c.router.listsNewer(c.originStart, c.origin.Load()) {
+		began = c.originSince
+	}
+	if s.StartedAt > 0 {
+		began = c.attemptStart
 	}
-	if s.StartedAt == 0 {
+	if began.IsZero() {
+		if c.router.changedSoftware(c.originStart, c.origin.Load()) {
+			return errOtherStart
+		}
 		return nil
 	}
 	c.watchdog.suspend()
 	select {
-	case <-time.After(time.Until(c.attemptStart.Add(resumption.AnnounceTime))):
+	case <-time.After(time.Until(began.Add(resumption.AnnounceTime))):
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
 	switch {
 	case c.router.changedSoftware(s.Start(), c.origin.Load()), c.router.changedSoftware(c.originStart, c.origin.Load()):
 		return errOtherStart
-	case !c.router.opt.ListCurrentSince(c.attemptStart):
+	case !c.router.listsAnnounced():
 		return errUnknownStart
 	}
 	return nil
@@ -136,13 +142,23 @@
 // changedSoftware reports whether a newer start of a server is known that has other software than
 // that of an origin.
 func (r *Router) changedSoftware(start fleet.Start, o *resumption.Origin) bool {
+	newer, ok := r.newerStart(start, o)
+	return ok && !newer.Software.Same(o.Software)
+}
+
+// listsNewer reports whether a newer start of a server is known.
+func (r *Router) listsNewer(start fleet.Start, o *resumption.Origin) bool {
+	_, ok := r.newerStart(start, o)
+	return ok
+}
+
+func (r *Router) newerStart(start fleet.Start, o *resumption.Origin) (newer fleet.Server, ok bool) {
 	if start.StartedAt == 0 {
-		return false
+		return newer, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	newer, ok := r.balancer.NewerStart(o.Pool, start)
-	return ok && !newer.Software.Same(o.Software)
+	return r.balancer.NewerStart(o.Pool, start)
 }
 
 // endRecord ends the record of the call's stream, if there is one.
@@ -212,7 +228,7 @@
 	case f.Start.StartedAt > 0 && !c.router.listsAnnounced():
 		return f, startUnknown
 	}
-	c.originStart, c.originSince = f.Start, time.Now().Add(-resumption.AnnounceTime)
+	c.originStart, c.originSince = f.Start, time.Now().Add(-f.Age)
 	return f, ""
 }
 
--- a/daemon/router/resumption_test.go
+++ b/daemon/router/resumption_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -414,9 +415,30 @@
 		for name, s := range map[string]fleet.Server{"at a server with other names": {ID: "s8", Pool: "p"}, "at a server that keeps its name": started} {
 			c := &call{router: w.router, route: &routing.Route{}, attemptStart: time.Now().Add(-time.Hour)}
 			c.bindTo(started)
+			c.originSince = c.attemptStart
 			if got := c.confirmStart(context.Background(), s); !errors.Is(got, want) {
 				t.Errorf("list current: %v, %s: got %v, want %v", current, name, got, want)
 			}
 		}
 	}
 }
+
+// A stream that a partitioned instance passed on was continued by the version in its record, though
+// the server that had begun it had started again with another one.
+func TestRelayedStreamKeepsTheStartThatBeganIt(t *testing.T) {
+	w := newHarness(t, good)
+	first := startOf(w.fleet[0], 1, "v1")
+	w.router.SetFleet([]fleet.Server{startOf(first, 2, "v2")})
+	home := &call{router: w.router, route: &routing.Route{}, pool: &routing.Pool{Name: "p"}, attemptStart: time.Now()}
+	home.req = httptest.NewRequest(http.MethodPost, "/stream/x", nil)
+	home.bindTo(first)
+	rc := home.relayedCall()
+	if rc.OriginStart != first.Start() {
+		t.Fatalf("the call states the start %+v, want %+v", rc.OriginStart, first.Start())
+	}
+	peer := &call{router: w.router, originStart: rc.OriginStart, originSince: time.Now().Add(-rc.OriginAge)}
+	peer.origin.Store(rc.Origin)
+	if err := peer.confirmStart(context.Background(), fleet.Server{ID: "s8", Pool: "p"}); !errors.Is(err, errOtherStart) {
+		t.Errorf("got %v, want %v", err, errOtherStart)
+	}
+}
