Read once more: one copy of what the change had written twice, less work for each call

Change, behaviour as it was: the wire form of brittleness is in package counts alone (its age is bounded by an hour, like that of limits); one count of the instances whose counts are known serves messages and placement; calls on pools that are not brittle no longer allocate the share's closure; a retry's use of the budget is summed once; the router asks whether the list is current, not since when; confirmStart has one set of checks; what concerns shares is in membership/shares.go.

--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -104,8 +104,7 @@
 	for name, p := range b.pools {
 		known := &p.brittle
 		if known.Limited || !known.Since.IsZero() && now.Sub(known.Since) < endRetention {
-			age := max(0, now.Sub(known.Confirmed()))
-			list = append(list, counts.Brittle{Pool: name, Steps: uint32(known.Steps()), AgeMillis: uint32(age.Milliseconds())})
+			list = append(list, counts.NewBrittle(name, known.Limit, now.Sub(known.Confirmed())))
 		}
 	}
 	return list, !b.informed && b.starting(now, slotSettleTime)
@@ -114,9 +113,8 @@
 // mergeBrittle applies what another instance knows of brittle pools.
 func (b *Balancer) mergeBrittle(now time.Time, from *peer, m *counts.Message) {
 	for _, x := range m.Brittle {
-		l := ratelimit.LimitOfSteps(uint64(x.Steps))
-		if b.pool(x.Pool).brittle.Merge(now, l, time.Duration(x.AgeMillis)*time.Millisecond) {
-			b.noteBrittleChange(LimitChange{Pool: x.Pool, Limit: l, From: from.name})
+		if b.pool(x.Pool).brittle.Merge(now, x.Limit(), x.Age()) {
+			b.noteBrittleChange(LimitChange{Pool: x.Pool, Limit: x.Limit(), From: from.name})
 		}
 	}
 	b.informed = b.informed || !m.Starting
@@ -169,13 +167,7 @@
 
 // unheard returns the number of slot owners whose counts are not known.
 func (b *Balancer) unheard(now time.Time) int {
-	heard := 1
-	for _, x := range b.peers {
-		if x.fresh(now) {
-			heard += x.instances
-		}
-	}
-	return max(0, len(b.slotOwners)-heard)
+	return max(0, len(b.slotOwners)-b.countedInstances(now, func(*peer) bool { return true }))
 }
 
 // brittleCheck decides for one call which servers of a pool have room for it.
@@ -195,7 +187,7 @@
 // checkBrittle returns the check for a call on a pool; ok is false if no server is brittle.
 func (b *Balancer) checkBrittle(now time.Time, poolName string) (c brittleCheck, ok bool) {
 	p := b.pool(poolName)
-	c = brittleCheck{b: b, now: now, pool: p, settled: !b.starting(now, slotSettleTime), share: b.lazyShare(now, poolName)}
+	c = brittleCheck{b: b, now: now, pool: p, settled: !b.starting(now, slotSettleTime)}
 	if p.brittle.Since.IsZero() {
 		c.unknown = !c.settled && !b.informed && !p.answered
 		if c.unknown {
@@ -203,7 +195,7 @@
 		}
 		return c, c.unknown
 	}
-	c.unheard = b.unheard(now)
+	c.unheard, c.share = b.unheard(now), b.lazyShare(now, poolName)
 	return c, true
 }
 
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -61,7 +61,8 @@
 	m := p.out.Next(&view{b, p, subtreeOnly}, content, b.firstStream)
 	m.Name, m.Level = b.name, b.level
 	m.Brittle, m.Starting = b.brittleReports(now)
-	m.Instances = b.instancesFor(now, p, subtreeOnly)
+	instances := b.countedInstances(now, func(x *peer) bool { return x != p && (!subtreeOnly || b.inSubtree(x)) })
+	m.Instances = uint16(min(instances, math.MaxUint16))
 	m.Acknowledged = p.in.Position()
 	m.AgeMillis = uint16(min(b.ageFor(now, p, subtreeOnly), maxCountsAge).Milliseconds())
 	m.DecidesBoundaries = kind == counts.CollectorReport && len(content.Boundaries) > 0 && b.decider(now) == nil
@@ -149,15 +150,15 @@
 	return out
 }
 
-// instancesFor returns the number of instances whose counts a message to a peer carries.
-func (b *Balancer) instancesFor(now time.Time, to *peer, subtreeOnly bool) uint16 {
+// countedInstances returns of how many instances the counts are known, this one included.
+func (b *Balancer) countedInstances(now time.Time, included func(*peer) bool) int {
 	n := 1
 	for _, x := range b.peers {
-		if x != to && x.fresh(now) && (!subtreeOnly || b.inSubtree(x)) {
+		if x.fresh(now) && included(x) {
 			n += x.instances
 		}
 	}
-	return uint16(min(n, math.MaxUint16))
+	return n
 }
 
 // minCallRate is the number of calls per second from which the rates of a pool without
--- a/core/counts/message.go
+++ b/core/counts/message.go
@@ -196,6 +196,17 @@
 	// Steps is the number of rejections per second that a server bears, in units of
 	// 1/ratelimit.StepsPerUnit, plus one; 0 if the servers are not brittle.
 	Steps uint32 `msgpack:"s,omitempty"`
-	// AgeMillis is how long ago a server announced it.
+	// AgeMillis is how long ago a server announced it, an hour at most.
 	AgeMillis uint32 `msgpack:"a,omitempty"`
 }
+
+// NewBrittle returns an announcement of the given age for a message.
+func NewBrittle(pool string, l ratelimit.Limit, age time.Duration) Brittle {
+	return Brittle{Pool: pool, Steps: uint32(l.Steps()), AgeMillis: uint32(min(max(0, age), maxLimitAge).Milliseconds())}
+}
+
+// Limit returns the announced rejections per second.
+func (b *Brittle) Limit() ratelimit.Limit { return ratelimit.LimitOfSteps(uint64(b.Steps)) }
+
+// Age returns how long ago a server announced it.
+func (b *Brittle) Age() time.Duration { return time.Duration(b.AgeMillis) * time.Millisecond }
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -70,13 +70,6 @@
 	DeadMillis uint32 `msgpack:"y,omitempty" json:"-"`
 }
 
-// holdsShare reports whether the instance counts as one of those among which bounds on all
-// instances together are divided: it accepts calls, and may still be at work. One that drained
-// before its death has ended by itself.
-func (i *Instance) holdsShare() bool {
-	return i.CallerAddress != "" && !(i.State == Dead && i.Draining)
-}
-
 // Owner identifies one process of an instance; a restarted instance is another owner.
 func (i Instance) Owner() string { return i.Name + "/" + i.Process }
 
@@ -122,16 +115,6 @@
 	changedAt time.Time
 }
 
-// forMessage returns the member's state for a message. Without its age, a death would be kept
-// for ever by members that tell each other of it in turn.
-func (m *memberEntry) forMessage(now time.Time) Instance {
-	out := m.Instance
-	if out.State == Dead {
-		out.DeadMillis = uint32(max(0, min(now.Sub(m.changedAt), deadRetention)).Milliseconds())
-	}
-	return out
-}
-
 type queuedUpdate struct {
 	name string
 	sent int
@@ -214,13 +197,6 @@
 	return out
 }
 
-// ShareHolders returns the instances among which bounds on all of them together are divided,
-// sorted by name. Those that drain, lack a declaration or are out of sight are included: they may
-// have used their share, or go on to use it.
-func (t *Table) ShareHolders() []Instance {
-	return slices.DeleteFunc(t.allMembers(), func(i Instance) bool { return !i.holdsShare() })
-}
-
 // Tick runs the periodic work: probes, timeouts and syncs. Call it several times per
 // ProbePeriod.
 func (t *Table) Tick(now time.Time) []Outgoing {
@@ -464,14 +440,6 @@
 	t.storeInstance(now, u, enqueue)
 }
 
-// deadFor returns how long an instance in a message has been dead.
-func (i *Instance) deadFor() time.Duration {
-	if i.State != Dead {
-		return 0
-	}
-	return time.Duration(i.DeadMillis) * time.Millisecond
-}
-
 func (t *Table) storeInstance(now time.Time, u Instance, enqueue bool) {
 	changedAt := now.Add(-u.deadFor())
 	u.DeadMillis = 0
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -58,8 +58,9 @@
 	mirror      *fleet.Mirror
 	lastSuccess time.Time
 	lost        bool
-	mu          sync.Mutex
-	contact     resumption.Contact
+	// mu guards contact.
+	mu      sync.Mutex
+	contact resumption.Contact
 	// lastFailed: the last request got no answer.
 	lastFailed bool
 	// onFleet receives the list of servers after each request.
@@ -85,12 +86,13 @@
 // Table returns the declaration in force, nil before the first.
 func (w *Watch) Table() *routing.Table { return w.table.Load() }
 
-// CurrentSince reports whether the list of servers has been current from a time until now. Safe
-// for concurrent use.
-func (w *Watch) CurrentSince(from time.Time) bool {
+// ListIsCurrent reports whether the list of servers has been current for resumption.AnnounceTime.
+// Safe for concurrent use.
+func (w *Watch) ListIsCurrent() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.contact.CurrentSince(from, time.Now())
+	now := time.Now()
+	return w.contact.CurrentSince(now.Add(-resumption.AnnounceTime), now)
 }
 
 // Serve watches until the context ends.
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -179,7 +179,7 @@
 		Retry: router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.quarantine,
 		Dial: newPartitionDialer(d.settings.Faults.CutFile),
 		Zone: d.settings.Instance.AvailabilityZone, SlotOwners: d.slotOwners, Relays: relay.NewClient(d.transport), Peers: d.relayPeers, Records: d.records, OnlySoftware: resumption.NewHistory(client.OnlySoftware).OnlySoftware, OnPartition: d.setPartitioned,
-		ListCurrentSince: func(from time.Time) bool { return d.watch.CurrentSince(from) }})
+		ListIsCurrent: func() bool { return d.watch.ListIsCurrent() }})
 	d.relays = relay.NewServer(d.transport, d.router)
 	// The watch has its own client: the shared one remembers the leader that other calls
 	// found, and would always send the watch there.
--- a/daemon/router/final.go
+++ b/daemon/router/final.go
@@ -56,12 +56,12 @@
 	r.mu.Lock()
 	now, b, instances := r.budgetTime(), r.budget(c.pool.Name), r.opt.ShareHolders()
 	taken := b.Take(now, instances)
-	u := b.Usage(now, instances)
-	r.mu.Unlock()
-	r.opt.Metrics.RetryTaken(c.pool.Name, taken)
 	if !taken {
+		u := b.Usage(now, instances)
 		c.overBudget.Store(&u)
 	}
+	r.mu.Unlock()
+	r.opt.Metrics.RetryTaken(c.pool.Name, taken)
 	return taken
 }
 
--- a/daemon/router/resumption.go
+++ b/daemon/router/resumption.go
@@ -118,22 +118,18 @@
 	if s.StartedAt > 0 {
 		began = c.attemptStart
 	}
-	if began.IsZero() {
-		if c.router.changedSoftware(c.originStart, c.origin.Load()) {
-			return errOtherStart
+	if !began.IsZero() {
+		c.watchdog.suspend()
+		select {
+		case <-time.After(time.Until(began.Add(resumption.AnnounceTime))):
+		case <-ctx.Done():
+			return context.Cause(ctx)
 		}
-		return nil
-	}
-	c.watchdog.suspend()
-	select {
-	case <-time.After(time.Until(began.Add(resumption.AnnounceTime))):
-	case <-ctx.Done():
-		return context.Cause(ctx)
 	}
 	switch {
 	case c.router.changedSoftware(s.Start(), c.origin.Load()), c.router.changedSoftware(c.originStart, c.origin.Load()):
 		return errOtherStart
-	case !c.router.listsAnnounced():
+	case !began.IsZero() && !c.router.opt.ListIsCurrent():
 		return errUnknownStart
 	}
 	return nil
@@ -225,19 +221,13 @@
 		return f, severalBegan
 	case c.router.changedSoftware(f.Start, &f.Origin):
 		return f, startedAgain
-	case f.Start.StartedAt > 0 && !c.router.listsAnnounced():
+	case f.Start.StartedAt > 0 && !c.router.opt.ListIsCurrent():
 		return f, startUnknown
 	}
 	c.originStart, c.originSince = f.Start, time.Now().Add(-f.Age)
 	return f, ""
 }
 
-// listsAnnounced reports whether the list of servers has been current for long enough that it holds
-// all starts that serve.
-func (r *Router) listsAnnounced() bool {
-	return r.opt.ListCurrentSince(time.Now().Add(-resumption.AnnounceTime))
-}
-
 // fromLog is logged as the source of an origin that follows from the replicated log.
 const fromLog = "replicated log"
 
--- a/daemon/router/resumption_test.go
+++ b/daemon/router/resumption_test.go
@@ -410,7 +410,7 @@
 func TestStreamOfAnUnlistedStartIsNotContinued(t *testing.T) {
 	for current, want := range map[bool]error{true: nil, false: errUnknownStart} {
 		w := newHarness(t, good)
-		w.router.opt.ListCurrentSince = func(time.Time) bool { return current }
+		w.router.opt.ListIsCurrent = func() bool { return current }
 		started := fleet.Server{ID: "s9", Pool: "p", StartedAt: 1, Software: "v1"}
 		for name, s := range map[string]fleet.Server{"at a server with other names": {ID: "s8", Pool: "p"}, "at a server that keeps its name": started} {
 			c := &call{router: w.router, route: &routing.Route{}, attemptStart: time.Now().Add(-time.Hour)}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -73,9 +73,9 @@
 	Records StreamRecords
 	// OnlySoftware returns the version that all servers of a pool have ever had; nil for none.
 	OnlySoftware records.ReadSoftware
-	// ListCurrentSince reports whether the list of servers has been current from a time until
-	// now; nil for always.
-	ListCurrentSince func(from time.Time) bool
+	// ListIsCurrent reports whether the list of servers has been current for
+	// resumption.AnnounceTime, so that it holds all starts that serve; nil for always.
+	ListIsCurrent func() bool
 	// OnPartition is called with true when peers reach servers that this instance can't
 	// reach, and with false once it reaches all pools again; nil for no call.
 	OnPartition func(partitioned bool)
@@ -154,8 +154,8 @@
 	if o.ShareHolders == nil {
 		o.ShareHolders = o.Entries
 	}
-	if o.ListCurrentSince == nil {
-		o.ListCurrentSince = func(time.Time) bool { return true }
+	if o.ListIsCurrent == nil {
+		o.ListIsCurrent = func() bool { return true }
 	}
 	if o.OnPartition == nil {
 		o.OnPartition = func(bool) {}
