router: log lines name a failed call's prompt parts and how an answer ended

The record of the incident could not tell whether failed calls shared a part of their prompts, nor whether an answer that was counted as complete had ended with its connection. No logic changes.

--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -55,6 +55,8 @@
 	ticket   balance.Ticket
 	choice   balance.Choice
 	watchdog *watchdog
+	// unframed is set if only the end of the connection ends the last answer.
+	unframed bool
 	// forecast is the latency forecast made on arrival.
 	forecast balance.Forecast
 	// retryAfter is sent with a refusal; zero selects the default.
@@ -251,6 +253,7 @@
 		return c.recordError(ctx, s, err)
 	}
 	defer resp.Close()
+	c.unframed = resp.EndsWithConnection
 	c.router.paths.responded(c.pool.Name)
 	c.recordAnnouncements(s, resp.Answer)
 	return c.forward(ctx, s, resp)
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -19,7 +19,10 @@
 		entry = entry.WithFields(log.Fields{"last_step": c.last.Step, "last_server": c.last.Server, "last_error": c.last.Err.Error()})
 	}
 	if c.identity != nil || c.last != nil {
-		entry = entry.WithField("request", c.digest().String())
+		entry = entry.WithFields(log.Fields{"request": c.digest().String(), "prompt_parts": c.sharedParts()})
+	}
+	if c.stream != nil {
+		entry = entry.WithField("events", c.stream.events)
 	}
 	if u := c.overBudget.Load(); u != nil {
 		entry = entry.WithFields(log.Fields{"budget_retries": u.Retries, "budget_allowed": rounded(u.Allowed), "budget_calls": u.Calls, "budget_instances": u.Instances})
@@ -42,6 +45,9 @@
 		f["gap_ms"] = c.stream.longestGap.Milliseconds()
 		f["events"] = c.stream.events
 	}
+	if c.unframed {
+		f["ends_with_connection"] = true
+	}
 	if status < http.StatusInternalServerError {
 		f[answeredField] = true
 	}
@@ -52,6 +58,22 @@
 	c.count(status, "", first)
 }
 
+// maxLoggedParts bounds the prompt parts in a log line, maxLoggedPartBytes the length of each.
+const (
+	maxLoggedParts     = 8
+	maxLoggedPartBytes = 32
+)
+
+// sharedParts returns the IDs of the prompt parts that other calls may share, for the log.
+func (c *call) sharedParts() []string {
+	var out []string
+	parts := c.info.Prompt.SharedParts()
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		out = append(out, p.ID[:min(len(p.ID), maxLoggedPartBytes)])
+	}
+	return out
+}
+
 // rounded rounds a logged value to two decimals.
 func rounded(x float64) float64 { return math.Round(x*100) / 100 }
 
--- a/daemon/upstream/protocol.go
+++ b/daemon/upstream/protocol.go
@@ -46,6 +46,14 @@
 	Parts []Part
 }
 
+// SharedParts returns the parts that other calls may share: all but the last.
+func (p *Prompt) SharedParts() []Part {
+	if len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // Part is a part of a prompt that other calls may share. Its ID also identifies the prefix
 // of the prompt that ends with it, which balance.Prefix describes.
 type Part struct {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -148,6 +148,9 @@
 	// Length is the body's length, -1 when unknown.
 	Length int64
 	Body   io.Reader
+	// EndsWithConnection is set if the body has neither a length nor chunks: only the end of
+	// the connection ends it.
+	EndsWithConnection bool
 
 	client   *Client
 	target   Target
@@ -271,9 +274,9 @@
 			}
 			continue
 		}
-		mustClose := foreign > 0 || raw.Close || raw.ContentLength < 0 && len(raw.TransferEncoding) == 0
-		resp := &Response{Status: raw.StatusCode, Header: raw.Header, Answer: a, Length: raw.ContentLength,
-			client: c, target: t, conn: cn, close: mustClose, raw: raw.Body}
+		unframed := raw.ContentLength < 0 && len(raw.TransferEncoding) == 0
+		resp := &Response{Status: raw.StatusCode, Header: raw.Header, Answer: a, Length: raw.ContentLength, EndsWithConnection: unframed,
+			client: c, target: t, conn: cn, close: foreign > 0 || raw.Close || unframed, raw: raw.Body}
 		resp.Body = &eofReader{r: raw.Body, complete: &resp.complete}
 		return resp, nil
 	}
