upstream: an answer that ends with its connection is complete only if its server lives on

Callers got streams and plain answers that a crash had cut short as whole ones, and the crash cleared the request that had caused it: where an answer has neither a length nor chunks, a crashing process closes its connection like one that has finished. The reader of such a body now asks for a sign of life, 15 ms after the end: another connection that the server keeps open, or a new one, which the next call uses. All readers get it, since it is the body's end.

--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -277,7 +277,7 @@
 		unframed := raw.ContentLength < 0 && len(raw.TransferEncoding) == 0
 		resp := &Response{Status: raw.StatusCode, Header: raw.Header, Answer: a, Length: raw.ContentLength, EndsWithConnection: unframed,
 			client: c, target: t, conn: cn, close: foreign > 0 || raw.Close || unframed, raw: raw.Body}
-		resp.Body = &eofReader{r: raw.Body, complete: &resp.complete}
+		resp.Body = &eofReader{r: raw.Body, resp: resp}
 		return resp, nil
 	}
 	return nil, errForeignAnswers
@@ -285,18 +285,26 @@
 
 // eofReader sets complete when the body has been read to its end.
 type eofReader struct {
-	r        io.Reader
-	complete *bool
+	r    io.Reader
+	resp *Response
 }
 
 func (w *eofReader) Read(p []byte) (int, error) {
 	n, err := w.r.Read(p)
-	if err == io.EOF {
-		*w.complete = true
+	if err != io.EOF || w.resp.complete {
+		return n, err
 	}
+	if w.resp.EndsWithConnection && !w.resp.client.isAlive(w.resp.target) {
+		return n, errServerEnded
+	}
+	w.resp.complete = true
 	return n, err
 }
 
+// errServerEnded means that the server's process ended together with the connection that its
+// answer was to end with.
+var errServerEnded = fmt.Errorf("the server ended with its answer: %w", io.ErrUnexpectedEOF)
+
 // Close keeps the connection for reuse if the whole answer was read and nothing
 // unexpected happened on it. Otherwise it closes the connection, which ends the
 // server's work on the call.
@@ -387,6 +395,47 @@
 	return nil
 }
 
+// aliveCheckDelay is the time in which a terminating process closes all its connections and its
+// listener. What listens in its place closes new connections as fast.
+const aliveCheckDelay = 15 * time.Millisecond
+
+// isAlive reports whether a server still runs after one of its connections has ended: it keeps
+// another connection open, or accepts a new one, which a later call uses.
+func (c *Client) isAlive(t Target) bool {
+	time.Sleep(aliveCheckDelay)
+	if c.hasOpenConnection(t.ID) {
+		return true
+	}
+	c.mu.Lock()
+	s := c.server(t.ID)
+	// The connection that has ended still counts.
+	keep := !t.CloseAfterUse && (t.MaxConnections <= 0 || s.open <= t.MaxConnections)
+	s.open++
+	c.dialled++
+	c.mu.Unlock()
+	cn, err := c.connect(t, s, dialTimeout)
+	if err != nil {
+		return false
+	}
+	time.Sleep(aliveCheckDelay)
+	alive := cn.isSilent()
+	if !alive || !keep {
+		c.discard(t, cn)
+		return alive
+	}
+	cn.putAside(defaultKeepAlive)
+	c.release(t, cn)
+	return true
+}
+
+// hasOpenConnection reports whether the server has not closed the latest idle connection to it.
+func (c *Client) hasOpenConnection(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.server(id).idle
+	return len(idle) > 0 && idle[len(idle)-1].isSilent()
+}
+
 func boundedDialTimeout(ctx context.Context) time.Duration {
 	if until, ok := ctx.Deadline(); ok {
 		return max(time.Millisecond, min(dialTimeout, time.Until(until)))
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -212,6 +212,27 @@
 	}
 }
 
+// A server process that crashes closes its connections like one that has sent a whole answer
+// without a length.
+func TestCrashEndsNoAnswerWithoutLength(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nCall: %s\r\n\r\nhalf", readCall(bufio.NewReader(conn)))
+		conn.Close()
+		l.Close()
+	}()
+	if got, err := send(t, NewClient(plainProtocol{}, nil), Target{ID: "s", Address: l.Addr().String()}, "1", ""); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %q, error %v", got, err)
+	}
+}
+
 func TestIdleConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
 	target := serve(t, func(conn net.Conn, r *bufio.Reader) {
 		answer(conn, readCall(r), "ok")
