quarantine: a prompt part that crashes servers is held, whatever else the calls hold

What callers saw: calls that share one part of their prompts, no two alike, crashed engine after engine, and up to nine tenths of the other calls on their route failed meanwhile. Cause: the quarantine counted crashes by the digest of the whole request, so that calls which differ in one byte never added up (213 of 213 digests of the incident were reported for one server each). Change: a crash counts against the shared parts of the prompts of the runs that it interrupted before their answer had begun, once for the calls of the customer and once for those of all. An answer that was begun on a part and went on for 0.3 s, or ended, clears it. Three consecutive crashes hold the part that explains them best: a request that alone explains them comes first, then parts without a recent answer, with more crashes, later in the prompt. A part is held for all customers only if no single one explains its crashes. After a hold, of parts and of requests, one call of all instances is the trial. The two evaluators of a pool see all its parts, since parts have to be compared.

--- a/core/quarantine/decision.go
+++ b/core/quarantine/decision.go
@@ -65,7 +65,7 @@
 // String returns the name used in logs.
 func (s Status) String() string { return [...]string{"cleared", "suspected", "held"}[s] }
 
-// Decision classifies a request. Instances exchange decisions; merging is independent of
+// Decision classifies a request or a part of prompts. Instances exchange decisions; merging is independent of
 // the order in which they arrive.
 type Decision struct {
 	Digest Digest `msgpack:"d"`
@@ -80,6 +80,10 @@
 	// Servers lists the server starts that crashed while they ran the request, the latest
 	// last.
 	Servers []string `msgpack:"e,omitempty"`
+	// Part is set if the decision is on a part of prompts instead of a request.
+	Part *Part `msgpack:"p,omitempty"`
+	// LiftsHold is set at the evaluator if the decision ends a hold.
+	LiftsHold bool `msgpack:"-"`
 }
 
 // datedDecision is a decision with its time by this instance's clock.
@@ -94,6 +98,9 @@
 		return 0
 	}
 	t := InitialHold
+	if r.Part != nil {
+		t = initialPartHold
+	}
 	for n := 1; n < r.Holds && t < maxHold; n++ {
 		t *= holdFactor
 	}
--- a/core/quarantine/evaluator.go
+++ b/core/quarantine/evaluator.go
@@ -20,6 +20,16 @@
 	// Others lists other servers whose calls broke off at the same time, as seen by the
 	// reporting instance; at most MaxOthers.
 	Others []string `msgpack:"o,omitempty"`
+	// Part is set if the report is on a part of prompts; Request is its digest then.
+	Part *PartCrash `msgpack:"p,omitempty"`
+}
+
+// part returns the part that the report is on, nil for a request.
+func (e *CrashReport) part() *Part {
+	if e.Part == nil {
+		return nil
+	}
+	return &e.Part.Part
 }
 
 // Simultaneous crashes of many servers, such as after a power cut, a mass kill or a
@@ -62,8 +72,11 @@
 	records  map[Digest]*record
 }
 
-// record is the evidence against a request.
+// record is the evidence against a request or a part of prompts.
 type record struct {
+	// part is nil for a request; position is its last known position in a prompt.
+	part     *Part
+	position int
 	// prior counts the rounds that led to a decision made before the record existed.
 	prior int
 	// crashes holds all reported crashes, ordered by time.
@@ -83,6 +96,9 @@
 	server    string
 	began, at time.Time
 	others    []string
+	// requests and customers list whose runs shared the part, if the record is on one.
+	requests  []Digest
+	customers []string
 	// discounted crashes do not count any more. They are kept to detect duplicate
 	// reports.
 	discounted bool
@@ -95,7 +111,7 @@
 
 // Report processes a crash report and returns the decision to publish, if one was made.
 func (ev *Evaluator) Report(now time.Time, e CrashReport) (Decision, bool) {
-	if ev.registry.AttributedToOther(now, e.Server, e.Request) {
+	if ev.registry.AttributedToOther(now, e.Server, e.Request, e.part()) {
 		return Decision{}, false
 	}
 	if current, known := ev.registry.Decision(now, e.Request); known && current.Status == Held {
@@ -103,10 +119,18 @@
 	}
 	rec := ev.record(now, e.Request)
 	x := crash{server: e.Server, began: now.Add(-e.Began), at: now.Add(-e.Ended), others: e.Others[:min(len(e.Others), MaxOthers)]}
-	if rec.contains(&x, e.KeepsID) {
-		return Decision{}, false
+	if e.Part != nil {
+		rec.part, rec.position = &e.Part.Part, e.Part.Position
+		x.requests, x.customers = e.Part.Requests[:min(len(e.Part.Requests), maxWitnesses)], e.Part.Customers[:min(len(e.Part.Customers), maxWitnesses)]
+	}
+	if known := rec.find(&x, e.KeepsID); known != nil {
+		if e.Part == nil {
+			return Decision{}, false
+		}
+		known.addPartCrash(&x)
+	} else {
+		rec.add(x)
 	}
-	rec.add(x)
 	return ev.decide(now, e.Request, rec)
 }
 
@@ -119,7 +143,8 @@
 	if rec.suspected.IsZero() {
 		rec.suspected = now
 	}
-	if rounds >= rec.requiredRounds() && now.Sub(rec.suspected) >= DecisionDelay {
+	// Parts are held in reviews, which compare those that explain the same crashes.
+	if rec.part == nil && rounds >= rec.requiredRounds() && now.Sub(rec.suspected) >= DecisionDelay {
 		return ev.apply(now, request, Held, rec.servers())
 	}
 	if current, known := ev.registry.Decision(now, request); known && current.Status == Suspected {
@@ -128,19 +153,19 @@
 	return ev.apply(now, request, Suspected, rec.servers())
 }
 
-// Review makes the decisions that were deferred by DecisionDelay. Call it DecisionDelay
-// after each batch of crash reports.
+// Review makes the decisions that were deferred by DecisionDelay or PartDecisionDelay. Call it
+// this long after each batch of crash reports.
 func (ev *Evaluator) Review(now time.Time) []Decision {
 	var out []Decision
 	for request, rec := range ev.records {
-		if rec.held || rec.prior+rec.rounds() < rec.requiredRounds() {
+		if rec.part != nil || rec.held || rec.prior+rec.rounds() < rec.requiredRounds() {
 			continue
 		}
 		if x, publish := ev.decide(now, request, rec); publish {
 			out = append(out, x)
 		}
 	}
-	return out
+	return append(out, ev.reviewParts(now)...)
 }
 
 // reportHeld records a crash during a run of a request that is already held; the run had
@@ -156,11 +181,15 @@
 
 func (ev *Evaluator) apply(now time.Time, request Digest, s Status, servers []string) (Decision, bool) {
 	before, _ := ev.registry.Decision(now, request)
-	x := Decision{Digest: request, Status: s, Version: before.Version + 1, Holds: before.Holds, Servers: servers[max(0, len(servers)-maxServers):]}
+	x := Decision{Digest: request, Status: s, Version: before.Version + 1, Holds: before.Holds, Servers: servers[max(0, len(servers)-maxServers):], Part: before.Part}
+	rec := ev.records[request]
+	if rec != nil && rec.part != nil {
+		x.Part = rec.part
+	}
 	switch s {
 	case Held:
 		x.Holds++
-		if rec := ev.records[request]; rec != nil {
+		if rec != nil {
 			rec.held = true
 		}
 	case Suspected:
@@ -169,7 +198,11 @@
 		}
 	case Cleared:
 		x.Holds = 0
+		if rec != nil {
+			rec.held, rec.prior = false, 0
+		}
 	}
+	x.LiftsHold = s != Held && ev.registry.wasHeld(request)
 	ev.registry.Merge(now, x)
 	ev.discountAttributed(x)
 	return x, true
@@ -195,7 +228,7 @@
 		return
 	}
 	for digest, rec := range ev.records {
-		if digest != x.Digest {
+		if digest != x.Digest && !rec.part.isSameContent(x.Part) {
 			rec.discount(func(e *crash) bool { return slices.Contains(x.Servers, e.server) })
 		}
 	}
@@ -274,10 +307,14 @@
 	delete(ev.records, least)
 }
 
-// contains reports whether a crash was reported before. If the server keeps its ID over
-// restarts, a run that began after the recorded crash belongs to a later start.
-func (r *record) contains(x *crash, keepsID bool) bool {
-	return slices.ContainsFunc(r.crashes, func(e crash) bool { return e.server == x.server && !(keepsID && x.began.After(e.at)) })
+// find returns the crash if it was reported before, otherwise nil. If the server keeps its ID
+// over restarts, a run that began after the recorded crash belongs to a later start.
+func (r *record) find(x *crash, keepsID bool) *crash {
+	i := slices.IndexFunc(r.crashes, func(e crash) bool { return e.server == x.server && !(keepsID && x.began.After(e.at)) })
+	if i < 0 {
+		return nil
+	}
+	return &r.crashes[i]
 }
 
 // servers returns the servers that crashed, the latest last.
@@ -328,8 +365,17 @@
 func (r *record) rounds() int { return len(r.roundIndexes()) }
 
 // roundIndexes returns the indexes of the crashes counted as rounds: each run began
-// after the previous crash of the list.
+// after the previous crash of the list. There are none for a part in the calls of all customers
+// while one customer explains all of them.
 func (r *record) roundIndexes() []int {
+	rounds := r.consecutiveCrashes()
+	if r.isExplainedByCustomer(rounds) {
+		return nil
+	}
+	return rounds
+}
+
+func (r *record) consecutiveCrashes() []int {
 	var out []int
 	var last time.Time
 	for i := range r.crashes {
@@ -344,13 +390,23 @@
 
 // requiredRounds returns how many rounds lead to a hold.
 func (r *record) requiredRounds() int {
-	first := slices.IndexFunc(r.crashes, func(e crash) bool { return !e.discounted })
-	if first >= 0 && !r.lastSuccess.IsZero() && r.crashes[first].at.Sub(r.lastSuccess) < recentSuccess {
+	switch served := r.recentlyServed(); {
+	case r.part != nil && served:
+		return partRoundsToHoldServed
+	case r.part != nil:
+		return partRoundsToHold
+	case served:
 		return roundsToHoldServed
 	}
 	return roundsToHold
 }
 
+// recentlyServed reports whether there was a success shortly before the first crash.
+func (r *record) recentlyServed() bool {
+	first := slices.IndexFunc(r.crashes, func(e crash) bool { return !e.discounted })
+	return first >= 0 && !r.lastSuccess.IsZero() && r.crashes[first].at.Sub(r.lastSuccess) < recentSuccess
+}
+
 // isMassCrash reports whether so many other servers crashed at the same time without
 // running the request that the crash is no evidence against it.
 func (r *record) isMassCrash(e *crash) bool {
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -110,11 +110,27 @@
 	return d, d.addServers([]string{server})
 }
 
+// wasHeld reports whether the latest decision was a hold, even if it has expired.
+func (r *Registry) wasHeld(digest Digest) bool {
+	d := r.decisions[digest]
+	return d != nil && d.Status == Held
+}
+
+// NeedsTrial reports whether a hold has expired and no run has shown since that it can be lifted.
+func (r *Registry) NeedsTrial(now time.Time, digest Digest) bool {
+	d := r.decisions[digest]
+	if d == nil || d.Status != Held || d.expired(now) {
+		return false
+	}
+	x := d.atTime(now)
+	return x.Remaining() == 0
+}
+
 // AttributedToOther reports whether the crash of a server is attributed to a held
-// request other than the given one.
-func (r *Registry) AttributedToOther(now time.Time, server string, request Digest) bool {
+// request or part other than the given one.
+func (r *Registry) AttributedToOther(now time.Time, server string, request Digest, part *Part) bool {
 	for digest, d := range r.decisions {
-		if digest != request && d.Status == Held && now.Sub(d.at) < attributionTime && slices.Contains(d.Servers, server) {
+		if digest != request && !part.isSameContent(d.Part) && d.Status == Held && now.Sub(d.at) < attributionTime && slices.Contains(d.Servers, server) {
 			return true
 		}
 	}
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -134,7 +134,7 @@
 	}
 	x.excluded = append(x.excluded, server)
 	sleep(x.run, retry.Backoff(n+1, rand.Float64()))
-	x.entry.quarantine.AwaitDecision(x.run, x.call.requestDigest) // if the context ends, so does the next attempt
+	x.entry.quarantine.AwaitDecision(x.run, x.call.requestDigest, nil) // if the context ends, so does the next attempt
 	return nil
 }
 
--- a/daemon/quarantine/confirm.go
+++ b/daemon/quarantine/confirm.go
@@ -129,7 +129,10 @@
 	return out, nil
 }
 
-var errMalformedProbe = eris.New("malformed request to probe a server")
+var (
+	errMalformedProbe = eris.New("malformed request to probe a server")
+	errMalformedTrial = eris.New("malformed request for a trial")
+)
 
 // verdicts counts the answers of peers.
 type verdicts [denied + 1]atomic.Int64
--- a/daemon/quarantine/crashes.go
+++ b/daemon/quarantine/crashes.go
@@ -24,7 +24,9 @@
 
 // brokenRun is a run whose connection broke.
 type brokenRun struct {
-	request      quarantine.Digest
+	request quarantine.Digest
+	// prompt is nil if the run has none, or if the server had begun to answer it before.
+	prompt       *Prompt
 	keepsID      bool
 	reached      bool
 	began, ended time.Time
@@ -36,6 +38,8 @@
 	// lastUpdate is the time of the latest access to this record.
 	firstBroken, lastUpdate time.Time
 	runs                    []brokenRun
+	// prompts is the number of runs whose prompts were kept since the last response.
+	prompts int
 	// terminated is the time of the latest confirmed termination, zero without one;
 	// confirmation states how it was confirmed.
 	terminated   time.Time
@@ -93,6 +97,12 @@
 		s.firstBroken = now
 	}
 	if r.began.Before(s.firstBroken) && len(s.runs) < maxRuns {
+		if s.prompts >= maxPrompts {
+			r.prompt = nil
+		}
+		if r.prompt != nil {
+			s.prompts++
+		}
 		s.runs = append(s.runs, r)
 	}
 }
@@ -136,7 +146,7 @@
 	if s == nil {
 		return
 	}
-	s.firstBroken, s.lastResponse = time.Time{}, now
+	s.firstBroken, s.lastResponse, s.prompts = time.Time{}, now, 0
 	if !keepsID {
 		s.terminated = time.Time{} // the confirmation was wrong
 	}
--- a/daemon/quarantine/exchange.go
+++ b/daemon/quarantine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -47,10 +48,11 @@
 	}
 	m.crashes.Add(1)
 	log.WithFields(log.Fields{"step": "report ended server", "server": server, "broken_calls": len(runs), "requests": digestStrings(runs), "others": others,
-		"proof": c.String(), "proof_after_ms": now.Sub(runs[0].ended).Milliseconds()}).Info("server has ended with calls in flight")
+		"prompt_parts": partIDs(runs), "proof": c.String(), "proof_after_ms": now.Sub(runs[0].ended).Milliseconds()}).Info("server has ended with calls in flight")
 	for evaluator, list := range m.crashReports(now, server, runs, others) {
 		m.sendToEvaluator(evaluator, methodCrashReports, list, func() { m.evaluateReports(list) })
 	}
+	m.reportParts(now, server, runs, others)
 }
 
 // sendToEvaluator sends a message to an evaluator, or calls handle if this instance is the
@@ -118,6 +120,9 @@
 // evaluateReports evaluates crash reports as the evaluator of their requests.
 func (m *Manager) evaluateReports(list []quarantine.CrashReport) {
 	for _, e := range list[:min(len(list), maxLogged)] {
+		if e.Part != nil {
+			continue // the reporting instance logs the parts
+		}
 		log.WithFields(log.Fields{"step": "evaluate crash report", "request": e.Request.String(), "server": e.Server, "began_ms": e.Began.Milliseconds(), "ended_ms": e.Ended.Milliseconds()}).
 			Info("a server ended under a request")
 	}
@@ -131,6 +136,9 @@
 	})
 	// Makes the decisions that had to wait for reports of successes.
 	time.AfterFunc(quarantine.DecisionDelay, func() { m.evaluate(m.evaluator.Review) })
+	if slices.ContainsFunc(list, func(e quarantine.CrashReport) bool { return e.Part != nil }) {
+		time.AfterFunc(quarantine.PartDecisionDelay, func() { m.evaluate(m.evaluator.Review) })
+	}
 }
 
 // evaluateSuccess processes a success as the evaluator of its request.
@@ -170,27 +178,33 @@
 	if !known {
 		return
 	}
-	s := success{request, time.Since(began)}
-	for _, evaluator := range m.evaluatorsOf(request) {
+	m.sendSuccess(request, request, began)
+}
+
+// sendSuccess sends the success of a run that began at the given time to the evaluators of a key.
+func (m *Manager) sendSuccess(digest, evaluators quarantine.Digest, began time.Time) {
+	s := success{digest, time.Since(began)}
+	for _, evaluator := range m.evaluatorsOf(evaluators) {
 		m.sendToEvaluator(evaluator, methodSuccess, &s, func() { m.evaluateSuccess(s) })
 	}
 }
 
 // reportSuccesses reports the successes of requests that were decided against.
 func (m *Manager) reportSuccesses(decisions []quarantine.Decision) {
-	for _, x := range decisions {
+	requests, parts := splitParts(decisions)
+	for _, x := range requests {
 		if x.Status != quarantine.Cleared {
 			m.reportSuccess(x.Digest)
 		}
 	}
+	m.reportAnswers(parts)
 }
 
 // publish sends decisions that this instance has just made to all instances.
 func (m *Manager) publish(decisions []quarantine.Decision) {
 	for _, x := range decisions {
-		log.WithFields(log.Fields{"step": "rule on request", "request": x.Digest.String(), "standing": x.Status.String(), "servers": x.Servers,
-			"version": x.Version, "left_s": int(x.Remaining().Seconds())}).Warn("standing of a request under which servers ended")
-		if x.Status != quarantine.Suspected && x.Age == 0 { // age 0: it has just been made
+		logDecision(&x)
+		if mustPersist(&x) {
 			go m.persist(x)
 		}
 	}
@@ -202,6 +216,30 @@
 	m.reportSuccesses(decisions)
 }
 
+// logDecision logs a decision of this instance. Parts that many calls share become suspected and are
+// cleared again with most crashes.
+func logDecision(x *quarantine.Decision) {
+	entry := log.WithFields(log.Fields{"step": "rule on request", "request": x.Digest.String(), "standing": x.Status.String(), "servers": x.Servers,
+		"version": x.Version, "left_s": int(x.Remaining().Seconds())})
+	switch {
+	case x.Part == nil:
+		entry.Warn("standing of a request under which servers ended")
+	case x.Status == quarantine.Held:
+		entry.WithFields(log.Fields{"part": x.Part.ID, "pool": x.Part.Pool, "customer": x.Part.Customer}).Warn("prompt part is held: servers ended that began to answer it")
+	default:
+		entry.WithFields(log.Fields{"part": x.Part.ID, "pool": x.Part.Pool, "customer": x.Part.Customer}).Debug("standing of a prompt part")
+	}
+}
+
+// mustPersist reports whether a decision has just been made, which age 0 shows, and changes what is
+// to be in force after a restart of all instances.
+func mustPersist(x *quarantine.Decision) bool {
+	if x.Age > 0 || x.Status == quarantine.Suspected {
+		return false
+	}
+	return x.Status == quarantine.Held || x.Part == nil || x.LiftsHold
+}
+
 // persist stores a decision in the replicated log. If it is lost in a restart of all
 // instances, further servers must crash before the request is held again.
 func (m *Manager) persist(x quarantine.Decision) {
@@ -242,6 +280,7 @@
 	m.registry.Expire(now)
 	m.evaluator.Expire(now)
 	m.suspects.expire(now, confirmationTimeout)
+	m.expireTrials(now)
 	decisions := m.registry.NextToSend(now)
 	m.updateCount()
 	m.mu.Unlock()
@@ -291,3 +330,19 @@
 	}
 	return out
 }
+
+// partIDs returns the prompt parts that runs share with other calls.
+func partIDs(runs []brokenRun) []string {
+	var out []string
+	for i := range runs {
+		if runs[i].prompt == nil {
+			continue
+		}
+		for _, id := range runs[i].prompt.Parts {
+			if len(out) < maxLogged && !slices.Contains(out, id) {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
--- a/daemon/quarantine/manager.go
+++ b/daemon/quarantine/manager.go
@@ -74,20 +74,27 @@
 	mu        sync.Mutex
 	suspects  suspects
 	successes *quarantine.Successes
+	// answered remembers the latest answer begun on each prompt part.
+	answered  *quarantine.Successes
 	registry  *quarantine.Registry
 	evaluator *quarantine.Evaluator
+	// lastTrials has the time at which this instance last asked for a trial.
+	lastTrials   map[quarantine.Digest]time.Time
+	partMessages messageBucket
 }
 
 // New returns a manager and registers its frame handlers.
 func New(o Options) *Manager {
 	r := quarantine.NewRegistry()
-	m := &Manager{opt: o, suspects: suspects{}, successes: quarantine.NewSuccesses(), registry: r, evaluator: quarantine.NewEvaluator(r)}
+	m := &Manager{opt: o, suspects: suspects{}, successes: quarantine.NewSuccesses(), answered: quarantine.NewSuccesses(),
+		registry: r, evaluator: quarantine.NewEvaluator(r), lastTrials: map[quarantine.Digest]time.Time{}}
 	m.prober = newProber(o.Dial, m.reportUnreached)
 	if t := o.Transport; t != nil {
 		t.HandleOneWay(methodCrashReports, m.handleCrashReports)
 		t.HandleOneWay(methodDecisions, m.handleDecisions)
 		t.HandleOneWay(methodSuccess, m.handleSuccess)
 		t.HandleRequest(methodProbe, m.handleProbe)
+		t.HandleRequest(methodTrial, m.handleTrial)
 	}
 	return m
 }
@@ -100,7 +107,7 @@
 	return loop.Every(ctx, gossipPeriod, func(time.Time) { m.gossip(time.Now()) })
 }
 
-// HeldRequests returns the number of held requests.
+// HeldRequests returns the number of held requests and prompt parts.
 func (m *Manager) HeldRequests() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -131,11 +138,11 @@
 
 // Held reports whether a request is held, and for how much longer.
 func (m *Manager) Held(request func() quarantine.Digest) (time.Duration, bool) {
-	x, known := m.decision(request)
-	if !known || x.Status != quarantine.Held {
+	if m.decisions.Load() == 0 {
 		return 0, false
 	}
-	return x.Remaining(), true
+	d := request()
+	return m.holdOf(d, d)
 }
 
 // Timing of the wait for a decision.
@@ -147,11 +154,12 @@
 	decisionInterval = 10 * time.Millisecond
 )
 
-// AwaitDecision waits while a request is suspected; call it before a retry. Otherwise a
-// request that crashes its servers would be retried while its evaluators still wait for
-// reports of successes. It returns false when the context has ended.
-func (m *Manager) AwaitDecision(ctx context.Context, request func() quarantine.Digest) bool {
-	for until := time.Now().Add(decisionTimeout); m.suspected(request) && time.Now().Before(until); {
+// AwaitDecision waits while a request or a part of its prompt is suspected; call it before a
+// retry. Otherwise a request that crashes its servers would be retried while its evaluators still
+// wait for reports of successes. prompt is nil without one. It returns false when the context has
+// ended.
+func (m *Manager) AwaitDecision(ctx context.Context, request func() quarantine.Digest, prompt *Prompt) bool {
+	for until := time.Now().Add(decisionTimeout); (m.suspected(request) || m.suspectsPart(prompt)) && time.Now().Before(until); {
 		select {
 		case <-ctx.Done():
 			return false
@@ -189,9 +197,14 @@
 	// Reached reports that the server's process itself, and not only a proxy, was running
 	// when the run began.
 	Reached bool
+	// Prompt is set while the server has not shown yet that it can answer the prompt.
+	Prompt *Prompt
+	// AnswerBegan is when the first event of the answer arrived.
+	AnswerBegan time.Time
 }
 
-// RecordSuccess records that a server has completed a run.
+// RecordSuccess records that a server has completed a run. RecordAnswerBegun records what that
+// shows of its prompt.
 func (m *Manager) RecordSuccess(r Run, request quarantine.Digest) {
 	m.mu.Lock()
 	m.suspects.recordResponse(time.Now(), r.Server, r.KeepsID)
@@ -208,7 +221,7 @@
 func (m *Manager) RecordBroken(r Run, request quarantine.Digest) {
 	now := time.Now()
 	m.mu.Lock()
-	m.suspects.add(now, r.Server, brokenRun{request, r.KeepsID, r.Reached, r.Began, now})
+	m.suspects.add(now, r.Server, brokenRun{request, r.Prompt, r.KeepsID, r.Reached, r.Began, now})
 	terminated := m.suspects.terminatedSince(r.Server, r.Began)
 	m.mu.Unlock()
 	if terminated {
--- a/daemon/quarantine/manager_test.go
+++ b/daemon/quarantine/manager_test.go
@@ -131,7 +131,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := New(Options{})
-			if !m.AwaitDecision(t.Context(), request("q")) {
+			if !m.AwaitDecision(t.Context(), request("q"), nil) {
 				t.Error("the retry of a request without a decision was stopped")
 			}
 			address, _ := server(t)
@@ -141,7 +141,7 @@
 			m.ReportReplaced("b")
 			breakRunAt(m, "c", address, "q")
 			time.AfterFunc(50*time.Millisecond, func() { resolve(m) })
-			m.AwaitDecision(t.Context(), request("q"))
+			m.AwaitDecision(t.Context(), request("q"), nil)
 			if x, known := m.decision(request("q")); !known || x.Status == quarantine.Suspected {
 				t.Errorf("the retry proceeds while the request is %v", x.Status)
 			}
@@ -158,12 +158,12 @@
 		m.ReportReplaced(id)
 	}
 	began := time.Now()
-	if !m.AwaitDecision(t.Context(), request("q")) || time.Since(began) > 2*decisionTimeout {
+	if !m.AwaitDecision(t.Context(), request("q"), nil) || time.Since(began) > 2*decisionTimeout {
 		t.Errorf("the retry of a request that stays suspected was stopped, or waited %v", time.Since(began))
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	if m.AwaitDecision(ended, request("q")) {
+	if m.AwaitDecision(ended, request("q"), nil) {
 		t.Error("the retry of a call that has ended proceeds")
 	}
 }
--- /dev/null
+++ b/daemon/quarantine/parts.go
@@ -0,0 +1,297 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/quarantine"
+)
+
+// HeldPartMessage is the error message for a call whose prompt has a part that is held.
+const HeldPartMessage = "kept from the servers: a part of this prompt has ended several that began to answer it"
+
+// Bounds on what is known of prompts: memory, and the messages after a crash.
+const (
+	// maxParts bounds the parts of one prompt that are considered, the last ones.
+	maxParts = 16
+	// maxPrompts bounds the broken runs of one server whose prompts are kept: 0.6 KB each.
+	maxPrompts = 16
+	// maxPartReports bounds the parts reported for one crash: 120 bytes each.
+	maxPartReports = 128
+	// partMessagesPerSecond and partMessageBurst bound the crashes whose parts this instance
+	// reports. All instances report to the same two of a pool.
+	partMessagesPerSecond = 10
+	partMessageBurst      = 20
+)
+
+// Prompt is what a call's prompt shares with other calls.
+type Prompt struct {
+	Pool, Customer string
+	// Parts are the IDs of the shared parts, in order.
+	Parts []string
+}
+
+// subjects calls f with each part, for the calls of all customers and for those of this one, and
+// with its position, until f returns false.
+func (p *Prompt) subjects(f func(part quarantine.Part, position int) bool) {
+	if p == nil {
+		return
+	}
+	for i := max(0, len(p.Parts)-maxParts); i < len(p.Parts); i++ {
+		if !f(quarantine.NewPart(p.Pool, p.Parts[i], ""), i) {
+			return
+		}
+		if p.Customer != "" && !f(quarantine.NewPart(p.Pool, p.Parts[i], p.Customer), i) {
+			return
+		}
+	}
+}
+
+// HeldPart returns the part of a prompt that is held, and for how much longer.
+func (m *Manager) HeldPart(p *Prompt) (id string, left time.Duration, held bool) {
+	if m.decisions.Load() == 0 {
+		return "", 0, false
+	}
+	p.subjects(func(part quarantine.Part, _ int) bool {
+		if left, held = m.holdOf(part.Digest(), part.Group()); held {
+			id = part.ID
+		}
+		return !held
+	})
+	return id, left, held
+}
+
+// suspectsPart reports whether a part of the prompt is suspected.
+func (m *Manager) suspectsPart(p *Prompt) (suspected bool) {
+	if m.decisions.Load() == 0 {
+		return false
+	}
+	p.subjects(func(part quarantine.Part, _ int) bool {
+		m.mu.Lock()
+		x, known := m.registry.Decision(time.Now(), part.Digest())
+		m.mu.Unlock()
+		suspected = known && x.Status == quarantine.Suspected
+		return !suspected
+	})
+	return suspected
+}
+
+// RecordAnswerBegun records that a server has begun an answer on a run's prompt and has gone on
+// for long enough to show that no part of it crashes the server.
+func (m *Manager) RecordAnswerBegun(r Run) {
+	now := time.Now()
+	var report []quarantine.Decision
+	m.mu.Lock()
+	r.Prompt.subjects(func(part quarantine.Part, _ int) bool {
+		digest := part.Digest()
+		m.answered.Record(digest, r.AnswerBegan)
+		if x, known := m.registry.Decision(now, digest); known && x.Status != quarantine.Cleared {
+			report = append(report, x)
+		}
+		return true
+	})
+	m.mu.Unlock()
+	for i := range report {
+		m.reportAnswer(&report[i])
+	}
+}
+
+// reportAnswer reports the latest answer begun at this instance on a part to its evaluators.
+func (m *Manager) reportAnswer(x *quarantine.Decision) {
+	m.mu.Lock()
+	began, known := m.answered.Last(x.Digest)
+	m.mu.Unlock()
+	if known {
+		m.sendSuccess(x.Digest, x.Part.Group(), began)
+	}
+}
+
+// reportAnswers reports the answers begun on parts that were decided against, spread over time:
+// the first one that reaches the evaluators is enough.
+func (m *Manager) reportAnswers(parts []quarantine.Decision) {
+	if len(parts) == 0 {
+		return
+	}
+	time.AfterFunc(time.Duration(rand.Float64()*float64(quarantine.SuccessSpread)), func() {
+		for i := range parts {
+			m.mu.Lock()
+			x, known := m.registry.Decision(time.Now(), parts[i].Digest)
+			m.mu.Unlock()
+			if known && x.Status != quarantine.Cleared {
+				m.reportAnswer(&x)
+			}
+		}
+	})
+}
+
+// partReports returns reports on the shared prompt parts of the runs that a crash interrupted, by
+// the groups of their evaluators.
+func partReports(now time.Time, server string, runs []brokenRun, others []string) map[quarantine.Digest][]quarantine.CrashReport {
+	type indexed struct {
+		group quarantine.Digest
+		*quarantine.CrashReport
+	}
+	known := map[quarantine.Part]indexed{}
+	for i := range runs {
+		r := &runs[i]
+		r.prompt.subjects(func(part quarantine.Part, position int) bool {
+			x, found := known[part]
+			if !found {
+				if len(known) >= maxPartReports {
+					return false
+				}
+				x = indexed{part.Group(), &quarantine.CrashReport{Request: part.Digest(), Server: server, KeepsID: r.keepsID, Began: now.Sub(r.began), Ended: now.Sub(r.ended), Others: others,
+					Part: &quarantine.PartCrash{Part: part, Position: position}}}
+				known[part] = x
+			}
+			x.Part.AddWitness(r.request, r.prompt.Customer)
+			x.Began, x.Ended = min(x.Began, now.Sub(r.began)), min(x.Ended, now.Sub(r.ended))
+			return true
+		})
+	}
+	out := map[quarantine.Digest][]quarantine.CrashReport{}
+	for _, x := range known {
+		out[x.group] = append(out[x.group], *x.CrashReport)
+	}
+	return out
+}
+
+// reportParts reports the parts of the runs that a crash interrupted.
+func (m *Manager) reportParts(now time.Time, server string, runs []brokenRun, others []string) {
+	groups := partReports(now, server, runs, others)
+	if len(groups) == 0 {
+		return
+	}
+	m.mu.Lock()
+	allowed := m.partMessages.take(now)
+	m.mu.Unlock()
+	if !allowed {
+		log.WithFields(log.Fields{"step": "report prompt parts", "server": server}).Warn("too many crashes in a short time; the prompt parts of this one are not reported")
+		return
+	}
+	for group, list := range groups {
+		for _, evaluator := range m.evaluatorsOf(group) {
+			m.sendToEvaluator(evaluator, methodCrashReports, list, func() { m.evaluateReports(list) })
+		}
+	}
+}
+
+// messageBucket bounds messages over time. The zero value is full.
+type messageBucket struct {
+	used    float64
+	updated time.Time
+}
+
+func (b *messageBucket) take(now time.Time) bool {
+	b.used = max(0, b.used-now.Sub(b.updated).Seconds()*partMessagesPerSecond)
+	b.updated = now
+	if b.used+1 > partMessageBurst {
+		return false
+	}
+	b.used++
+	return true
+}
+
+// Trials of requests and parts whose hold has expired.
+const (
+	methodTrial = "quarantine.trial"
+	// trialTimeout bounds the question whether a call may be the trial. A call waits for it
+	// only if no other one asks at this instance.
+	trialTimeout = 200 * time.Millisecond
+	// trialPause is the time until this instance asks again. A refused call may return then.
+	trialPause = time.Second
+)
+
+// trialRequest asks an evaluator whether a call may be the trial of a request or part.
+type trialRequest struct {
+	Digest quarantine.Digest `msgpack:"d"`
+}
+
+type trialResponse struct {
+	Granted bool `msgpack:"g,omitempty"`
+}
+
+// holdOf reports whether a request or part is held, and for how much longer. Once the hold has
+// expired, one call of all instances may proceed; its evaluators are those of the given key.
+func (m *Manager) holdOf(digest, evaluators quarantine.Digest) (time.Duration, bool) {
+	now := time.Now()
+	m.mu.Lock()
+	x, known := m.registry.Decision(now, digest)
+	trial := m.registry.NeedsTrial(now, digest)
+	ask := trial && now.Sub(m.lastTrials[digest]) >= trialPause
+	if ask {
+		m.lastTrials[digest] = now
+	}
+	m.mu.Unlock()
+	switch {
+	case known && x.Status == quarantine.Held:
+		return x.Remaining(), true
+	case !trial:
+		return 0, false
+	case ask && m.askForTrial(digest, evaluators):
+		log.WithFields(log.Fields{"step": "try held request", "request": digest.String(), "part": x.Part}).Info("one call proceeds after a hold")
+		return 0, false
+	}
+	return trialPause, true
+}
+
+func (m *Manager) askForTrial(digest, evaluators quarantine.Digest) bool {
+	list := m.evaluatorsOf(evaluators)
+	if len(list) == 0 {
+		return false
+	}
+	evaluator := list[0]
+	if evaluator == m.self() {
+		return m.grantTrial(digest)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
+	defer cancel()
+	var r trialResponse
+	if err := m.opt.Transport.Call(ctx, evaluator, methodTrial, &trialRequest{digest}, &r); err != nil {
+		log.WithError(err).WithFields(log.Fields{"step": "ask for trial", "peer": evaluator}).Info("the hold stays until an evaluator answers")
+		return false
+	}
+	return r.Granted
+}
+
+// grantTrial decides as the evaluator whether a call may be the trial.
+func (m *Manager) grantTrial(digest quarantine.Digest) (granted bool) {
+	m.evaluate(func(now time.Time) []quarantine.Decision {
+		x, ok := m.evaluator.Trial(now, digest)
+		granted = ok
+		if !ok {
+			return nil
+		}
+		return []quarantine.Decision{x}
+	})
+	return granted
+}
+
+func (m *Manager) handleTrial(_ context.Context, from string, body []byte) (any, error) {
+	var q trialRequest
+	if !decode(from, body, &q) {
+		return nil, errMalformedTrial
+	}
+	return trialResponse{Granted: m.grantTrial(q.Digest)}, nil
+}
+
+// expireTrials forgets the questions that no longer delay others. Call it with the lock held.
+func (m *Manager) expireTrials(now time.Time) {
+	for digest, at := range m.lastTrials {
+		if now.Sub(at) >= trialPause {
+			delete(m.lastTrials, digest)
+		}
+	}
+}
+
+// splitParts returns the decisions on requests and those on parts.
+func splitParts(list []quarantine.Decision) (requests, parts []quarantine.Decision) {
+	parts = slices.Clone(list)
+	parts = slices.DeleteFunc(parts, func(x quarantine.Decision) bool { return x.Part == nil })
+	requests = slices.DeleteFunc(slices.Clone(list), func(x quarantine.Decision) bool { return x.Part != nil })
+	return requests, parts
+}
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -15,6 +15,7 @@
 	"cardamomwick.example/core/resumption"
 	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/routing"
+	kept "cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -84,8 +85,15 @@
 	last        *upstream.Error
 	// attemptStart is when the last attempt began.
 	attemptStart time.Time
-	// identity caches the result of digest.
-	identity *quarantine.Digest
+	// answerBegan is the time of the last attempt's first event. answerProven is set once the
+	// attempt has shown that no part of the prompt crashes the server.
+	answerBegan  time.Time
+	answerProven bool
+	// identity caches the result of digest, sharedPrompt that of prompt.
+	identity     *quarantine.Digest
+	sharedPrompt *kept.Prompt
+	// heldPart is the part of the prompt for which the call was refused.
+	heldPart string
 	// servedFor is set if a peer has passed the call on; servedBy is the name of the peer
 	// that this instance has passed it on to.
 	servedFor *servedFor
@@ -137,6 +145,11 @@
 		if !ok {
 			return
 		}
+		// A decision may have been made while the call waited.
+		if c.refuseQuarantined() {
+			c.router.endAttempt(c)
+			return
+		}
 		result := c.attempt(ctx, server.Server)
 		if result == answered {
 			return
@@ -151,14 +164,10 @@
 			}
 			return
 		}
-		if result == failed && !(c.backoff(ctx) && c.router.opt.Quarantine.AwaitDecision(ctx, c.digest)) {
+		if result == failed && !(c.backoff(ctx) && c.router.opt.Quarantine.AwaitDecision(ctx, c.digest, c.prompt())) {
 			c.giveUp("time is over")
 			return
 		}
-		// The request may have been quarantined for crashes during its earlier attempts.
-		if c.refuseQuarantined() {
-			return
-		}
 		if c.needsPeer() && c.offerToPeers(ctx) {
 			return
 		}
@@ -234,7 +243,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer c.router.attempts.add(s.ID, cancel)()
-	c.attemptStart = time.Now()
+	c.attemptStart, c.answerBegan, c.answerProven = time.Now(), time.Time{}, false
 	c.watchdog = c.startWatchdog(func() { cancel(nil) })
 	result := c.send(ctx, s)
 	if c.watchdog.stop() && result == failed {
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -21,6 +21,9 @@
 	if c.identity != nil || c.last != nil {
 		entry = entry.WithFields(log.Fields{"request": c.digest().String(), "prompt_parts": c.sharedParts()})
 	}
+	if c.heldPart != "" {
+		entry = entry.WithField("held_part", c.heldPart)
+	}
 	if c.stream != nil {
 		entry = entry.WithField("events", c.stream.events)
 	}
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -72,20 +72,75 @@
 // reportSuccess reports an answered run to the quarantine.
 func (c *call) reportSuccess(s fleet.Server) {
 	c.router.opt.Quarantine.RecordSuccess(c.run(s), c.digest())
+	c.reportAnswerBegun(s)
+}
+
+// answerProofTime is how long a server must go on with an answer to show that no part of its
+// prompt crashes it. Servers crash when they begin to write.
+const answerProofTime = 300 * time.Millisecond
+
+// reportAnswerBegun reports an answer to the quarantine that shows that no part of its prompt
+// crashes the server.
+func (c *call) reportAnswerBegun(s fleet.Server) {
+	if c.answerProven || c.answerBegan.IsZero() {
+		return
+	}
+	run := c.run(s)
+	c.answerProven = true
+	c.router.opt.Quarantine.RecordAnswerBegun(run)
+}
+
+// recordEventForProof notes the first event of an attempt, and reports the answer once the server
+// has gone on with it for long enough.
+func (c *call) recordEventForProof(s fleet.Server) {
+	switch now := time.Now(); {
+	case c.answerBegan.IsZero():
+		c.answerBegan = now
+	case now.Sub(c.answerBegan) >= answerProofTime:
+		c.reportAnswerBegun(s)
+	}
 }
 
 // run describes the call's last attempt to the quarantine.
 func (c *call) run(s fleet.Server) quarantine.Run {
-	return quarantine.Run{Server: s.ID, Address: s.Address, Began: c.attemptStart}
+	r := quarantine.Run{Server: s.ID, Address: s.Address, Began: c.attemptStart, AnswerBegan: c.answerBegan}
+	if !c.answerProven {
+		r.Prompt = c.prompt()
+	}
+	return r
 }
 
-// refuseQuarantined sends the final answer if the request is in quarantine, and reports
-// whether it is.
+// prompt returns what the call's prompt shares with other calls, nil if it shares nothing.
+func (c *call) prompt() *quarantine.Prompt {
+	shared := c.info.Prompt.SharedParts()
+	if len(shared) == 0 {
+		return nil
+	}
+	if c.sharedPrompt == nil {
+		p := &quarantine.Prompt{Pool: c.pool.Name}
+		if c.customer != nil {
+			p.Customer = c.customer.Name
+		}
+		for _, part := range shared {
+			p.Parts = append(p.Parts, part.ID)
+		}
+		c.sharedPrompt = p
+	}
+	return c.sharedPrompt
+}
+
+// refuseQuarantined sends the final answer if the request or a part of its prompt is in
+// quarantine, and reports whether it is.
 func (c *call) refuseQuarantined() bool {
 	left, held := c.router.opt.Quarantine.Held(c.digest)
 	if held {
 		c.retryAfter = left
 		c.giveUp(quarantine.HeldMessage)
+		return true
+	}
+	if c.heldPart, left, held = c.router.opt.Quarantine.HeldPart(c.prompt()); held {
+		c.retryAfter = left
+		c.giveUp(quarantine.HeldPartMessage)
 	}
 	return held
 }
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -139,6 +139,7 @@
 		c.stream.lastID = id
 	}
 	c.bindTo(s)
+	c.recordEventForProof(s)
 	if !c.stream.started {
 		c.startStream(resp.Status, resp.Header)
 	}
