quarantine: the trial after a hold is served; identical requests are not held while servers fail

A call looks at the quarantine again when it has its server, and the trial was refused by the hold that its own grant had renewed. And a request that runs everywhere was held for crashes of other origin while nothing was answered: runs that a server survives without an answer now count for requests as for parts.

--- a/core/quarantine/decision.go
+++ b/core/quarantine/decision.go
@@ -105,11 +105,8 @@
 		return trialTime
 	}
 	t := InitialHold
-	switch {
-	case r.Part != nil && r.Served:
+	if r.Served {
 		t = initialServedPartHold
-	case r.Part != nil:
-		t = initialPartHold
 	}
 	for n := 1; n < r.Holds && t < maxHold; n++ {
 		t *= holdFactor
--- a/core/quarantine/evaluator.go
+++ b/core/quarantine/evaluator.go
@@ -47,6 +47,15 @@
 	massCrashThreshold = 2
 )
 
+// Runs that end without an answer and without a crash show less than an answer: a server that fails
+// may not have read the request.
+const (
+	// maxSurvivals is the most such runs, for each round, with which a request or part is held.
+	maxSurvivals = 2
+	// SurvivalWindow is the time in which they count.
+	SurvivalWindow = 10 * time.Second
+)
+
 // Bounds of an evaluator's memory: a record takes 300 bytes, at most 6 KB.
 const (
 	maxRecords          = 4096
@@ -77,8 +86,8 @@
 	// part is nil for a request; position is its last known position in a prompt.
 	part     *Part
 	position int
-	// survivals is the number of runs on a suspected part that ended without an answer and
-	// without a crash.
+	// survivals is the number of runs that ended without an answer and without a crash,
+	// reported since the suspicion.
 	survivals int
 	// prior counts the rounds that led to a decision made before the record existed.
 	prior int
@@ -147,7 +156,7 @@
 		rec.suspected, rec.survivals = now, 0
 	}
 	// Parts are held in reviews, which compare those that explain the same crashes.
-	if rec.part == nil && rounds >= rec.requiredRounds() && now.Sub(rec.suspected) >= DecisionDelay {
+	if rec.part == nil && rec.hasEnoughRounds() && now.Sub(rec.suspected) >= DecisionDelay {
 		return ev.apply(now, request, Held, rec.servers())
 	}
 	if current, known := ev.registry.Decision(now, request); known && current.Status == Suspected {
@@ -161,7 +170,7 @@
 func (ev *Evaluator) Review(now time.Time) []Decision {
 	var out []Decision
 	for request, rec := range ev.records {
-		if rec.part != nil || rec.held || rec.prior+rec.rounds() < rec.requiredRounds() {
+		if rec.part != nil || rec.held || !rec.hasEnoughRounds() {
 			continue
 		}
 		if x, publish := ev.decide(now, request, rec); publish {
@@ -407,6 +416,20 @@
 	return roundsToHold
 }
 
+// hasEnoughRounds reports whether the rounds lead to a hold.
+func (r *record) hasEnoughRounds() bool {
+	rounds := r.prior + r.rounds()
+	return rounds >= r.requiredRounds() && r.survivals <= maxSurvivals*rounds
+}
+
+// RecordSurvivals records how many runs of a suspected request or part have ended at an instance
+// without an answer and without a crash within SurvivalWindow.
+func (ev *Evaluator) RecordSurvivals(digest Digest, runs int) {
+	if rec := ev.records[digest]; rec != nil {
+		rec.survivals += runs
+	}
+}
+
 // recentlyServed reports whether there was a success shortly before the first crash.
 func (r *record) recentlyServed() bool {
 	first := slices.IndexFunc(r.crashes, func(e crash) bool { return !e.discounted })
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -26,16 +26,9 @@
 	// SuccessSpread is the time over which the instances spread their reports of answers
 	// begun on a suspected part.
 	SuccessSpread = 100 * time.Millisecond
-	// initialPartHold replaces InitialHold: other calls share a part, so a hold by mistake
-	// harms more of them. initialServedPartHold does so for a part that was answered lately.
-	// While no server answers anything, such a part is held by mistake.
-	initialPartHold       = 30 * time.Second
+	// initialServedPartHold replaces InitialHold for a part that was answered lately: while no
+	// server answers anything, such a part is held by mistake.
 	initialServedPartHold = 5 * time.Second
-	// maxSurvivals is the most runs on a part, for each of its rounds, that ended without an
-	// answer and without a crash. They show less than an answer: a server that fails may not
-	// have read the prompt. SurvivalWindow is the time in which they count.
-	maxSurvivals   = 2
-	SurvivalWindow = 10 * time.Second
 	// trialTime is how long a trial keeps other calls back. It covers the confirmation of a
 	// crash. A trial that shows nothing is followed by another one then.
 	trialTime = 10 * time.Second
@@ -181,8 +174,7 @@
 	if r.held || r.suspected.IsZero() || now.Sub(r.suspected) < PartDecisionDelay {
 		return false
 	}
-	rounds := r.prior + r.rounds()
-	return rounds >= r.requiredRounds() && r.survivals <= maxSurvivals*rounds && !r.isExplainedByRequest(r.roundIndexes())
+	return r.hasEnoughRounds() && !r.isExplainedByRequest(r.roundIndexes())
 }
 
 // reviewParts holds the parts that explain recent crashes best, one after the other: each hold
@@ -221,11 +213,3 @@
 	}
 	return ev.apply(now, e.Request, Held, append(current.Servers, e.Server))
 }
-
-// RecordSurvivals records how many runs on a suspected part have ended at an instance without an
-// answer and without a crash within SurvivalWindow.
-func (ev *Evaluator) RecordSurvivals(digest Digest, runs int) {
-	if rec := ev.records[digest]; rec != nil && rec.part != nil {
-		rec.survivals += runs
-	}
-}
--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -202,7 +202,7 @@
 	if _, granted := f.ev.Trial(f.now, d); granted {
 		t.Error("a trial during the hold")
 	}
-	f.advance(initialPartHold)
+	f.advance(InitialHold)
 	if x, granted := f.ev.Trial(f.now, d); !granted || x.Status != Held {
 		t.Errorf("granted %v: %+v", granted, x)
 	}
@@ -215,10 +215,10 @@
 	}
 	f.advance(time.Second)
 	f.reportPartCrash("trial", 100*time.Millisecond, badRun("ana", 0))
-	if x, _ := f.registry.Decision(f.now, d); x.Status != Held || x.Holds != 2 || x.Remaining() < 2*initialPartHold {
+	if x, _ := f.registry.Decision(f.now, d); x.Status != Held || x.Holds != 2 || x.Remaining() < 2*InitialHold {
 		t.Errorf("after the trial's crash: %+v", x)
 	}
-	f.advance(holdFactor * initialPartHold)
+	f.advance(holdFactor * InitialHold)
 	f.ev.Trial(f.now, d)
 	f.advance(time.Second)
 	if x, publish := f.ev.RecordSuccess(f.now, d, f.now.Add(-time.Millisecond)); !publish || x.Status != Cleared || !x.LiftsHold {
--- a/core/quarantine/successes.go
+++ b/core/quarantine/successes.go
@@ -45,11 +45,11 @@
 	return began, known
 }
 
-// Survivals counts, for the latest prompt parts, the runs that ended without an answer and without a
-// crash of their server. Not safe for concurrent use.
+// Survivals counts, for the latest requests and prompt parts, the runs that ended without an answer and
+// without a crash of their server. Not safe for concurrent use.
 type Survivals struct {
 	counts map[Digest]*survivalCount
-	// order is a ring buffer of the parts; the oldest is at next.
+	// order is a ring buffer of the digests; the oldest is at next.
 	order []Digest
 	next  int
 }
@@ -64,16 +64,16 @@
 func NewSurvivals() *Survivals { return &Survivals{counts: map[Digest]*survivalCount{}} }
 
 // Record counts a run.
-func (s *Survivals) Record(now time.Time, part Digest) {
-	c := s.counts[part]
+func (s *Survivals) Record(now time.Time, subject Digest) {
+	c := s.counts[subject]
 	if c == nil {
 		c = &survivalCount{began: now}
-		s.counts[part] = c
+		s.counts[subject] = c
 		if len(s.order) < maxSuccesses {
-			s.order = append(s.order, part)
+			s.order = append(s.order, subject)
 		} else {
 			delete(s.counts, s.order[s.next])
-			s.order[s.next] = part
+			s.order[s.next] = subject
 			s.next = (s.next + 1) % maxSuccesses
 		}
 	}
@@ -82,8 +82,8 @@
 }
 
 // Recent returns the runs within the last one or two SurvivalWindows.
-func (s *Survivals) Recent(now time.Time, part Digest) int {
-	c := s.counts[part]
+func (s *Survivals) Recent(now time.Time, subject Digest) int {
+	c := s.counts[subject]
 	if c == nil {
 		return 0
 	}
--- a/daemon/quarantine/exchange.go
+++ b/daemon/quarantine/exchange.go
@@ -195,6 +195,7 @@
 	for _, x := range requests {
 		if x.Status != quarantine.Cleared {
 			m.reportSuccess(x.Digest)
+			m.reportSurvivals(x.Digest, x.Digest)
 		}
 	}
 	m.reportOutcomes(parts)
--- a/daemon/quarantine/hold.go
+++ b/daemon/quarantine/hold.go
@@ -16,8 +16,10 @@
 	HeldPartMessage = "kept from the servers: a part of this prompt has ended several that began to answer it"
 )
 
-// Hold is why a call is kept from the servers.
+// Hold is why a call is kept from the servers, or what it may try.
 type Hold struct {
+	// Trial is set if the call may proceed as the only one after a hold.
+	Trial bool
 	// Left is the time until the call may be tried again.
 	Left time.Duration
 	// Part is the ID of the held part of the prompt, "" if the request itself is held.
@@ -64,7 +66,7 @@
 )
 
 // Held reports whether a call is held for its request or for a part of its prompt, nil for none.
-// Once a hold has expired, one call of all instances may proceed.
+// Once a hold has expired, one call of all instances may proceed: it is held too if it asks again.
 func (m *Manager) Held(request func() quarantine.Digest, p *Prompt) (Hold, bool) {
 	if m.decisions.Load() == 0 {
 		return Hold{}, false
@@ -76,7 +78,7 @@
 	for _, s := range subjects(request, p) {
 		if x, known := m.registry.Decision(now, s.digest); known && x.Status == quarantine.Held {
 			m.mu.Unlock()
-			return Hold{x.Remaining(), s.part}, true
+			return Hold{Left: x.Remaining(), Part: s.part}, true
 		}
 		if since, needed := m.registry.NeedsTrial(now, s.digest); needed {
 			trials = append(trials, s)
@@ -89,9 +91,9 @@
 		return Hold{}, false
 	}
 	if !ask || slices.ContainsFunc(trials, func(s subject) bool { return !m.askForTrial(&s) }) {
-		return Hold{trialPause, trials[0].part}, true
+		return Hold{Left: trialPause, Part: trials[0].part}, true
 	}
-	return Hold{}, false
+	return Hold{Trial: true}, false
 }
 
 // mayAskForTrial reports whether a call with these subjects, whose holds expired at least the given
--- a/daemon/quarantine/parts.go
+++ b/daemon/quarantine/parts.go
@@ -82,18 +82,6 @@
 	}
 }
 
-// RecordSurvival records that a run on a prompt has ended without an answer, while its server lived
-// on.
-func (m *Manager) RecordSurvival(p *Prompt) {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p.subjects(func(part quarantine.Part, _ int) bool {
-		m.survivals.Record(now, part.Digest())
-		return true
-	})
-}
-
 // reportAnswer reports the latest answer begun at this instance on a part to its evaluators.
 func (m *Manager) reportAnswer(x *quarantine.Decision) {
 	m.mu.Lock()
@@ -104,41 +92,6 @@
 	}
 }
 
-// methodSurvivals is the frame method that reports runs without an answer and without a crash.
-const methodSurvivals = "quarantine.survivals"
-
-// survivals reports how many runs on a part have ended so at an instance lately.
-type survivals struct {
-	Digest quarantine.Digest `msgpack:"d"`
-	Runs   int               `msgpack:"n"`
-}
-
-// reportSurvivals reports the runs on a part that ended without an answer to its evaluators.
-func (m *Manager) reportSurvivals(x *quarantine.Decision) {
-	m.mu.Lock()
-	s := survivals{x.Digest, m.survivals.Recent(time.Now(), x.Digest)}
-	m.mu.Unlock()
-	if s.Runs == 0 {
-		return
-	}
-	for _, evaluator := range m.evaluatorsOf(x.Part.Group()) {
-		m.sendToEvaluator(evaluator, methodSurvivals, &s, func() { m.recordSurvivals(&s) })
-	}
-}
-
-func (m *Manager) recordSurvivals(s *survivals) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.evaluator.RecordSurvivals(s.Digest, s.Runs)
-}
-
-func (m *Manager) handleSurvivals(from string, body []byte) {
-	var s survivals
-	if decode(from, body, &s) {
-		m.recordSurvivals(&s)
-	}
-}
-
 // reportOutcomes reports how runs ended here on parts that were decided against, spread over time:
 // the first answer that reaches the evaluators is enough.
 func (m *Manager) reportOutcomes(parts []quarantine.Decision) {
@@ -152,7 +105,7 @@
 			m.mu.Unlock()
 			if known && x.Status != quarantine.Cleared {
 				m.reportAnswer(&x)
-				m.reportSurvivals(&x)
+				m.reportSurvivals(x.Digest, x.Part.Group())
 			}
 		}
 	})
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -95,6 +95,8 @@
 	// identity caches the result of digest, sharedPrompt that of prompt.
 	identity     *quarantine.Digest
 	sharedPrompt *kept.Prompt
+	// isTrial is set if the call may make one attempt after a hold.
+	isTrial bool
 	// heldPart is the part of the prompt for which the call was refused.
 	heldPart string
 	// servedFor is set if a peer has passed the call on; servedBy is the name of the peer
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -105,11 +105,11 @@
 // recordSurvival reports an attempt to the quarantine that ended without an answer while its server
 // lived on. What broke off at once may never have reached the server's process.
 func (c *call) recordSurvival(result attemptResult) {
-	if result == notRun || c.runBroke || !c.answerBegan.IsZero() || c.prompt() == nil {
+	if result == notRun || c.runBroke || !c.answerBegan.IsZero() {
 		return
 	}
 	if c.serverFailed || result != answered && time.Since(c.attemptStart) >= answerProofTime {
-		c.router.opt.Quarantine.RecordSurvival(c.prompt())
+		c.router.opt.Quarantine.RecordSurvival(c.digest(), c.prompt())
 	}
 }
 
@@ -144,7 +144,11 @@
 // refuseQuarantined sends the final answer if the request or a part of its prompt is in
 // quarantine, and reports whether it is.
 func (c *call) refuseQuarantined() bool {
+	if c.isTrial && len(c.tried) == 0 {
+		return false
+	}
 	hold, held := c.router.opt.Quarantine.Held(c.digest, c.prompt())
+	c.isTrial = hold.Trial
 	if held {
 		c.heldPart, c.retryAfter = hold.Part, hold.Left
 		c.giveUp(hold.Message())
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -26,7 +26,13 @@
 
 func (testProtocol) ParseCall(h http.Header) upstream.Call {
 	timeout, _ := strconv.Atoi(h.Get("Timeout"))
-	return upstream.Call{ID: h.Get("Call"), Key: h.Get("Key"), LastEventID: h.Get("After"), FirstCallID: h.Get("First-Call"), Timeout: time.Duration(timeout) * time.Millisecond}
+	c := upstream.Call{ID: h.Get("Call"), Key: h.Get("Key"), LastEventID: h.Get("After"), FirstCallID: h.Get("First-Call"), Timeout: time.Duration(timeout) * time.Millisecond}
+	for id := range strings.SplitSeq(h.Get("Parts"), ",") {
+		if id != "" {
+			c.Prompt.Parts = append(c.Prompt.Parts, upstream.Part{ID: id})
+		}
+	}
+	return c
 }
 
 func (testProtocol) StripReserved(h http.Header) {
