--- a/core/quarantine/evaluator.go
+++ b/core/quarantine/evaluator.go
@@ -50,8 +50,9 @@
 // Runs that end without an answer and without a crash show less than an answer: a server that fails
 // may not have read the request.
 const (
-	// maxSurvivals is the most such runs, for each round, with which a request or part is held.
-	maxSurvivals = 2
+	// maxSurvivals is the most such runs, for each reported round, with which a request or
+	// part is held.
+	maxSurvivals = 1
 	// SurvivalWindow is the time in which they count.
 	SurvivalWindow = 10 * time.Second
 )
@@ -152,14 +153,16 @@
 	if rounds < roundsToSuspect {
 		return Decision{}, false
 	}
-	if rec.suspected.IsZero() {
+	first := rec.suspected.IsZero()
+	if first {
 		rec.suspected, rec.survivals = now, 0
 	}
 	// Parts are held in reviews, which compare those that explain the same crashes.
 	if rec.part == nil && rec.hasEnoughRounds() && now.Sub(rec.suspected) >= DecisionDelay {
 		return ev.apply(now, request, Held, rec.servers())
 	}
-	if current, known := ev.registry.Decision(now, request); known && current.Status == Suspected {
+	// Another evaluator's suspicion is repeated: the instances' reports went to that one.
+	if current, known := ev.registry.Decision(now, request); known && current.Status == Suspected && !first {
 		return Decision{}, false
 	}
 	return ev.apply(now, request, Suspected, rec.servers())
@@ -302,7 +305,6 @@
 		rec = &record{}
 		if current, known := ev.registry.Decision(now, request); known && current.Status == Suspected {
 			rec.prior = roundsToHold - 1 // decided by another evaluator, or before an expired hold
-			rec.suspected = now.Add(-current.Age)
 		}
 		ev.records[request] = rec
 	}
@@ -418,8 +420,8 @@
 
 // hasEnoughRounds reports whether the rounds lead to a hold.
 func (r *record) hasEnoughRounds() bool {
-	rounds := r.prior + r.rounds()
-	return rounds >= r.requiredRounds() && r.survivals <= maxSurvivals*rounds
+	rounds := r.rounds()
+	return r.prior+rounds >= r.requiredRounds() && r.survivals <= maxSurvivals*rounds
 }
 
 // RecordSurvivals records how many runs of a suspected request or part have ended at an instance
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -286,9 +286,29 @@
 	f.ev = NewEvaluator(f.registry)
 	f.advance(time.Second)
 	f.reportCrash("q", "s2", 100*time.Millisecond)
+	f.expect("q", Suspected)
+	f.advance(DecisionDelay)
+	f.ev.Review(f.now)
 	f.expect("q", Held)
 }
 
+// The next evaluator knows no successes and no failures of the instances. It must ask for them again
+// before it holds a request: one that ran everywhere, and failed, was held after one more crash.
+func TestNextEvaluatorAsksAgain(t *testing.T) {
+	f := newFixture(t)
+	f.reportCrashes("s", 2)
+	f.ev = NewEvaluator(f.registry)
+	f.advance(time.Second)
+	x, publish := f.ev.Report(f.now, CrashReport{Request: digest("q"), Server: "s2", Began: 100 * time.Millisecond})
+	if !publish || x.Status != Suspected {
+		t.Errorf("published %v: %+v", publish, x)
+	}
+	f.ev.RecordSurvivals(digest("q"), 2*maxSurvivals*roundsToHold)
+	f.advance(DecisionDelay)
+	f.ev.Review(f.now)
+	f.expect("q", Suspected)
+}
+
 // Both sides of a partition make decisions. After the exchange both must have the same
 // decisions, whatever the order of arrival.
 func TestDecisionsMerge(t *testing.T) {
