quarantine: parts travel in messages of their own; plain answers clear parts

Instances of earlier builds would count parts as requests and pass decisions on without the part, which ended a new instance that reported an answer on it. Plain answers on a prompt did not clear its parts.

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -74,6 +74,9 @@
 // the same time. The earlier time is kept; otherwise each exchange would postpone it.
 func (r *Registry) mergeSameVersion(old *datedDecision, x Decision, at time.Time) bool {
 	changed := old.addServers(x.Servers)
+	if old.Part == nil {
+		old.Part = x.Part // instances of earlier builds pass decisions on without it
+	}
 	if x.Status > old.Status {
 		old.Status, old.at = x.Status, at
 		return true
--- a/daemon/quarantine/manager.go
+++ b/daemon/quarantine/manager.go
@@ -19,6 +19,8 @@
 	methodCrashReports = "quarantine.endings"
 	methodDecisions    = "quarantine.rulings"
 	methodSuccess      = "quarantine.success"
+	// methodPartReports has a name of its own: earlier builds would take the parts for requests.
+	methodPartReports = "quarantine.parts"
 )
 
 const (
@@ -89,6 +91,7 @@
 	m.prober = newProber(o.Dial, m.reportUnreached)
 	if t := o.Transport; t != nil {
 		t.HandleOneWay(methodCrashReports, m.handleCrashReports)
+		t.HandleOneWay(methodPartReports, m.handleCrashReports)
 		t.HandleOneWay(methodDecisions, m.handleDecisions)
 		t.HandleOneWay(methodSuccess, m.handleSuccess)
 		t.HandleOneWay(methodSurvivals, m.handleSurvivals)
--- a/daemon/quarantine/parts.go
+++ b/daemon/quarantine/parts.go
@@ -66,13 +66,13 @@
 // for long enough to show that no part of it crashes the server.
 func (m *Manager) RecordAnswerBegun(r Run) {
 	now := time.Now()
-	var report []quarantine.Decision
+	var report []quarantine.Part
 	m.mu.Lock()
 	r.Prompt.subjects(func(part quarantine.Part, _ int) bool {
 		digest := part.Digest()
 		m.answered.Record(digest, r.AnswerBegan)
 		if x, known := m.registry.Decision(now, digest); known && x.Status != quarantine.Cleared {
-			report = append(report, x)
+			report = append(report, part)
 		}
 		return true
 	})
@@ -83,12 +83,13 @@
 }
 
 // reportAnswer reports the latest answer begun at this instance on a part to its evaluators.
-func (m *Manager) reportAnswer(x *quarantine.Decision) {
+func (m *Manager) reportAnswer(part *quarantine.Part) {
+	digest := part.Digest()
 	m.mu.Lock()
-	began, known := m.answered.Last(x.Digest)
+	began, known := m.answered.Last(digest)
 	m.mu.Unlock()
 	if known {
-		m.sendSuccess(x.Digest, x.Part.Group(), began)
+		m.sendSuccess(digest, part.Group(), began)
 	}
 }
 
@@ -103,8 +104,8 @@
 			m.mu.Lock()
 			x, known := m.registry.Decision(time.Now(), parts[i].Digest)
 			m.mu.Unlock()
-			if known && x.Status != quarantine.Cleared {
-				m.reportAnswer(&x)
+			if known && x.Status != quarantine.Cleared && x.Part != nil {
+				m.reportAnswer(x.Part)
 				m.reportSurvivals(x.Digest, x.Part.Group())
 			}
 		}
@@ -158,7 +159,7 @@
 	}
 	for group, list := range groups {
 		for _, evaluator := range m.evaluatorsOf(group) {
-			m.sendToEvaluator(evaluator, methodCrashReports, list, func() { m.evaluateReports(list) })
+			m.sendToEvaluator(evaluator, methodPartReports, list, func() { m.evaluateReports(list) })
 		}
 	}
 }
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -95,6 +95,9 @@
 		}
 	} else {
 		c.router.recordSuccess(s.ID)
+		if resp.Status < http.StatusMultipleChoices {
+			c.answerBegan = time.Now()
+		}
 		c.reportSuccess(s)
 	}
 	if c.stream != nil && c.stream.started {
