--- a/daemon/quarantine/exchange.go
+++ b/daemon/quarantine/exchange.go
@@ -341,9 +341,9 @@
 		if runs[i].prompt == nil {
 			continue
 		}
-		for _, id := range runs[i].prompt.Parts {
-			if len(out) < maxLogged && !slices.Contains(out, id) {
-				out = append(out, id)
+		for _, part := range runs[i].prompt.parts {
+			if len(out) < maxLogged && !slices.Contains(out, part.ID) {
+				out = append(out, part.ID)
 			}
 		}
 	}
--- a/daemon/quarantine/hold.go
+++ b/daemon/quarantine/hold.go
@@ -37,18 +37,32 @@
 // subject is something that a call can be held for.
 type subject struct {
 	digest quarantine.Digest
-	// evaluators selects the instances that evaluate it.
-	evaluators quarantine.Digest
-	part       string
+	// part is nil for a request.
+	part *quarantine.Part
+}
+
+// partID returns the ID of the part, "" for a request.
+func (s *subject) partID() string {
+	if s.part == nil {
+		return ""
+	}
+	return s.part.ID
+}
+
+// evaluators returns the key that selects the evaluators.
+func (s *subject) evaluators() quarantine.Digest {
+	if s.part == nil {
+		return s.digest
+	}
+	return s.part.Group()
 }
 
 func subjects(request func() quarantine.Digest, p *Prompt) []subject {
-	d := request()
-	out := []subject{{digest: d, evaluators: d}}
-	p.subjects(func(part quarantine.Part, _ int) bool {
-		out = append(out, subject{part.Digest(), part.Group(), part.ID})
-		return true
-	})
+	out := []subject{{digest: request()}}
+	parts := p.subjects()
+	for i := range parts {
+		out = append(out, subject{parts[i].digest, &parts[i].Part})
+	}
 	return out
 }
 
@@ -78,7 +92,7 @@
 	for _, s := range subjects(request, p) {
 		if x, known := m.registry.Decision(now, s.digest); known && x.Status == quarantine.Held {
 			m.mu.Unlock()
-			return Hold{Left: x.Remaining(), Part: s.part}, true
+			return Hold{Left: x.Remaining(), Part: s.partID()}, true
 		}
 		if since, needed := m.registry.NeedsTrial(now, s.digest); needed {
 			trials = append(trials, s)
@@ -91,7 +105,7 @@
 		return Hold{}, false
 	}
 	if !ask || slices.ContainsFunc(trials, func(s subject) bool { return !m.askForTrial(&s) }) {
-		return Hold{Left: trialPause, Part: trials[0].part}, true
+		return Hold{Left: trialPause, Part: trials[0].partID()}, true
 	}
 	return Hold{Trial: true}, false
 }
@@ -102,7 +116,7 @@
 	if len(trials) == 0 {
 		return false
 	}
-	if overdue < soleTrialTime && slices.ContainsFunc(trials, func(s subject) bool { return s.part != trials[0].part }) {
+	if overdue < soleTrialTime && slices.ContainsFunc(trials, func(s subject) bool { return s.partID() != trials[0].partID() }) {
 		return false
 	}
 	key := trials[0].digest
@@ -123,7 +137,7 @@
 }
 
 func (m *Manager) askForTrial(s *subject) bool {
-	list := m.evaluatorsOf(s.evaluators)
+	list := m.evaluatorsOf(s.evaluators())
 	if len(list) == 0 {
 		return false
 	}
--- a/daemon/quarantine/parts.go
+++ b/daemon/quarantine/parts.go
@@ -13,9 +13,10 @@
 // Bounds on what is known of prompts: memory, and the messages after a crash.
 const (
 	// maxParts bounds the parts of one prompt that are considered, the last ones.
-	maxParts = 16
-	// maxPrompts bounds the broken runs of one server whose prompts are kept: 0.6 KB each.
-	maxPrompts = 16
+	maxParts = 8
+	// maxPrompts bounds the broken runs of one server whose prompts are kept: 1.2 KB each at
+	// most.
+	maxPrompts = 8
 	// maxPartReports bounds the parts reported for one crash: 120 bytes each.
 	maxPartReports = 128
 	// partMessagesPerSecond and partMessageBurst bound the crashes whose parts this instance
@@ -24,42 +25,55 @@
 	partMessageBurst      = 20
 )
 
-// Prompt is what a call's prompt shares with other calls.
+// Prompt is what a call's prompt shares with other calls. It is read-only.
 type Prompt struct {
-	Pool, Customer string
-	// Parts are the IDs of the shared parts, in order.
-	Parts []string
+	customer string
+	parts    []promptPart
 }
 
-// subjects calls f with each part, for the calls of all customers and for those of this one, and
-// with its position, until f returns false.
-func (p *Prompt) subjects(f func(part quarantine.Part, position int) bool) {
-	if p == nil {
-		return
+// promptPart is a shared part of a prompt, in the calls of all customers or of one.
+type promptPart struct {
+	quarantine.Part
+	digest   quarantine.Digest
+	position int
+}
+
+// NewPrompt returns a prompt with the IDs of its shared parts, in order; customer is "" without one.
+func NewPrompt(pool, customer string, parts []string) *Prompt {
+	p := &Prompt{customer: customer}
+	scopes := []string{""}
+	if customer != "" {
+		scopes = append(scopes, customer)
 	}
-	for i := max(0, len(p.Parts)-maxParts); i < len(p.Parts); i++ {
-		if !f(quarantine.NewPart(p.Pool, p.Parts[i], ""), i) {
-			return
-		}
-		if p.Customer != "" && !f(quarantine.NewPart(p.Pool, p.Parts[i], p.Customer), i) {
-			return
+	for i := max(0, len(parts)-maxParts); i < len(parts); i++ {
+		for _, scope := range scopes {
+			part := quarantine.NewPart(pool, parts[i], scope)
+			p.parts = append(p.parts, promptPart{part, part.Digest(), i})
 		}
 	}
+	return p
+}
+
+// subjects returns what a call can be held for, nil without a prompt.
+func (p *Prompt) subjects() []promptPart {
+	if p == nil {
+		return nil
+	}
+	return p.parts
 }
 
 // suspectsPart reports whether a part of the prompt is suspected.
-func (m *Manager) suspectsPart(p *Prompt) (suspected bool) {
+func (m *Manager) suspectsPart(p *Prompt) bool {
 	if m.decisions.Load() == 0 {
 		return false
 	}
-	p.subjects(func(part quarantine.Part, _ int) bool {
-		m.mu.Lock()
-		x, known := m.registry.Decision(time.Now(), part.Digest())
-		m.mu.Unlock()
-		suspected = known && x.Status == quarantine.Suspected
-		return !suspected
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(p.subjects(), func(part promptPart) bool {
+		x, known := m.registry.Decision(now, part.digest)
+		return known && x.Status == quarantine.Suspected
 	})
-	return suspected
 }
 
 // RecordAnswerBegun records that a server has begun an answer on a run's prompt and has gone on
@@ -68,14 +82,12 @@
 	now := time.Now()
 	var report []quarantine.Part
 	m.mu.Lock()
-	r.Prompt.subjects(func(part quarantine.Part, _ int) bool {
-		digest := part.Digest()
-		m.answered.Record(digest, r.AnswerBegan)
-		if x, known := m.registry.Decision(now, digest); known && x.Status != quarantine.Cleared {
-			report = append(report, part)
+	for _, part := range r.Prompt.subjects() {
+		m.answered.Record(part.digest, r.AnswerBegan)
+		if x, known := m.registry.Decision(now, part.digest); known && x.Status != quarantine.Cleared {
+			report = append(report, part.Part)
 		}
-		return true
-	})
+	}
 	m.mu.Unlock()
 	for i := range report {
 		m.reportAnswer(&report[i])
@@ -115,31 +127,27 @@
 // partReports returns reports on the shared prompt parts of the runs that a crash interrupted, by
 // the groups of their evaluators.
 func partReports(now time.Time, server string, runs []brokenRun, others []string) map[quarantine.Digest][]quarantine.CrashReport {
-	type indexed struct {
-		group quarantine.Digest
-		*quarantine.CrashReport
-	}
-	known := map[quarantine.Part]indexed{}
+	known := map[quarantine.Digest]*quarantine.CrashReport{}
 	for i := range runs {
 		r := &runs[i]
-		r.prompt.subjects(func(part quarantine.Part, position int) bool {
-			x, found := known[part]
-			if !found {
+		for _, part := range r.prompt.subjects() {
+			x := known[part.digest]
+			if x == nil {
 				if len(known) >= maxPartReports {
-					return false
+					break
 				}
-				x = indexed{part.Group(), &quarantine.CrashReport{Request: part.Digest(), Server: server, KeepsID: r.keepsID, Began: now.Sub(r.began), Ended: now.Sub(r.ended), Others: others,
-					Part: &quarantine.PartCrash{Part: part, Position: position}}}
-				known[part] = x
+				x = &quarantine.CrashReport{Request: part.digest, Server: server, KeepsID: r.keepsID, Began: now.Sub(r.began), Ended: now.Sub(r.ended), Others: others,
+					Part: &quarantine.PartCrash{Part: part.Part, Position: part.position}}
+				known[part.digest] = x
 			}
-			x.Part.AddWitness(r.request, r.prompt.Customer)
+			x.Part.AddWitness(r.request, r.prompt.customer)
 			x.Began, x.Ended = min(x.Began, now.Sub(r.began)), min(x.Ended, now.Sub(r.ended))
-			return true
-		})
+		}
 	}
 	out := map[quarantine.Digest][]quarantine.CrashReport{}
 	for _, x := range known {
-		out[x.group] = append(out[x.group], *x.CrashReport)
+		group := x.Part.Part.Group()
+		out[group] = append(out[group], *x)
 	}
 	return out
 }
--- a/daemon/quarantine/survivals.go
+++ b/daemon/quarantine/survivals.go
@@ -21,10 +21,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.survivals.Record(now, request)
-	p.subjects(func(part quarantine.Part, _ int) bool {
-		m.survivals.Record(now, part.Digest())
-		return true
-	})
+	for _, part := range p.subjects() {
+		m.survivals.Record(now, part.digest)
+	}
 }
 
 // reportSurvivals reports the runs that ended so here to the evaluators of a key.
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -129,14 +129,15 @@
 		return nil
 	}
 	if c.sharedPrompt == nil {
-		p := &quarantine.Prompt{Pool: c.pool.Name}
+		var customer string
 		if c.customer != nil {
-			p.Customer = c.customer.Name
+			customer = c.customer.Name
 		}
+		var parts []string
 		for _, part := range shared {
-			p.Parts = append(p.Parts, part.ID)
+			parts = append(parts, part.ID)
 		}
-		c.sharedPrompt = p
+		c.sharedPrompt = quarantine.NewPrompt(c.pool.Name, customer, parts)
 	}
 	return c.sharedPrompt
 }
