--- a/daemon/quarantine/parts.go
+++ b/daemon/quarantine/parts.go
@@ -17,7 +17,7 @@
 	// maxPrompts bounds the broken runs of one server whose prompts are kept: 1.2 KB each at
 	// most.
 	maxPrompts = 8
-	// maxPartReports bounds the parts reported for one crash: 120 bytes each.
+	// maxPartReports bounds the parts reported for one crash: 150 bytes each.
 	maxPartReports = 128
 	// partMessagesPerSecond and partMessageBurst bound the crashes whose parts this instance
 	// reports. All instances report to the same two of a pool.
