upstream: streams without length or chunks get 60 ms to show that their server lives on

The proxy before the engine had not closed its other connections 15 ms after the first one. The caller of a stream has all events by then and waits for the end only.

--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -294,7 +295,7 @@
 	if err != io.EOF || w.resp.complete {
 		return n, err
 	}
-	if w.resp.EndsWithConnection && !w.resp.client.isAlive(w.resp.target) {
+	if w.resp.EndsWithConnection && !w.resp.client.isAlive(w.resp.target, w.resp.aliveCheckDelay()) {
 		return n, errServerEnded
 	}
 	w.resp.complete = true
@@ -395,14 +396,26 @@
 	return nil
 }
 
-// aliveCheckDelay is the time in which a terminating process closes all its connections and its
-// listener. What listens in its place closes new connections as fast.
-const aliveCheckDelay = 15 * time.Millisecond
+// The time that a terminating process, or a proxy before it, gets to close its connections and its
+// listener. The caller of a stream has all events already and waits for its end only.
+const (
+	aliveCheckDelay       = 15 * time.Millisecond
+	streamAliveCheckDelay = 60 * time.Millisecond
+)
+
+// aliveCheckDelay returns how long to wait for further signs after the end of the connection.
+func (r *Response) aliveCheckDelay() time.Duration {
+	if strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
+		return streamAliveCheckDelay
+	}
+	return aliveCheckDelay
+}
 
 // isAlive reports whether a server still runs after one of its connections has ended: it keeps
-// another connection open, or accepts a new one, which a later call uses.
-func (c *Client) isAlive(t Target) bool {
-	time.Sleep(aliveCheckDelay)
+// another connection open, or accepts a new one and keeps it open for the delay. A later call uses
+// that one.
+func (c *Client) isAlive(t Target, delay time.Duration) bool {
+	time.Sleep(delay)
 	if c.hasOpenConnection(t.ID) {
 		return true
 	}
@@ -417,7 +430,7 @@
 	if err != nil {
 		return false
 	}
-	time.Sleep(aliveCheckDelay)
+	time.Sleep(delay)
 	alive := cn.isSilent()
 	if !alive || !keep {
 		c.discard(t, cn)
