storage: a torn commit index before a whole record is no damage

Cause: since a commit takes one sync, the record of a commit index is not synced, and the next record is synced together with it; a power loss may tear the first and leave the second, which the loader took for damage. Each record now says whether the one before it was synced; a damaged record that was not is skipped, since only commit indexes are written so. A segment is synced before the next one begins.

--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -60,6 +60,9 @@
 type record struct {
 	State   *raft.HardState `msgpack:"s,omitempty"`
 	Entries []raft.Entry    `msgpack:"e,omitempty"`
+	// FollowsUnsynced is set if the record before, a commit index alone, was not synced when
+	// this one was written.
+	FollowsUnsynced bool `msgpack:"u,omitempty"`
 }
 
 // File is the part of *os.File that the store uses; tests inject failures.
@@ -295,7 +298,12 @@
 			off += n
 			continue
 		}
-		if !last || validRecordFollows(data[off:], n) {
+		next, follows := recordAfter(data[off:], n)
+		if follows && next.FollowsUnsynced {
+			off += n // a lost commit index; a leader sends it again
+			continue
+		}
+		if !last || follows {
 			return eris.Wrapf(ErrCorrupt, "%s at byte %d", filepath.Base(name), off)
 		}
 		l.TornBytes = int64(len(data) - off)
@@ -304,15 +312,22 @@
 	return nil
 }
 
-// validRecordFollows reports whether a valid record follows an invalid one of n bytes. Each
-// record is synced before the next one is written, so that a write torn by a power loss is
-// never followed by another record, whatever it left on the disk.
-func validRecordFollows(rest []byte, n int) bool {
+// recordAfter returns the valid record that follows an invalid one of n bytes, if there is one. Each
+// record but a commit index alone is synced before the next one is written, so that a write torn by
+// a power loss is never followed by another record, whatever it left on the disk.
+func recordAfter(rest []byte, n int) (r record, follows bool) {
 	if n <= headerBytes || n >= len(rest) {
-		return false
+		return record{}, false
 	}
 	body, _, err := parseRecord(rest[n:])
-	return err == nil && len(body) > 0
+	if err != nil || len(body) == 0 {
+		return record{}, false
+	}
+	// A record with a valid checksum that can't be decoded is damage too.
+	if err := wire.Decode(body, &r); err != nil {
+		return record{}, true
+	}
+	return r, true
 }
 
 // truncate removes a torn record from the end of a segment.
@@ -351,6 +366,11 @@
 }
 
 func (s *Store) startSegment() error {
+	if s.segment != nil && s.unsynced && !s.failed {
+		if err := s.Sync(); err != nil { // only the last segment may end in a torn record
+			return err
+		}
+	}
 	s.number++
 	path := filepath.Join(s.dir, "wal-"+leftPad(s.number)+".log")
 	f, err := s.createFile(path)
@@ -383,8 +403,11 @@
 // a power loss may lose it until the next Sync or Append. A replica that restarts without it has
 // an older commit index until a leader sends the current one.
 func (s *Store) AppendCommit(state *raft.HardState) error {
+	if err := s.write(state, nil); err != nil {
+		return err
+	}
 	s.unsynced = true
-	return s.write(state, nil)
+	return nil
 }
 
 // Unsynced reports whether an appended commit index is not synced.
@@ -408,7 +431,7 @@
 	if s.failed {
 		return ErrFailed
 	}
-	data, err := msgpack.Marshal(&record{State: state, Entries: entries})
+	data, err := msgpack.Marshal(&record{State: state, Entries: entries, FollowsUnsynced: s.unsynced})
 	if err != nil {
 		return eris.Wrap(err, "encode log record")
 	}
--- a/daemon/storage/storage_test.go
+++ b/daemon/storage/storage_test.go
@@ -165,6 +165,48 @@
 	}
 }
 
+// A power loss may tear the record of a commit index, which is not synced, and leave the whole record
+// after it. The replica must start again, with all entries that are there.
+func TestTornCommitIndexIsNoDamage(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must(s.Append(&raft.HardState{Term: 1}, []raft.Entry{entry(1)}))
+	from := s.size
+	must(s.AppendCommit(&raft.HardState{Term: 1, Commit: 1}))
+	to := s.size
+	must(s.Append(&raft.HardState{Term: 1, Commit: 1}, []raft.Entry{entry(2)}))
+	names, _ := s.segments()
+	must(s.Close())
+	data, err := os.ReadFile(names[len(names)-1])
+	must(err)
+	for i := from + headerBytes; i < to; i++ {
+		data[i] = 0
+	}
+	must(os.WriteFile(names[len(names)-1], data, 0o600))
+	for range 2 { // the second open reads the segment as one that is not the last
+		s, l, err := Open(dir)
+		if err != nil || len(l.Entries) != 2 {
+			t.Fatalf("read back %+v: %v", l, err)
+		}
+		must(s.Close())
+	}
+	// A record that was synced before the next one was written is still missed.
+	data[from-1] ^= 0x40
+	must(os.WriteFile(names[len(names)-1], data, 0o600))
+	if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+		t.Errorf("damage of a synced record: %v", err)
+	}
+}
+
 func FuzzReplay(f *testing.F) {
 	dir := f.TempDir()
 	s, _, _ := Open(dir)
