--- a/core/quarantine/decision.go
+++ b/core/quarantine/decision.go
@@ -65,8 +65,8 @@
 // String returns the name used in logs.
 func (s Status) String() string { return [...]string{"cleared", "suspected", "held"}[s] }
 
-// Decision classifies a request or a part of prompts. Instances exchange decisions; merging is independent of
-// the order in which they arrive.
+// Decision classifies a request or a part of prompts. Instances exchange decisions; merging is
+// independent of the order in which they arrive.
 type Decision struct {
 	Digest Digest `msgpack:"d"`
 	Status Status `msgpack:"s"`
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -211,5 +211,5 @@
 	if !known || !current.Trial || e.Began > current.Age {
 		return Decision{}, false
 	}
-	return ev.apply(now, e.Request, Held, append(current.Servers, e.Server))
+	return ev.apply(now, e.Request, Held, slices.Concat(current.Servers, []string{e.Server}))
 }
--- a/daemon/quarantine/exchange.go
+++ b/daemon/quarantine/exchange.go
@@ -65,6 +65,13 @@
 	m.send(evaluator, method, v)
 }
 
+// sendToEvaluators sends a message to the evaluators of a key.
+func (m *Manager) sendToEvaluators(key quarantine.Digest, method string, v any, handle func()) {
+	for _, evaluator := range m.evaluatorsOf(key) {
+		m.sendToEvaluator(evaluator, method, v, handle)
+	}
+}
+
 // crashReports returns the reports on the crash of a server by the peer addresses of the
 // evaluators they are for.
 func (m *Manager) crashReports(now time.Time, server string, runs []brokenRun, others []string) map[string][]quarantine.CrashReport {
@@ -120,12 +127,15 @@
 // evaluateReports evaluates crash reports as the evaluator of their requests.
 func (m *Manager) evaluateReports(list []quarantine.CrashReport) {
 	for _, e := range list[:min(len(list), maxLogged)] {
-		if e.Part != nil {
-			continue // the reporting instance logs the parts
-		}
 		log.WithFields(log.Fields{"step": "evaluate crash report", "request": e.Request.String(), "server": e.Server, "began_ms": e.Began.Milliseconds(), "ended_ms": e.Ended.Milliseconds()}).
 			Info("a server ended under a request")
 	}
+	m.evaluateAndReview(list, quarantine.DecisionDelay)
+}
+
+// evaluateAndReview evaluates crash reports, and after the delay makes the decisions that had to wait
+// for reports of successes.
+func (m *Manager) evaluateAndReview(list []quarantine.CrashReport, delay time.Duration) {
 	m.evaluate(func(now time.Time) (decisions []quarantine.Decision) {
 		for _, e := range list {
 			if x, publish := m.evaluator.Report(now, e); publish {
@@ -134,11 +144,7 @@
 		}
 		return decisions
 	})
-	// Makes the decisions that had to wait for reports of successes.
-	time.AfterFunc(quarantine.DecisionDelay, func() { m.evaluate(m.evaluator.Review) })
-	if slices.ContainsFunc(list, func(e quarantine.CrashReport) bool { return e.Part != nil }) {
-		time.AfterFunc(quarantine.PartDecisionDelay, func() { m.evaluate(m.evaluator.Review) })
-	}
+	time.AfterFunc(delay, func() { m.evaluate(m.evaluator.Review) })
 }
 
 // evaluateSuccess processes a success as the evaluator of its request.
@@ -184,16 +190,17 @@
 // sendSuccess sends the success of a run that began at the given time to the evaluators of a key.
 func (m *Manager) sendSuccess(digest, evaluators quarantine.Digest, began time.Time) {
 	s := success{digest, time.Since(began)}
-	for _, evaluator := range m.evaluatorsOf(evaluators) {
-		m.sendToEvaluator(evaluator, methodSuccess, &s, func() { m.evaluateSuccess(s) })
-	}
+	m.sendToEvaluators(evaluators, methodSuccess, &s, func() { m.evaluateSuccess(s) })
 }
 
 // reportSuccesses reports the successes of requests that were decided against.
 func (m *Manager) reportSuccesses(decisions []quarantine.Decision) {
-	requests, parts := splitParts(decisions)
-	for _, x := range requests {
-		if x.Status != quarantine.Cleared {
+	var parts []quarantine.Decision
+	for _, x := range decisions {
+		switch {
+		case x.Part != nil:
+			parts = append(parts, x)
+		case x.Status != quarantine.Cleared:
 			m.reportSuccess(x.Digest)
 			m.reportSurvivals(x.Digest, x.Digest)
 		}
@@ -222,15 +229,18 @@
 func logDecision(x *quarantine.Decision) {
 	entry := log.WithFields(log.Fields{"step": "rule on request", "request": x.Digest.String(), "standing": x.Status.String(), "servers": x.Servers,
 		"version": x.Version, "left_s": int(x.Remaining().Seconds())})
-	switch {
-	case x.Part == nil:
+	if x.Part == nil {
 		entry.Warn("standing of a request under which servers ended")
+		return
+	}
+	entry = entry.WithFields(log.Fields{"part": x.Part.ID, "pool": x.Part.Pool, "customer": x.Part.Customer})
+	switch {
 	case x.Trial:
-		entry.WithFields(log.Fields{"part": x.Part.ID, "pool": x.Part.Pool, "customer": x.Part.Customer}).Info("one call with a held prompt part proceeds")
+		entry.Info("one call with a held prompt part proceeds")
 	case x.Status == quarantine.Held:
-		entry.WithFields(log.Fields{"part": x.Part.ID, "pool": x.Part.Pool, "customer": x.Part.Customer}).Warn("prompt part is held: servers ended that began to answer it")
+		entry.Warn("prompt part is held: servers ended that began to answer it")
 	default:
-		entry.WithFields(log.Fields{"part": x.Part.ID, "pool": x.Part.Pool, "customer": x.Part.Customer}).Debug("standing of a prompt part")
+		entry.Debug("standing of a prompt part")
 	}
 }
 
@@ -301,6 +311,13 @@
 	}
 }
 
+func (m *Manager) handlePartReports(from string, body []byte) {
+	var list []quarantine.CrashReport
+	if decode(from, body, &list) {
+		m.evaluateAndReview(list, quarantine.PartDecisionDelay)
+	}
+}
+
 func (m *Manager) handleDecisions(from string, body []byte) {
 	var list []quarantine.Decision
 	if decode(from, body, &list) {
--- a/daemon/quarantine/manager.go
+++ b/daemon/quarantine/manager.go
@@ -91,7 +91,7 @@
 	m.prober = newProber(o.Dial, m.reportUnreached)
 	if t := o.Transport; t != nil {
 		t.HandleOneWay(methodCrashReports, m.handleCrashReports)
-		t.HandleOneWay(methodPartReports, m.handleCrashReports)
+		t.HandleOneWay(methodPartReports, m.handlePartReports)
 		t.HandleOneWay(methodDecisions, m.handleDecisions)
 		t.HandleOneWay(methodSuccess, m.handleSuccess)
 		t.HandleOneWay(methodSurvivals, m.handleSurvivals)
--- a/daemon/quarantine/parts.go
+++ b/daemon/quarantine/parts.go
@@ -166,9 +166,7 @@
 		return
 	}
 	for group, list := range groups {
-		for _, evaluator := range m.evaluatorsOf(group) {
-			m.sendToEvaluator(evaluator, methodPartReports, list, func() { m.evaluateReports(list) })
-		}
+		m.sendToEvaluators(group, methodPartReports, list, func() { m.evaluateAndReview(list, quarantine.PartDecisionDelay) })
 	}
 }
 
@@ -187,11 +185,3 @@
 	b.used++
 	return true
 }
-
-// splitParts returns the decisions on requests and those on parts.
-func splitParts(list []quarantine.Decision) (requests, parts []quarantine.Decision) {
-	parts = slices.Clone(list)
-	parts = slices.DeleteFunc(parts, func(x quarantine.Decision) bool { return x.Part == nil })
-	requests = slices.DeleteFunc(slices.Clone(list), func(x quarantine.Decision) bool { return x.Part != nil })
-	return requests, parts
-}
--- a/daemon/quarantine/survivals.go
+++ b/daemon/quarantine/survivals.go
@@ -34,9 +34,7 @@
 	if s.Runs == 0 {
 		return
 	}
-	for _, evaluator := range m.evaluatorsOf(evaluators) {
-		m.sendToEvaluator(evaluator, methodSurvivals, &s, func() { m.recordSurvivals(&s) })
-	}
+	m.sendToEvaluators(evaluators, methodSurvivals, &s, func() { m.recordSurvivals(&s) })
 }
 
 func (m *Manager) recordSurvivals(s *survivals) {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -302,10 +301,6 @@
 	return n, err
 }
 
-// errServerEnded means that the server's process ended together with the connection that its
-// answer was to end with.
-var errServerEnded = fmt.Errorf("the server ended with its answer: %w", io.ErrUnexpectedEOF)
-
 // Close keeps the connection for reuse if the whole answer was read and nothing
 // unexpected happened on it. Otherwise it closes the connection, which ends the
 // server's work on the call.
@@ -374,81 +369,6 @@
 	return newConn(raw), nil
 }
 
-// Open opens a connection to find out whether that is possible. A later call uses it, unless
-// this instance has its share of connections already.
-func (c *Client) Open(t Target, timeout time.Duration) error {
-	c.mu.Lock()
-	s := c.server(t.ID)
-	keep := !t.CloseAfterUse && (t.MaxConnections <= 0 || s.open < t.MaxConnections)
-	s.open++
-	c.dialled++
-	c.mu.Unlock()
-	cn, err := c.connect(t, s, timeout)
-	if err != nil {
-		return err
-	}
-	if !keep {
-		c.discard(t, cn)
-		return nil
-	}
-	cn.putAside(defaultKeepAlive)
-	c.release(t, cn)
-	return nil
-}
-
-// The time that a terminating process, or a proxy before it, gets to close its connections and its
-// listener. The caller of a stream has all events already and waits for its end only.
-const (
-	aliveCheckDelay       = 15 * time.Millisecond
-	streamAliveCheckDelay = 60 * time.Millisecond
-)
-
-// aliveCheckDelay returns how long to wait for further signs after the end of the connection.
-func (r *Response) aliveCheckDelay() time.Duration {
-	if strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
-		return streamAliveCheckDelay
-	}
-	return aliveCheckDelay
-}
-
-// isAlive reports whether a server still runs after one of its connections has ended: it keeps
-// another connection open, or accepts a new one and keeps it open for the delay. A later call uses
-// that one.
-func (c *Client) isAlive(t Target, delay time.Duration) bool {
-	time.Sleep(delay)
-	if c.hasOpenConnection(t.ID) {
-		return true
-	}
-	c.mu.Lock()
-	s := c.server(t.ID)
-	// The connection that has ended still counts.
-	keep := !t.CloseAfterUse && (t.MaxConnections <= 0 || s.open <= t.MaxConnections)
-	s.open++
-	c.dialled++
-	c.mu.Unlock()
-	cn, err := c.connect(t, s, dialTimeout)
-	if err != nil {
-		return false
-	}
-	time.Sleep(delay)
-	alive := cn.isSilent()
-	if !alive || !keep {
-		c.discard(t, cn)
-		return alive
-	}
-	cn.putAside(defaultKeepAlive)
-	c.release(t, cn)
-	return true
-}
-
-// hasOpenConnection reports whether the server has not closed the latest idle connection to it.
-func (c *Client) hasOpenConnection(id string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle := c.server(id).idle
-	return len(idle) > 0 && idle[len(idle)-1].isSilent()
-}
-
 func boundedDialTimeout(ctx context.Context) time.Duration {
 	if until, ok := ctx.Deadline(); ok {
 		return max(time.Millisecond, min(dialTimeout, time.Until(until)))
