Log what an entry knows of the room of a brittle server; red tests

A rejection by a brittle server is logged with its slots, the entry's own ones and the calls known there.

--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -156,6 +156,24 @@
 	return s != nil && brittleness(now, b.pool(s.Pool), s).Limited
 }
 
+// RoomState is the use of a brittle server's slots as this instance knows it.
+type RoomState struct {
+	ratelimit.Room
+	// Owners is the number of instances among which the slots are divided, and Unheard of how
+	// many of them no counts are known.
+	Owners, Unheard int
+}
+
+// RoomState returns the use of a server's slots; ok is false if it is not treated as brittle.
+func (b *Balancer) RoomState(now time.Time, id string) (r RoomState, ok bool) {
+	if !b.IsBrittle(now, id) {
+		return r, false
+	}
+	s := b.servers[id]
+	c, _ := b.checkBrittle(now, s.Pool)
+	return RoomState{Room: c.room(s), Owners: len(b.slotOwners), Unheard: c.unheard}, true
+}
+
 // brittleness returns the rejections per second that a server bears; not limited if it is not
 // brittle. Only an answer ends brittleness: a server that has been silent was not seen without it.
 func brittleness(now time.Time, p *pool, s *server) ratelimit.Limit {
--- a/core/retry/fleet_test.go
+++ b/core/retry/fleet_test.go
@@ -49,6 +49,10 @@
 	// restarts of single instances, 0 for none.
 	killed  []time.Duration
 	rolling time.Duration
+	// drained is when half of the instances drain and end for good, 0 for never.
+	drained time.Duration
+	// tries is the number of retries that a failed call asks for, 0 for one.
+	tries int
 }
 
 // simulated is an instance of the replay.
@@ -63,9 +67,15 @@
 	if at-in.started < joinTime {
 		return 1
 	}
+	if r.drained > 0 && at > r.drained+r.heldAfterDrain() {
+		return r.instances - r.instances/2
+	}
 	return r.instances
 }
 
+// heldAfterDrain is how long an instance that has drained counts among those that share the slack.
+func (r *fleetReplay) heldAfterDrain() time.Duration { return 0 }
+
 // start starts an instance.
 func (r *fleetReplay) start(at time.Duration) *simulated {
 	return &simulated{started: at, budget: &Window{Span: budgetWindow, Ratio: budgetRatio, Slack: budgetSlack}}
@@ -99,6 +109,9 @@
 	}
 	for at := time.Duration(0); at < replayTime; at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)) {
 		r.restart(list, before, at)
+		if r.drained > 0 && before < r.drained && at >= r.drained {
+			list = list[r.instances/2:]
+		}
 		before = at
 		failing := len(r.failing) == 0 || slices.ContainsFunc(r.failing, func(i interval) bool { return i.contains(at) })
 		if r.bursts && !failing {
@@ -113,8 +126,10 @@
 			continue // the instance is down
 		}
 		in.budget.RecordCall(at - in.started)
-		if failing && in.budget.Take(at-in.started, r.known(in, at)) {
-			retries = append(retries, at)
+		for range max(1, r.tries) {
+			if failing && in.budget.Take(at-in.started, r.known(in, at)) {
+				retries = append(retries, at)
+			}
 		}
 	}
 	return calls, retries
@@ -149,6 +164,7 @@
 	)
 	herd := []time.Duration{11 * time.Second, 15 * time.Second}
 	bursts := []interval{{10300 * time.Millisecond, 10500 * time.Millisecond}, {20 * time.Second, 20200 * time.Millisecond}}
+	drainFails := []interval{{20 * time.Second, 30 * time.Second}}
 	for name, r := range map[string]fleetReplay{
 		"calm":                        {},
 		"one instance has most calls": {skew: 0.8},
@@ -156,12 +172,13 @@
 		"all killed twice":            {killed: herd},
 		"two bursts of failures":      {failing: bursts},
 		"two bursts of calls":         {failing: bursts, bursts: true},
+		"half drain":                  {failing: drainFails, drained: 20500 * time.Millisecond, tries: 3},
 	} {
 		for _, size := range []struct {
 			instances int
 			perSecond float64
 		}{{6, 100}, {9, 30}, {67, 400}, {376, 1100}} {
-			t.Run(fmt.Sprintf("%s, %d instances", name, size.instances), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, %d instances, %.0f calls a second", name, size.instances, size.perSecond), func(t *testing.T) {
 				r.instances, r.perSecond = size.instances, size.perSecond
 				for seed := range uint64(seeds) {
 					calls, retries := r.run(seed)
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/upstream"
@@ -40,26 +41,27 @@
 	c.refusals++
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
 	_, _ = io.Copy(io.Discard, resp.Body) // drained so that the connection can be reused; on an error it is closed
-	if c.router.recordRefusal(s.ID, resp.Answer.WrongServer) {
-		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name}).Warn("brittle server had no room for the call")
+	if room, brittle := c.router.recordRefusal(s.ID, resp.Answer.WrongServer); brittle {
+		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name, "slots": room.Slots, "owned": room.Owned, "own_running": room.Own,
+			"all_running": room.All, "owners": room.Owners, "unheard": room.Unheard}).Warn("brittle server had no room for the call")
 		c.router.opt.Metrics.BrittleRejection(c.pool.Name)
 	}
 	return notRun
 }
 
-// recordRefusal records that a server did not run a call, and reports whether it is brittle and had
-// no room.
-func (r *Router) recordRefusal(id string, wrongServer bool) (brittle bool) {
+// recordRefusal records that a server did not run a call. If it is brittle and had no room, it
+// returns the room that this instance expected, the call itself included.
+func (r *Router) recordRefusal(id string, wrongServer bool) (expected balance.RoomState, brittle bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	if wrongServer {
 		r.balancer.RecordFailure(now, id, true)
-		return false
+		return expected, false
 	}
-	brittle = r.balancer.IsBrittle(now, id)
+	expected, brittle = r.balancer.RoomState(now, id)
 	r.balancer.RecordFull(now, id)
-	return brittle
+	return expected, brittle
 }
 
 var errRefused = errors.New("the server did not run the call")
--- /dev/null
+++ b/daemon/router/endless_test.go
@@ -0,0 +1,122 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cardamomwick.example/daemon/upstream"
+)
+
+// Bounds on a call whose server sends bytes without end.
+const (
+	// maxHeadRead bounds what is read of an answer's head, and of answers and bodies that are of
+	// no use; maxBodyRead bounds what is read of an answer's body.
+	maxHeadRead = 1 << 20
+	maxBodyRead = 10 << 20
+	// maxHeldBytes bounds what one call holds in memory.
+	maxHeldBytes = 2 << 20
+	// maxEndlessTime is well before the route's timeout.
+	maxEndlessTime = 500 * time.Millisecond
+)
+
+// countingConn counts the bytes that are read from a connection.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// countReads makes the router count the bytes that it reads from servers.
+func (w *harness) countReads() *atomic.Int64 {
+	var read atomic.Int64
+	w.router.upstream = upstream.NewClient(testProtocol{}, func(address string, timeout time.Duration) (net.Conn, error) {
+		c, err := upstream.Dial(address, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{c, &read}, nil
+	})
+	return &read
+}
+
+// endless answers with a text and then with another one again and again, until the connection
+// is closed.
+func endless(begin, repeated string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		block := []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated)))
+		for _, err = io.WriteString(conn, begin); err == nil; {
+			_, err = conn.Write(block)
+		}
+	}
+}
+
+const (
+	okHead    = "HTTP/1.1 200 OK\r\nCall: c1\r\nSignature: s\r\n"
+	kibibyte  = "400\r\n"
+	chunkHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// Whatever a server sends without end, the call ends early and in bounded memory, and no part of
+// an answer passes for a whole one.
+func TestBytesWithoutEndEndTheCall(t *testing.T) {
+	text := strings.Repeat("a", 1024)
+	chunk := kibibyte + text + "\r\n"
+	event := "id: %d\ndata: a\n\n"
+	for _, c := range []struct {
+		name, path, begin, repeated string
+		maxRead                     int64
+	}{
+		{"no answer at all", "/safe/x", "", text, maxHeadRead},
+		{"a line of the head", "/safe/x", okHead + "X: ", text, maxHeadRead},
+		{"lines of the head", "/safe/x", okHead, "X: " + text + "\r\n", maxHeadRead},
+		{"informational answers", "/once/x", "", "HTTP/1.1 102 Processing\r\n\r\n", maxHeadRead},
+		{"informational answer with a long head", "/once/x", "HTTP/1.1 102 Processing\r\n", "X: " + text + "\r\n", maxHeadRead},
+		{"answer of another call", "/once/x", "HTTP/1.1 200 OK\r\nCall: c0\r\n\r\n", text, maxHeadRead},
+		{"refusal", "/once/x", "HTTP/1.1 503 Full\r\nCall: c1\r\nNot-Run: full\r\nTransfer-Encoding: chunked\r\n\r\n", chunk, maxHeadRead},
+		{"body in chunks", "/once/x", chunkHead, chunk, maxBodyRead},
+		{"body in chunks, retried", "/safe/x", chunkHead, chunk, 3 * maxBodyRead},
+		{"body that ends with the connection", "/once/x", okHead + "\r\n", text, maxBodyRead},
+		{"body with a length", "/once/x", okHead + "Content-Length: 1099511627776\r\n\r\n", text, maxHeadRead},
+		{"body of a failure", "/once/x", "HTTP/1.1 500 Failed\r\nCall: c1\r\nSignature: s\r\n\r\n", text, maxBodyRead},
+		{"trailer", "/once/x", chunkHead + chunk + "0\r\n", "X: " + text + "\r\n", maxHeadRead},
+		{"extension of a chunk", "/once/x", chunkHead + "400;", text, maxHeadRead},
+		{"line of an event", "/chat/x", okHead + "\r\nid: 1\ndata: ", text, maxBodyRead},
+		{"lines of an event", "/chat/x", okHead + "\r\nid: 1\n", "data: " + text + "\n", maxBodyRead},
+		{"comments", "/chat/x", okHead + "\r\n", ":\n", maxBodyRead},
+		{"events of one number", "/chat/x", okHead + "\r\n", fmt.Sprintf(event, 1), maxBodyRead},
+		{"events without a number", "/chat/x", okHead + "\r\n", "data: " + text + "\n\n", maxBodyRead},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newHarness(t, endless(c.begin, c.repeated), endless(c.begin, c.repeated), endless(c.begin, c.repeated))
+			read := w.countReads()
+			began := time.Now()
+			got := w.call(c.path)
+			took := time.Since(began)
+			if got.err == nil && got.status < http.StatusInternalServerError {
+				t.Errorf("%d with %d bytes passes for a whole answer", got.status, len(got.body))
+			}
+			if took > maxEndlessTime {
+				t.Errorf("the call ended after %v", took)
+			}
+			if n := read.Load(); n > c.maxRead {
+				t.Errorf("%d bytes were read, at most %d may", n, c.maxRead)
+			}
+		})
+	}
+}
