Bytes without end: bounds on heads, bodies and events; long answers are sent on in parts

Callers saw 504 after the whole time limit, an entry that a server in trouble fed lost all calls in flight for its memory, and of an answer over 8 MiB the caller got the first 8 MiB as a whole one.

Cause: bounds stood only where we read ourselves, a limited reader's end passed for the body's end, and loops bounded single reads, not their sum.

All heads up to the call's own answer get 64 KiB, a begun head 2 s, a body of no use 16 KiB and 100 ms, an event 256 KiB, a stream 8 MiB or 1 KiB a token and two events a token. An answer over 256 KiB is sent on part by part; over 8 MiB it is broken off, or refused if it names its length. Relayed answers likewise; the bundle interface bounds heads and lines between events.

--- a/cmd/cardamomctl/main.go
+++ b/cmd/cardamomctl/main.go
@@ -8,11 +8,13 @@
 
 	"github.com/zeromicro/go-zero/core/logx"
 
+	"cardamomwick.example/core/httpbound"
 	"cardamomwick.example/ctl/commands"
 )
 
 func main() {
 	logx.Disable()
+	httpbound.BoundHeads()
 	if err := commands.New().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(commands.ExitFailed)
--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
 
+	"cardamomwick.example/core/httpbound"
 	"cardamomwick.example/daemon"
 	"cardamomwick.example/daemon/settings"
 	"cardamomwick.example/platform"
@@ -27,6 +28,7 @@
 )
 
 func main() {
+	httpbound.BoundHeads()
 	cmd := &cli.Command{
 		Name:  "cardamomwickd",
 		Usage: "route language-model traffic by service levels and priorities",
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -20,6 +20,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/httpbound"
 	"cardamomwick.example/core/retry"
 )
 
@@ -42,6 +43,8 @@
 		MaxIdleConnsPerHost: idlePerServer,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: httpbound.MaxHeadBytes,
 	}
 }
 
@@ -240,8 +243,11 @@
 // Next returns the next event, or io.EOF after the engine's end marker. Any other end is
 // another error, so that a truncated stream never looks complete.
 func (s *Stream) Next() (*Event, error) {
-	for {
+	for skipped := 0; ; {
 		line, err := s.readLine()
+		if skipped += len(line) + 1; err == nil && skipped > maxEventBytes {
+			err = errEventTooLong
+		}
 		if err != nil {
 			return nil, &CallError{Failure: retry.FailureUncertain, Reached: true, Step: "read stream", Peer: s.target.Server, Err: err}
 		}
@@ -265,13 +271,15 @@
 	}
 }
 
+var errEventTooLong = errors.New("event is larger than allowed")
+
 func (s *Stream) readLine() ([]byte, error) {
 	var line []byte
 	for {
 		part, err := s.r.ReadSlice('\n')
 		line = append(line, part...)
 		if len(line) > maxEventBytes {
-			return nil, eris.New("event is larger than allowed")
+			return nil, errEventTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
--- a/daemon/backend/backend_test.go
+++ b/daemon/backend/backend_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"cardamomwick.example/core/retry"
 )
@@ -118,3 +119,36 @@
 		s.Close()
 	}
 }
+
+// A head without end, and lines without an event, take bounded memory and end the call early.
+func TestBytesWithoutEndEndTheCall(t *testing.T) {
+	ConfigureTransport()
+	for name, text := range map[string]struct{ begin, repeated string }{
+		"head":             {"HTTP/1.1 200 OK\r\n", "X: " + strings.Repeat("a", 1000) + "\r\n"},
+		"line of a head":   {"HTTP/1.1 200 OK\r\nX: ", strings.Repeat("a", 1000)},
+		"comments":         {"HTTP/1.1 200 OK\r\n\r\n", ":\n\n"},
+		"line of an event": {"HTTP/1.1 200 OK\r\n\r\ndata: ", strings.Repeat("a", 1000)},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			for _, err = io.WriteString(conn, text.begin); err == nil; {
+				_, err = io.WriteString(conn, strings.Repeat(text.repeated, 16))
+			}
+		}))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		st, err := Open(ctx, &Target{Address: strings.TrimPrefix(s.URL, "http://")}, []byte("{}"))
+		if err == nil {
+			_, err = st.Next()
+			st.Close()
+		}
+		if err == nil || ctx.Err() != nil {
+			t.Errorf("%s without end: %v, and %v of the call's time", name, err, ctx.Err())
+		}
+		cancel()
+		s.Close()
+	}
+}
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -16,8 +16,16 @@
 	"cardamomwick.example/daemon/upstream"
 )
 
-// maxAnswerBytes bounds the body of an answer that is not a stream.
-const maxAnswerBytes = 8 << 20
+// Bounds on the body of an answer that is not a stream.
+const (
+	maxAnswerBytes = 8 << 20
+	// maxHeldBytes is the part of it that is held in memory: a longer answer is sent on part by part.
+	maxHeldBytes = 256 << 10
+	// copyBytes is the size of the parts.
+	copyBytes = 32 << 10
+)
+
+var errAnswerTooLarge = errors.New("the answer is too large")
 
 // forward sends a server's answer to the caller, or reports why it can't be used.
 func (c *call) forward(ctx context.Context, s fleet.Server, resp *upstream.Response) attemptResult {
@@ -40,7 +48,7 @@
 func (c *call) recordRefusal(s fleet.Server, resp *upstream.Response) attemptResult {
 	c.refusals++
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
-	_, _ = io.Copy(io.Discard, resp.Body) // drained so that the connection can be reused; on an error it is closed
+	resp.Drain()
 	if room, brittle := c.router.recordRefusal(s.ID, resp.Answer.WrongServer); brittle {
 		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name, "slots": room.Slots, "owned": room.Owned, "own_running": room.Own,
 			"all_running": room.All, "owners": room.Owners, "unheard": room.Unheard}).Warn("brittle server had no room for the call")
@@ -73,19 +81,15 @@
 	}
 }
 
-// forwardComplete reads the whole answer and then sends it to the caller.
+// forwardComplete reads the answer and sends it to the caller: a short one once it is whole, a long
+// one part by part.
 func (c *call) forwardComplete(ctx context.Context, s fleet.Server, resp *upstream.Response) attemptResult {
 	if c.route.Semantics != routing.Stream {
 		c.countRun(time.Since(c.attemptStart))
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	begin, whole, err := readBegin(resp)
 	if err != nil {
-		c.last = &upstream.Error{MayHaveRun: true, Reached: true, Step: "read answer", Server: s.ID, Err: err}
-		c.reportBroken(ctx, s, c.last)
-		if time.Now().Before(c.deadline) && c.req.Context().Err() == nil {
-			c.router.recordFailure(s.ID, false)
-		}
-		return failed
+		return c.recordBrokenAnswer(ctx, s, err)
 	}
 	serverFailed := resp.Status >= http.StatusInternalServerError
 	if serverFailed {
@@ -95,21 +99,94 @@
 			c.retryReserved = true
 			return failed
 		}
-	} else {
-		c.router.recordSuccess(s.ID)
-		if resp.Status < http.StatusMultipleChoices {
-			c.answerBegan = time.Now()
-		}
-		c.reportSuccess(s)
+	} else if resp.Status < http.StatusMultipleChoices {
+		c.answerBegan = time.Now()
+	}
+	if whole && !serverFailed {
+		c.recordWholeAnswer(s)
 	}
 	if c.stream != nil && c.stream.started {
 		return failed
 	}
-	c.sendComplete(resp.Status, resp.Header, body)
+	if whole {
+		c.sendComplete(resp.Status, resp.Header, begin)
+	} else if err := c.sendLong(resp, begin); err != nil {
+		return c.recordBrokenAnswer(ctx, s, err)
+	} else if !serverFailed {
+		c.recordWholeAnswer(s)
+	}
 	c.logAnswer(s, resp.Status)
 	return answered
 }
 
+// recordWholeAnswer records an answer that is no failure.
+func (c *call) recordWholeAnswer(s fleet.Server) {
+	c.router.recordSuccess(s.ID)
+	c.reportSuccess(s)
+}
+
+// recordBrokenAnswer records an answer whose body could not be read to its end.
+func (c *call) recordBrokenAnswer(ctx context.Context, s fleet.Server, err error) attemptResult {
+	if errors.Is(err, errCallerLeft) {
+		return callerGone
+	}
+	c.last = &upstream.Error{MayHaveRun: true, Reached: true, Step: "read answer", Server: s.ID, Err: err}
+	c.router.opt.Metrics.AttemptFailed(c.last.Step, c.last.Cause())
+	c.reportBroken(ctx, s, c.last)
+	if time.Now().Before(c.deadline) && c.req.Context().Err() == nil {
+		c.router.recordFailure(s.ID, false)
+	}
+	return failed
+}
+
+// readBegin reads up to maxHeldBytes of a body; whole is set if that is all of it.
+func readBegin(resp *upstream.Response) (begin []byte, whole bool, err error) {
+	if resp.Length > maxAnswerBytes {
+		return nil, false, errAnswerTooLarge
+	}
+	begin, err = io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
+	return begin, len(begin) <= maxHeldBytes, err
+}
+
+// sendLong sends an answer to the caller that is too long to be held. On an error the caller has a
+// part of it, and the connection to the caller must be closed.
+func (c *call) sendLong(resp *upstream.Response, begin []byte) error {
+	if !c.beginLong(resp.Status, resp.Header, resp.Length) {
+		return errCallerLeft
+	}
+	if _, err := c.w.Write(begin); err != nil {
+		return errCallerLeft
+	}
+	rest := &io.LimitedReader{R: resp.Body, N: int64(maxAnswerBytes - len(begin) + 1)}
+	part := make([]byte, copyBytes)
+	for {
+		n, err := rest.Read(part)
+		if rest.N <= 0 {
+			return errAnswerTooLarge
+		}
+		if _, err := c.w.Write(part[:n]); err != nil {
+			return errCallerLeft
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// beginLong sends the head of an answer whose body follows in parts. length is -1 if it is unknown.
+func (c *call) beginLong(status int, header http.Header, length int64) bool {
+	copyHeader(c.w.Header(), header)
+	if length >= 0 {
+		c.w.Header()["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	}
+	c.w.WriteHeader(status)
+	c.begun = true
+	return c.req.Context().Err() == nil
+}
+
 // sendComplete sends a complete answer to the caller.
 func (c *call) sendComplete(status int, header http.Header, body []byte) {
 	copyHeader(c.w.Header(), header)
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -66,6 +66,8 @@
 	waited time.Duration
 	// waitsForRoom is set once the call has waited for room at brittle servers.
 	waitsForRoom bool
+	// begun is set once the head of a long answer is sent; only its body may follow.
+	begun bool
 	// retryReserved is set when the next attempt is already taken from the retry budget.
 	retryReserved bool
 	// counted is set once the call has been recorded in this instance's retry budget.
--- a/daemon/router/endless_test.go
+++ b/daemon/router/endless_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,8 +21,8 @@
 	// no use; maxBodyRead bounds what is read of an answer's body.
 	maxHeadRead = 1 << 20
 	maxBodyRead = 10 << 20
-	// maxHeldBytes bounds what one call holds in memory.
-	maxHeldBytes = 2 << 20
+	// maxCallMemory bounds the memory of one call.
+	maxCallMemory = 2 << 20
 	// maxEndlessTime is well before the route's timeout.
 	maxEndlessTime = 500 * time.Millisecond
 )
@@ -120,3 +122,70 @@
 		})
 	}
 }
+
+// The memory that calls at servers in trouble take grows with their number, not with the bytes.
+func TestEndlessAnswersFitIntoMemory(t *testing.T) {
+	const callers, calls = 24, 4
+	text := strings.Repeat("a", 1024)
+	for name, c := range map[string]struct{ path, begin, repeated string }{
+		"heads":  {"/once/x", okHead, "X: " + text + "\r\n"},
+		"bodies": {"/once/x", okHead + "\r\n", text},
+		"events": {"/chat/x", okHead + "\r\nid: 1\n", "data: " + text + "\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newHarness(t, endless(c.begin, c.repeated))
+			before := heapBytes()
+			stop, most := make(chan struct{}), make(chan uint64)
+			go func() {
+				highest := before
+				for {
+					select {
+					case <-stop:
+						most <- highest
+						return
+					case <-time.After(5 * time.Millisecond):
+						highest = max(highest, heapBytes())
+					}
+				}
+			}()
+			var all sync.WaitGroup
+			for range callers {
+				all.Go(func() {
+					for range calls {
+						w.discard(c.path)
+					}
+				})
+			}
+			all.Wait()
+			close(stop)
+			if grown := int64(<-most) - int64(before); grown > callers*maxCallMemory {
+				t.Errorf("the heap has grown by %d bytes for %d calls at a time, at most %d each may", grown, callers, maxCallMemory)
+			}
+		})
+	}
+}
+
+// heapBytes returns the bytes of the heap that are in use, garbage included.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// discard makes a call and reads its answer without holding it.
+func (w *harness) discard(path string) {
+	req, err := http.NewRequest(http.MethodPost, w.front.URL+path, strings.NewReader("body"))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Call", "c1")
+	req.Header.Set("Key", "key")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode < http.StatusInternalServerError {
+		w.t.Errorf("%d passes for a whole answer", resp.StatusCode)
+	}
+}
--- a/daemon/router/final.go
+++ b/daemon/router/final.go
@@ -26,7 +26,7 @@
 // the last one failed to connect or a retry is reserved already, it takes the attempt from
 // the retry budget.
 func (c *call) mayRetry(result attemptResult) bool {
-	if time.Until(c.deadline) < minRemaining {
+	if c.begun || time.Until(c.deadline) < minRemaining {
 		return false
 	}
 	switch result {
@@ -78,9 +78,9 @@
 
 // giveUp sends the final answer of a call that no server has answered.
 func (c *call) giveUp(reason string) {
-	if c.stream != nil && c.stream.started {
-		c.logFailure(0, "stream broken: "+reason)
-		panic(http.ErrAbortHandler) // a normal return would make the stream look complete
+	if c.begun || c.stream != nil && c.stream.started {
+		c.logFailure(0, "answer broken off: "+reason)
+		panic(http.ErrAbortHandler) // a normal return would make the answer look complete
 	}
 	if c.unreachable() && c.decline(core.NoServer) {
 		return
--- a/daemon/router/relay.go
+++ b/daemon/router/relay.go
@@ -189,36 +189,51 @@
 		Pool: c.pool.Name, Elapsed: time.Since(c.arrived), Runs: c.runs, Counted: c.counted, Origin: c.origin.Load(), OriginStart: c.originStart, OriginAge: time.Since(c.originSince)}
 }
 
-// forwardRelayed sends a peer's answer to the caller: a stream part by part, anything else
-// once it is complete. An error means that the answer broke off; nothing was sent then unless
-// c.stream.started.
+// forwardRelayed sends a peer's answer to the caller: a stream and a long answer part by part,
+// anything else once it is complete. An error means that the answer broke off; nothing was sent
+// then unless c.stream.started or c.begun.
 func (c *call) forwardRelayed(a *relay.Answer) error {
 	streams := c.route.Semantics == routing.Stream && a.Status < http.StatusMultipleChoices
 	if !streams && c.stream != nil && c.stream.started {
 		return errNoStream
 	}
-	var body []byte
-	for {
+	var held []byte
+	for length := 0; ; {
 		part, done, err := a.Next()
+		length += len(part)
 		switch {
 		case err != nil:
 			return err
 		case done:
-			c.endRelayed(a, body)
+			c.endRelayed(a, held)
 			return nil
 		case streams:
 			c.forwardPart(a, part)
-		case len(body)+len(part) > maxAnswerBytes:
+		case length > maxAnswerBytes:
 			return errAnswerTooLarge
+		case !c.begun && length <= maxHeldBytes:
+			held = append(held, part...)
 		default:
-			body = append(body, part...)
+			c.forwardLongPart(a, held, part)
+			held = nil
+		}
+	}
+}
+
+// forwardLongPart forwards a part of an answer that is too long to be held, after those held before.
+func (c *call) forwardLongPart(a *relay.Answer, held, part []byte) {
+	if !c.begun && !c.beginLong(a.Status, a.Header, -1) {
+		c.abortRelayed()
+	}
+	for _, p := range [][]byte{held, part} {
+		if _, err := c.w.Write(p); err != nil {
+			c.abortRelayed()
 		}
 	}
 }
 
 var (
-	errAnswerTooLarge = errors.New("the answer is too large")
-	errNoStream       = errors.New("the stream that has begun was not continued")
+	errNoStream = errors.New("the stream that has begun was not continued")
 )
 
 // forwardPart forwards a part of a stream.
@@ -242,9 +257,10 @@
 // endRelayed completes an answer and records it.
 func (c *call) endRelayed(a *relay.Answer, body []byte) {
 	first := time.Since(c.arrived)
-	if c.stream != nil && c.stream.started {
+	switch {
+	case c.stream != nil && c.stream.started:
 		first = c.stream.first.Sub(c.arrived)
-	} else {
+	case !c.begun:
 		c.sendComplete(a.Status, a.Header, body)
 	}
 	c.runs = a.End.Runs
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -15,8 +15,20 @@
 	"cardamomwick.example/daemon/upstream"
 )
 
-// maxEventBytes bounds an event with lines longer than the read buffer.
-const maxEventBytes = 1 << 20
+// Bounds on a stream.
+const (
+	// maxEventBytes bounds an event.
+	maxEventBytes = 256 << 10
+	// maxStreamBytes bounds a stream, or maxTokenBytes for each token that its call allows if
+	// that is more.
+	maxStreamBytes = 8 << 20
+	maxTokenBytes  = 1 << 10
+	// An event holds at least one token. Some more events may come without.
+	maxEventsPerToken = 2
+	maxOtherEvents    = 64
+	// maxRecordedGaps bounds the times between events that are kept of a stream.
+	maxRecordedGaps = 4096
+)
 
 // streamState is what the caller of a stream has received so far, over all attempts.
 type streamState struct {
@@ -24,6 +36,7 @@
 	started bool
 	lastID  string
 	events  int
+	bytes   int
 	// first and last are the times of the first and the latest event; longestGap is
 	// the longest time between two events.
 	first, last time.Time
@@ -39,7 +52,9 @@
 	} else {
 		gap, ok = now.Sub(s.last), true
 		s.longestGap = max(s.longestGap, gap)
-		s.gaps = append(s.gaps, gap)
+		if len(s.gaps) < maxRecordedGaps {
+			s.gaps = append(s.gaps, gap)
+		}
 	}
 	s.last = now
 	s.events++
@@ -125,9 +140,17 @@
 	c.stream.started = true
 }
 
+// exceeds reports whether the stream is longer than a call that allows this number of output tokens,
+// 0 if it names none, can have.
+func (s *streamState) exceeds(maxOutput int) bool {
+	return s.bytes > max(maxStreamBytes, maxOutput*maxTokenBytes) || maxOutput > 0 && s.events > maxEventsPerToken*maxOutput+maxOtherEvents
+}
+
 var (
 	errCallerLeft    = errors.New("the caller has left")
 	errEventSequence = errors.New("an event is missing or comes twice")
+	errEventTooLong  = errors.New("an event is too long")
+	errStreamTooLong = errors.New("the stream is longer than its call allows")
 )
 
 func (c *call) forwardEvent(s fleet.Server, resp *upstream.Response, event []byte) error {
@@ -148,6 +171,9 @@
 	}
 	c.router.paths.responded(c.pool.Name)
 	c.watchdog.reset(c.route.TargetGap)
+	if c.stream.bytes += len(event); c.stream.exceeds(c.info.Prompt.MaxOutput) {
+		return errStreamTooLong
+	}
 	if _, err := c.w.Write(event); err != nil {
 		return errCallerLeft
 	}
@@ -171,14 +197,17 @@
 	return next == before+1
 }
 
-// readEvent returns the bytes of one event, including the empty line that ends it.
-// It returns io.EOF only if the stream ended between two events.
+// readEvent returns the bytes of one event, including the empty line that ends it, maxEventBytes at
+// most. It returns io.EOF only if the stream ended between two events.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
-		if err == bufio.ErrBufferFull && len(event) < maxEventBytes {
+		if len(event) > maxEventBytes {
+			return nil, errEventTooLong
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err == io.EOF && len(event) > 0 {
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -51,6 +53,54 @@
 	idleSince time.Time
 	// used is set once the connection has carried an answer.
 	used bool
+	// headBytes is how many more bytes of heads may be read; it applies while readingHead is set.
+	headBytes   int
+	readingHead bool
+}
+
+// Read implements io.Reader for the buffered reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(p)
+	}
+	if c.headBytes <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headBytes)])
+	c.headBytes -= n
+	return n, err
+}
+
+// readResponse reads a head. It waits for the first byte for as long as the connection is open.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.readingHead = true
+	defer func() { c.readingHead = false }()
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	if err := c.SetReadDeadline(time.Now().Add(maxHeadTime)); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, c.SetReadDeadline(time.Time{})
+}
+
+// drain reads a body to its end. It returns an error if the body is long or does not end soon.
+func (c *conn) drain(body io.Reader) error {
+	if err := c.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDrainBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case n > maxDrainBytes:
+		return errBodyTooLong
+	}
+	return c.SetReadDeadline(time.Time{})
 }
 
 // putAside sets how long the connection may be reused, for a server that keeps idle connections
@@ -71,7 +121,9 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -99,6 +99,24 @@
 // for one.
 const maxForeignAnswers = 2
 
+// Bounds on what a server may send before the call's own answer, or where that is of no use.
+const (
+	// maxHeadBytes bounds all heads on the way to the call's answer, its own included.
+	maxHeadBytes = 64 << 10
+	// maxHeadTime bounds the time from the first byte of a head to its end. A head is sent at
+	// once; a lost packet is sent again within a second.
+	maxHeadTime = 2 * time.Second
+	// maxDrainBytes and maxDrainTime bound the reading of a body that is of no use, so that its
+	// connection can be kept.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 100 * time.Millisecond
+)
+
+var (
+	errHeadTooLong = errors.New("the head of the answer is too long")
+	errBodyTooLong = errors.New("the body is too long to be read for nothing")
+)
+
 // asyncBodyBytes is the size from which the body is written while the client already
 // waits for the answer: a server may refuse a long call before it has read it.
 const asyncBodyBytes = 16 << 10
@@ -258,8 +276,9 @@
 
 // readHead reads answers' headers until one belongs to the call.
 func (c *Client) readHead(cn *conn, t Target, r *Request) (*Response, error) {
+	cn.headBytes = maxHeadBytes
 	for foreign := 0; foreign <= maxForeignAnswers; {
-		raw, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
+		raw, err := cn.readResponse(r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -269,7 +288,7 @@
 		a := c.protocol.ParseAnswer(raw.StatusCode, raw.Header)
 		if a.CallID != "" && a.CallID != r.CallID {
 			foreign++
-			if _, err := io.Copy(io.Discard, raw.Body); err != nil {
+			if err := cn.drain(raw.Body); err != nil {
 				return nil, err
 			}
 			continue
@@ -301,6 +320,14 @@
 	return n, err
 }
 
+// Drain reads the rest of a body that is of no use, if it is short and arrives soon, so that Close
+// can keep the connection.
+func (r *Response) Drain() {
+	if err := r.conn.drain(r.Body); err != nil {
+		r.close = true
+	}
+}
+
 // Close keeps the connection for reuse if the whole answer was read and nothing
 // unexpected happened on it. Otherwise it closes the connection, which ends the
 // server's work on the call.
