relay: a call that a server has rejected is not handed back as never sent

The next peer sent it once more without taking a retry from the budget: a rejected call has arrived.

Cause: decline looked at runs only, and a rejection is no run. The peer answers such a call itself now, with a true 503. TestRelayedCallThatArrivedAtAServerIsNotHandedBack: red in each run before, green 5 of 5.

--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -47,6 +47,7 @@
 
 func (c *call) recordRefusal(s fleet.Server, resp *upstream.Response) attemptResult {
 	c.refusals++
+	c.rejected = true
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
 	resp.Drain()
 	if room, brittle := c.router.recordRefusal(s.ID, resp.Answer.WrongServer); brittle {
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -50,6 +50,8 @@
 	// did not.
 	runs     int
 	refusals int
+	// rejected is set once a server has received the call and said that it did not run it.
+	rejected bool
 	// tried are the IDs of the servers of all attempts, software their versions.
 	tried    []string
 	software []fleet.SoftwareVersion
--- a/daemon/router/relay.go
+++ b/daemon/router/relay.go
@@ -32,9 +32,10 @@
 	end      relay.End
 }
 
-// decline gives a call back to its peer, and reports whether that is possible.
+// decline gives a call back to its peer, and reports whether that is possible: a server that has
+// rejected the call has received it, and the next attempt would have to be taken from the budget.
 func (c *call) decline(reason core.Decline) bool {
-	if c.servedFor == nil || c.runs > c.servedFor.runs {
+	if c.servedFor == nil || c.runs > c.servedFor.runs || c.rejected {
 		return false
 	}
 	c.servedFor.declined = &reason
