membership: members that drained hold their shares for a window of the budget

The retry budget was exceeded when several entries drained while a service failed: the others divided the slack anew at once, in the window in which those had used their parts.

Drained members hold shares for 20 s after their end.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -23,6 +23,9 @@
 	// deadRetention is how long a dead member is kept. Until then it may be alive beyond a
 	// partition, and holds its share of bounds on all instances together.
 	deadRetention = 10 * time.Minute
+	// drainedRetention is how long a member that drained before it ended holds its share: what it
+	// has used counts for the window of a retry budget, which is shorter.
+	drainedRetention = 20 * time.Second
 	// syncPeriod is the time between two exchanges of full tables for up to syncBaseMembers
 	// members; it grows with their number, so that the bytes per second stay constant.
 	syncPeriod      = 5 * time.Second
@@ -113,6 +116,8 @@
 type memberEntry struct {
 	Instance
 	changedAt time.Time
+	// shareEnded is set once the member is known to hold no share any more.
+	shareEnded bool
 }
 
 type queuedUpdate struct {
@@ -314,6 +319,9 @@
 		case m.State == Dead && now.Sub(m.changedAt) >= deadRetention:
 			delete(t.members, name)
 			t.version++
+		case !m.shareEnded && m.drainedFor(now) >= drainedRetention:
+			m.shareEnded = true
+			t.version++
 		}
 	}
 	slices.SortFunc(dead, func(a, b *memberEntry) int { return strings.Compare(a.Name, b.Name) })
--- a/core/membership/shares.go
+++ b/core/membership/shares.go
@@ -13,10 +13,18 @@
 }
 
 // holdsShare reports whether the instance counts as one of those among which bounds on all
-// instances together are divided: it accepts calls, and may still be at work. One that drained
-// before its death has ended by itself.
+// instances together are divided: it accepts calls, and may still be at work or have used its part.
+// One that drained before its death has ended by itself.
 func (i *Instance) holdsShare() bool {
-	return i.CallerAddress != "" && !(i.State == Dead && i.Draining)
+	return i.CallerAddress != "" && !(i.State == Dead && i.Draining && i.deadFor() >= drainedRetention)
+}
+
+// drainedFor returns how long a member that drained before it ended has been dead, 0 for any other.
+func (m *memberEntry) drainedFor(now time.Time) time.Duration {
+	if m.State != Dead || !m.Draining {
+		return 0
+	}
+	return now.Sub(m.changedAt)
 }
 
 // forMessage returns the member's state for a message. Without its age, a death would be kept
