retry: what calls earn expires after a quarter of the window

Engines of a failing service got more repeats than the service allows when entries were killed, or their callers moved, within seconds after the service had begun to fail.

Cause: an instance that had retried little could use at once what the calls of ten seconds had earned, and end. The instances that took over its callers earned as much again in the same ten seconds. That a start has no slack does not help: the ratio is the larger part.

--- a/core/retry/fleet_test.go
+++ b/core/retry/fleet_test.go
@@ -51,6 +51,10 @@
 	rolling time.Duration
 	// drained is when half of the instances drain and end for good, 0 for never.
 	drained time.Duration
+	// moved is when the callers of half of the instances go to the others, 0 for never.
+	moved time.Duration
+	// held is when retries are sent and arrive only at its end.
+	held interval
 	// tries is the number of retries that a failed call asks for, 0 for one.
 	tries int
 }
@@ -67,14 +71,23 @@
 	if at-in.started < joinTime {
 		return 1
 	}
-	if r.drained > 0 && at > r.drained+r.heldAfterDrain() {
+	if r.drained > 0 && at > r.drained+drainedRetention {
 		return r.instances - r.instances/2
 	}
 	return r.instances
 }
 
-// heldAfterDrain is how long an instance that has drained counts among those that share the slack.
-func (r *fleetReplay) heldAfterDrain() time.Duration { return 0 }
+// drainedRetention is how long an instance that has drained counts among those that share the
+// slack, as package membership does.
+const drainedRetention = 20 * time.Second
+
+// arrival returns when a retry arrives that is sent at a time.
+func (r *fleetReplay) arrival(at time.Duration) time.Duration {
+	if r.held.contains(at) {
+		return r.held.to
+	}
+	return at
+}
 
 // start starts an instance.
 func (r *fleetReplay) start(at time.Duration) *simulated {
@@ -117,9 +130,13 @@
 		if r.bursts && !failing {
 			continue
 		}
-		in := list[0]
+		reached := list
+		if r.moved > 0 && at >= r.moved {
+			reached = list[len(list)/2:]
+		}
+		in := reached[0]
 		if rnd.Float64() >= r.skew {
-			in = list[rnd.IntN(len(list))]
+			in = reached[rnd.IntN(len(reached))]
 		}
 		calls = append(calls, at)
 		if at < in.started {
@@ -128,10 +145,11 @@
 		in.budget.RecordCall(at - in.started)
 		for range max(1, r.tries) {
 			if failing && in.budget.Take(at-in.started, r.known(in, at)) {
-				retries = append(retries, at)
+				retries = append(retries, r.arrival(at))
 			}
 		}
 	}
+	slices.Sort(retries)
 	return calls, retries
 }
 
@@ -164,15 +182,19 @@
 	)
 	herd := []time.Duration{11 * time.Second, 15 * time.Second}
 	bursts := []interval{{10300 * time.Millisecond, 10500 * time.Millisecond}, {20 * time.Second, 20200 * time.Millisecond}}
-	drainFails := []interval{{20 * time.Second, 30 * time.Second}}
+	afterCalm := []interval{{20 * time.Second, 30 * time.Second}}
 	for name, r := range map[string]fleetReplay{
-		"calm":                        {},
-		"one instance has most calls": {skew: 0.8},
-		"rolling restart":             {rolling: 700 * time.Millisecond},
-		"all killed twice":            {killed: herd},
-		"two bursts of failures":      {failing: bursts},
-		"two bursts of calls":         {failing: bursts, bursts: true},
-		"half drain":                  {failing: drainFails, drained: 20500 * time.Millisecond, tries: 3},
+		"calm":                         {},
+		"one instance has most calls":  {skew: 0.8},
+		"rolling restart":              {rolling: 700 * time.Millisecond},
+		"all killed twice":             {killed: herd},
+		"two bursts of failures":       {failing: bursts},
+		"two bursts of calls":          {failing: bursts, bursts: true},
+		"half drain":                   {failing: afterCalm, drained: 21500 * time.Millisecond, tries: 3},
+		"fails, then all are killed":   {failing: afterCalm, killed: []time.Duration{21500 * time.Millisecond}, tries: 3},
+		"fails, then all killed twice": {failing: afterCalm, killed: []time.Duration{21500 * time.Millisecond, 26 * time.Second}, tries: 3},
+		"retries are held up for 5 s":  {failing: afterCalm, held: interval{20 * time.Second, 25 * time.Second}, tries: 3},
+		"fails, then callers move":     {failing: afterCalm, moved: 21500 * time.Millisecond, tries: 3},
 	} {
 		for _, size := range []struct {
 			instances int
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -7,6 +7,8 @@
 	windowBuckets = 20
 	// keptBuckets includes the bucket that the begin of the span lies in.
 	keptBuckets = windowBuckets + 1
+	// earningBuckets is the number of buckets after which a call earns no retry any more.
+	earningBuckets = windowBuckets / 4
 )
 
 // Window limits the retries at a pool, in any period of length Span and over all
@@ -14,6 +16,10 @@
 // ratio from its own calls and uses an equal part of the slack. This protects failing or
 // refusing servers, to which every instance would otherwise send every call twice.
 //
+// What calls earn expires after a quarter of the span. Otherwise an instance could use at once what
+// the calls of a whole span have earned, and end; in the same span those that take over its callers
+// earn as much again.
+//
 // Times are monotonic, since the start of the process: a change of the time of day must not
 // empty the window. An earlier process of the same instance may have used its part of the
 // slack until its end, so that a new one has none for the first Span. Not safe for
@@ -70,20 +76,28 @@
 func (w *Window) Usage(now time.Duration, instances int) Usage {
 	w.advance(now)
 	u := Usage{Instances: max(1, instances)}
-	oldest := int((w.bucket + 1) % keptBuckets)
-	for i := range w.calls {
-		if i != oldest {
-			u.Calls += w.calls[i]
-		}
-		u.Retries += w.retries[i]
-	}
-	u.Allowed = safetyFactor * w.Ratio * u.Calls
+	u.Calls, u.Retries = w.latest(windowBuckets)
+	oldest := w.retries[(w.bucket+1)%keptBuckets]
+	u.Retries += oldest
+	slack := 0.0
 	if now >= w.Span {
-		u.Allowed += safetyFactor * w.Slack / float64(u.Instances)
+		slack = safetyFactor * w.Slack / float64(u.Instances)
 	}
+	calls, retries := w.latest(earningBuckets)
+	earned := safetyFactor * w.Ratio * calls
+	u.Allowed = min(safetyFactor*w.Ratio*u.Calls, u.Retries-retries+earned) + slack
 	return u
 }
 
+// latest returns the calls and retries in a number of latest buckets.
+func (w *Window) latest(buckets int64) (calls, retries float64) {
+	for bucket := w.bucket + keptBuckets - buckets + 1; bucket <= w.bucket+keptBuckets; bucket++ {
+		calls += w.calls[bucket%keptBuckets]
+		retries += w.retries[bucket%keptBuckets]
+	}
+	return calls, retries
+}
+
 // Take spends a retry and reports whether this instance, one of the given number, had
 // one left.
 func (w *Window) Take(now time.Duration, instances int) bool {
