Room of brittle servers: only a lack of room shows it, and it is passed on as it is

An instance that heard of a rejection lowered the room a second time, and a 429 passed for a lack of room. Calls that wait at the server count as taken, and the count of an accepted call includes it, as the platform tells it.

--- a/core/balance/brittle_fleet_test.go
+++ b/core/balance/brittle_fleet_test.go
@@ -180,7 +180,7 @@
 	}
 	ticket := m.Start(now, s.ID, plain)
 	if len(s.running) < f.roomAt(s, at) {
-		m.RecordRunning(s.ID, len(s.running))
+		m.RecordCalls(s.ID, len(s.running)+1)
 		s.running = append(s.running, &runningCall{end: at + brittleCallTime, caller: m, ticket: ticket})
 		return
 	}
--- a/core/balance/room.go
+++ b/core/balance/room.go
@@ -42,58 +42,57 @@
 	return s.own.Running >= owned || float64(s.own.KVTokens+need) <= part
 }
 
-// RecordFull records that a server refused a call for lack of room. running is the number of other
-// calls that the server says to have, negative if it is unknown. RecordFull returns what the
-// rejection shows of the room of a brittle server, for OtherSlotOwners, or 0 if it shows nothing.
-func (b *Balancer) RecordFull(now time.Time, id string, running int) (room int) {
-	s := b.servers[id]
-	if s == nil {
-		return 0
+// RecordBusy records that a server refused a call for another reason than its room.
+func (b *Balancer) RecordBusy(now time.Time, id string) {
+	if s := b.servers[id]; s != nil {
+		s.fullUntil = now.Add(fullTime)
 	}
-	if running >= 0 {
-		return b.recordRejection(now, s, running)
+}
+
+// RecordFull records that a server refused a call for lack of room. calls is the number of calls that
+// the server says to have, negative if it is unknown. RecordFull returns the room of a brittle server
+// that the rejection shows, for OtherSlotOwners, or 0 if it shows nothing.
+func (b *Balancer) RecordFull(now time.Time, id string, calls int) (room int) {
+	b.RecordBusy(now, id)
+	if !b.IsBrittle(now, id) {
+		return 0
 	}
-	s.fullUntil = now.Add(fullTime)
-	if b.IsBrittle(now, id) {
+	s := b.servers[id]
+	if calls < 0 {
 		s.brittle.room.Record(now, s.load().Running-1) // calls of other instances may be missing
+		return 0
+	}
+	if s.brittle.proven > calls {
+		calls-- // the room shrinks: calls that have it run on until they end
 	}
-	return 0
+	room = max(1, calls)
+	b.recordRoom(now, s, room)
+	return room
 }
 
-// MergeRejection records that a server has refused a call of another instance while it ran the given
-// number of calls.
-func (b *Balancer) MergeRejection(now time.Time, id string, running int) {
-	if s := b.servers[id]; s != nil {
-		b.recordRejection(now, s, running)
+// MergeRejection records that a server has refused a call of another instance, and the room that this
+// shows.
+func (b *Balancer) MergeRejection(now time.Time, id string, room int) {
+	b.RecordBusy(now, id)
+	if b.IsBrittle(now, id) {
+		b.recordRoom(now, b.servers[id], room)
 	}
 }
 
-// recordRejection records a rejection by a server that ran the given number of calls.
-func (b *Balancer) recordRejection(now time.Time, s *server, running int) (room int) {
-	s.fullUntil = now.Add(fullTime)
-	p := b.pool(s.Pool)
-	bears := brittleness(now, p, s)
-	if !bears.Limited {
-		return 0
-	}
-	known := &s.brittle
-	if known.tellsLoad && known.proven > running {
-		running-- // the room shrinks: calls that have it run on until they end
-	}
-	room = max(1, running)
+func (b *Balancer) recordRoom(now time.Time, s *server, room int) {
+	known, p := &s.brittle, b.pool(s.Pool)
 	known.room.Record(now, room)
 	known.proven = room
-	if !p.room.Known() || room < p.room.Slots(now, bears) {
+	if !p.room.Known() || room < p.room.Slots(now, brittleness(now, p, s)) {
 		p.room.Record(now, room)
 	}
-	return room
 }
 
-// RecordRunning records the number of calls that a server says to run beside one that it has taken.
-func (b *Balancer) RecordRunning(id string, others int) {
+// RecordCalls records the number of calls that a server says to have with one that it has taken.
+func (b *Balancer) RecordCalls(id string, calls int) {
 	if s := b.servers[id]; s != nil && b.pool(s.Pool).brittle.Limited {
 		s.brittle.tellsLoad = true
-		s.brittle.proven = max(s.brittle.proven, others+1)
+		s.brittle.proven = max(s.brittle.proven, calls)
 	}
 }
 
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -50,7 +50,7 @@
 	c.rejected = true
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
 	resp.Drain()
-	if room, brittle := c.router.recordRefusal(s.ID, &resp.Answer); brittle {
+	if room, brittle := c.router.recordRefusal(s.ID, resp); brittle {
 		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name, "slots": room.Slots, "owned": room.Owned, "own_running": room.Own,
 			"all_running": room.All, "owners": room.Owners, "unheard": room.Unheard}).Warn("brittle server had no room for the call")
 		c.router.opt.Metrics.BrittleRejection(c.pool.Name)
@@ -61,33 +61,31 @@
 // recordRefusal records that a server did not run a call. If it is brittle and had no room, it
 // returns the room that this instance expected, the call itself included, and tells the other
 // instances.
-func (r *Router) recordRefusal(id string, a *upstream.Answer) (expected balance.RoomState, brittle bool) {
+func (r *Router) recordRefusal(id string, resp *upstream.Response) (expected balance.RoomState, brittle bool) {
 	now := time.Now()
 	r.mu.Lock()
-	if a.WrongServer {
+	defer r.mu.Unlock()
+	switch {
+	case resp.Answer.WrongServer:
 		r.balancer.RecordFailure(now, id, true)
-		r.mu.Unlock()
+		return expected, false
+	case resp.Status != http.StatusServiceUnavailable:
+		r.balancer.RecordBusy(now, id)
 		return expected, false
 	}
 	expected, brittle = r.balancer.RoomState(now, id)
-	running := unknownRunning
-	if a.Load != nil {
-		running = a.Load.Running + a.Load.Waiting
-	}
-	room := r.balancer.RecordFull(now, id, running)
-	var owners []string
-	if room > 0 {
-		owners = r.balancer.OtherSlotOwners(id)
+	calls := unknownCalls
+	if l := resp.Answer.Load; l != nil {
+		calls = l.Running + l.Waiting
 	}
-	r.mu.Unlock()
-	if len(owners) > 0 {
-		r.opt.TellRejection(owners, id, room)
+	if room := r.balancer.RecordFull(now, id, calls); room > 0 {
+		r.opt.TellRejection(r.balancer.OtherSlotOwners(id), id, room)
 	}
 	return expected, brittle
 }
 
-// unknownRunning is passed to the balancer if a server does not say how many calls it runs.
-const unknownRunning = -1
+// unknownCalls is passed to the balancer if a server does not say how many calls it has.
+const unknownCalls = -1
 
 var errRefused = errors.New("the server did not run the call")
 
--- a/daemon/router/limit.go
+++ b/daemon/router/limit.go
@@ -49,7 +49,7 @@
 		r.balancer.RecordBrittle(now, s.ID, a.Brittle)
 	}
 	if a.Load != nil && !a.NotRun {
-		r.balancer.RecordRunning(s.ID, a.Load.Running)
+		r.balancer.RecordCalls(s.ID, a.Load.Running+a.Load.Waiting)
 	}
 }
 
--- a/daemon/router/rejection.go
+++ b/daemon/router/rejection.go
@@ -16,8 +16,8 @@
 // that does not know of it may send the server a call that is rejected too.
 type rejection struct {
 	Server string `msgpack:"s"`
-	// Running is the number of calls that the server ran.
-	Running int `msgpack:"r"`
+	// Room is the room that this shows.
+	Room int `msgpack:"r"`
 }
 
 // Rejections sends rejections to other instances and receives theirs.
@@ -40,15 +40,15 @@
 	})
 }
 
-// Tell sends a rejection to peers.
-func (x *Rejections) Tell(addresses []string, server string, running int) {
+// Tell sends to peers the room that a rejection by a server has shown. It does not wait.
+func (x *Rejections) Tell(addresses []string, server string, room int) {
 	for _, a := range addresses {
-		_ = x.transport.Send(a, methodRejection, &rejection{server, running}) // a lost message costs another rejection
+		_ = x.transport.Send(a, methodRejection, &rejection{server, room}) // a lost message costs another rejection
 	}
 }
 
 func (r *Router) mergeRejection(m *rejection) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.MergeRejection(time.Now(), m.Server, m.Running)
+	r.balancer.MergeRejection(time.Now(), m.Server, m.Room)
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -64,8 +64,8 @@
 	// included, as a list that is replaced when it changes; nil for a single instance.
 	SlotOwners func() []string
 	// TellRejection tells other instances, given by their names, that a brittle server has rejected
-	// a call while it ran the given number of calls; nil for a single instance.
-	TellRejection func(names []string, server string, running int)
+	// a call, and the room that this shows. It must not wait; nil for a single instance.
+	TellRejection func(names []string, server string, room int)
 	// Zone is this instance's availability zone.
 	Zone string
 	// Relays passes calls to peers while this instance can't reach the servers; nil for
