--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -71,29 +71,28 @@
 	Instances int
 }
 
-// Usage returns the use by this instance, one of the given number. The oldest bucket lies partly
-// outside of the window: its retries count, its calls don't.
+// Usage returns the use by this instance, one of the given number.
 func (w *Window) Usage(now time.Duration, instances int) Usage {
 	w.advance(now)
 	u := Usage{Instances: max(1, instances)}
 	u.Calls, u.Retries = w.latest(windowBuckets)
-	oldest := w.retries[(w.bucket+1)%keptBuckets]
-	u.Retries += oldest
+	u.Retries += w.retries[(w.bucket+1)%keptBuckets] // partly within the span
 	slack := 0.0
 	if now >= w.Span {
 		slack = safetyFactor * w.Slack / float64(u.Instances)
 	}
 	calls, retries := w.latest(earningBuckets)
-	earned := safetyFactor * w.Ratio * calls
-	u.Allowed = min(safetyFactor*w.Ratio*u.Calls, u.Retries-retries+earned) + slack
+	earned := u.Retries - retries + safetyFactor*w.Ratio*calls
+	u.Allowed = min(safetyFactor*w.Ratio*u.Calls, earned) + slack
 	return u
 }
 
 // latest returns the calls and retries in a number of latest buckets.
 func (w *Window) latest(buckets int64) (calls, retries float64) {
-	for bucket := w.bucket + keptBuckets - buckets + 1; bucket <= w.bucket+keptBuckets; bucket++ {
-		calls += w.calls[bucket%keptBuckets]
-		retries += w.retries[bucket%keptBuckets]
+	for back := range buckets {
+		i := (w.bucket - back + keptBuckets) % keptBuckets
+		calls += w.calls[i]
+		retries += w.retries[i]
 	}
 	return calls, retries
 }
