Read once more: one copy of what the change had written again

Cause: a reading of the whole change. Behaviour stays, tests keep their assertions. - A one-way message was decoded by a copy of what the dispatcher's messages have: frame.HandleDecoded serves both. - Three fakes wrote bytes without end: crashserver.SendEndless. - A rejection was told to the other instances under the router's lock; it is sent after it now. - beginLong reported what the next write reports; the harness built its request twice. - The transport of cardamomctl's load command replaced the one with the bound on heads: it has it too.

--- a/ctl/caller/caller.go
+++ b/ctl/caller/caller.go
@@ -21,6 +21,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/httpbound"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/ctl/fake"
 )
@@ -32,6 +33,8 @@
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4096,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: httpbound.MaxHeadBytes,
 	}
 }
 
--- a/daemon/backend/backend_test.go
+++ b/daemon/backend/backend_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"cardamomwick.example/core/crashserver"
 	"cardamomwick.example/core/retry"
 )
 
@@ -130,14 +131,9 @@
 		"line of an event": {"HTTP/1.1 200 OK\r\n\r\ndata: ", strings.Repeat("a", 1000)},
 	} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
+			if err := crashserver.SendEndless(w, text.begin, text.repeated); err != nil {
 				panic(err)
 			}
-			defer conn.Close()
-			for _, err = io.WriteString(conn, text.begin); err == nil; {
-				_, err = io.WriteString(conn, strings.Repeat(text.repeated, 16))
-			}
 		}))
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		st, err := Open(ctx, &Target{Address: strings.TrimPrefix(s.URL, "http://")}, []byte("{}"))
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -10,7 +10,6 @@
 
 	"cardamomwick.example/core/dispatch"
 	"cardamomwick.example/core/state"
-	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/loop"
 )
@@ -52,29 +51,17 @@
 // New returns a service and registers its frame handlers.
 func New(t *frame.Transport) *Service {
 	s := &Service{transport: t, pools: map[string]*pool{}}
-	handle(t, MethodEnqueue, s.enqueue)
-	handle(t, MethodCancel, s.cancel)
-	handle(t, MethodFinish, s.finish)
-	handle(t, MethodSync, s.sync)
-	handle(t, MethodAnnounce, s.announce)
+	frame.HandleDecoded(t, MethodEnqueue, s.enqueue)
+	frame.HandleDecoded(t, MethodCancel, s.cancel)
+	frame.HandleDecoded(t, MethodFinish, s.finish)
+	frame.HandleDecoded(t, MethodSync, s.sync)
+	frame.HandleDecoded(t, MethodAnnounce, s.announce)
 	t.HandleRequest(MethodView, func(context.Context, string, []byte) (any, error) {
 		return &ViewReply{Pools: s.View()}, nil
 	})
 	return s
 }
 
-// handle registers a handler of decoded one-way messages.
-func handle[T any](t *frame.Transport, method string, f func(from string, m *T)) {
-	t.HandleOneWay(method, func(from string, body []byte) {
-		var m T
-		if err := wire.Decode(body, &m); err != nil {
-			log.WithError(err).WithField("step", "decode "+method).WithField("peer", from).Warn("message dropped")
-			return
-		}
-		f(from, &m)
-	})
-}
-
 // SetConfig applies a new configuration to all pools.
 func (s *Service) SetConfig(c state.Config) {
 	p := dispatch.Policy{Retired: c.Retired}
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -128,6 +128,19 @@
 // HandleOneWay registers the handler of a one-way method.
 func (t *Transport) HandleOneWay(method string, h OneWayHandler) { t.oneWays[method] = h }
 
+// HandleDecoded registers the handler of a one-way method whose messages have one type. Messages that
+// can't be decoded are dropped.
+func HandleDecoded[T any](t *Transport, method string, f func(from string, m *T)) {
+	t.HandleOneWay(method, func(from string, body []byte) {
+		var m T
+		if err := wire.Decode(body, &m); err != nil {
+			log.WithError(err).WithField("step", "decode "+method).WithField("peer", from).Warn("message dropped")
+			return
+		}
+		f(from, &m)
+	})
+}
+
 // SetListen sets the address that Serve listens on, if the instance's peer address is
 // forwarded to another one. It must be called before Serve.
 func (t *Transport) SetListen(address string) { t.listen = address }
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -180,8 +180,8 @@
 		Usage: d.usage(),
 		Retry: router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.quarantine,
 		Dial: newPartitionDialer(d.settings.Faults.CutFile),
-		TellRejection: func(names []string, server string, running int) {
-			rejections.Tell(d.peerAddresses(names), server, running)
+		TellRejection: func(names []string, server string, room int) {
+			rejections.Tell(d.peerAddresses(names), server, room)
 		},
 		Zone: d.settings.Instance.AvailabilityZone, SlotOwners: d.slotOwners, Relays: relay.NewClient(d.transport), Peers: d.relayPeers, Records: d.records, OnlySoftware: resumption.NewHistory(client.OnlySoftware).OnlySoftware, OnPartition: d.setPartitioned,
 		ListIsCurrent: func() bool { return d.watch.ListIsCurrent() }})
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -50,38 +50,51 @@
 	c.rejected = true
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
 	resp.Drain()
-	if room, brittle := c.router.recordRefusal(s.ID, resp); brittle {
-		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name, "slots": room.Slots, "owned": room.Owned, "own_running": room.Own,
-			"all_running": room.All, "owners": room.Owners, "unheard": room.Unheard}).Warn("brittle server had no room for the call")
+	r := c.router.recordRefusal(s.ID, resp)
+	if r.shownRoom > 0 {
+		c.router.opt.TellRejection(r.owners, s.ID, r.shownRoom)
+	}
+	if r.brittle {
+		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name, "slots": r.expected.Slots, "owned": r.expected.Owned, "own_running": r.expected.Own,
+			"all_running": r.expected.All, "owners": r.expected.Owners, "unheard": r.expected.Unheard}).Warn("brittle server had no room for the call")
 		c.router.opt.Metrics.BrittleRejection(c.pool.Name)
 	}
 	return notRun
 }
 
-// recordRefusal records that a server did not run a call. If it is brittle and had no room, it
-// returns the room that this instance expected, the call itself included, and tells the other
-// instances.
-func (r *Router) recordRefusal(id string, resp *upstream.Response) (expected balance.RoomState, brittle bool) {
-	now := time.Now()
+// refusal is what a refusal by a server has shown.
+type refusal struct {
+	// brittle is set if the server is brittle and had no room, expected what this instance knew of
+	// its room, the call itself included.
+	brittle  bool
+	expected balance.RoomState
+	// shownRoom is the room that the other owners of the server's slots are to be told, 0 for none.
+	shownRoom int
+	owners    []string
+}
+
+// recordRefusal records that a server did not run a call.
+func (r *Router) recordRefusal(id string, resp *upstream.Response) (out refusal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	switch {
 	case resp.Answer.WrongServer:
 		r.balancer.RecordFailure(now, id, true)
-		return expected, false
+		return out
 	case resp.Status != http.StatusServiceUnavailable:
 		r.balancer.RecordBusy(now, id)
-		return expected, false
+		return out
 	}
-	expected, brittle = r.balancer.RoomState(now, id)
+	out.expected, out.brittle = r.balancer.RoomState(now, id)
 	calls := unknownCalls
 	if l := resp.Answer.Load; l != nil {
 		calls = l.Running + l.Waiting
 	}
-	if room := r.balancer.RecordFull(now, id, calls); room > 0 {
-		r.opt.TellRejection(r.balancer.OtherSlotOwners(id), id, room)
+	if out.shownRoom = r.balancer.RecordFull(now, id, calls); out.shownRoom > 0 {
+		out.owners = r.balancer.OtherSlotOwners(id)
 	}
-	return expected, brittle
+	return out
 }
 
 // unknownCalls is passed to the balancer if a server does not say how many calls it has.
@@ -166,9 +179,7 @@
 // sendLong sends an answer to the caller that is too long to be held. On an error the caller has a
 // part of it, and the connection to the caller must be closed.
 func (c *call) sendLong(resp *upstream.Response, begin []byte) error {
-	if !c.beginLong(resp.Status, resp.Header, resp.Length) {
-		return errCallerLeft
-	}
+	c.beginLong(resp.Status, resp.Header, resp.Length)
 	if _, err := c.w.Write(begin); err != nil {
 		return errCallerLeft
 	}
@@ -192,14 +203,13 @@
 }
 
 // beginLong sends the head of an answer whose body follows in parts. length is -1 if it is unknown.
-func (c *call) beginLong(status int, header http.Header, length int64) bool {
+func (c *call) beginLong(status int, header http.Header, length int64) {
 	copyHeader(c.w.Header(), header)
 	if length >= 0 {
 		c.w.Header()["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
 	c.w.WriteHeader(status)
 	c.begun = true
-	return c.req.Context().Err() == nil
 }
 
 // sendComplete sends a complete answer to the caller.
--- a/daemon/router/endless_test.go
+++ b/daemon/router/endless_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cardamomwick.example/core/crashserver"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -57,21 +57,14 @@
 // is closed.
 func endless(begin, repeated string) http.HandlerFunc {
 	return func(rw http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(rw).Hijack()
-		if err != nil {
+		if err := crashserver.SendEndless(rw, begin, repeated); err != nil {
 			panic(err)
 		}
-		defer conn.Close()
-		block := []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated)))
-		for _, err = io.WriteString(conn, begin); err == nil; {
-			_, err = conn.Write(block)
-		}
 	}
 }
 
 const (
 	okHead    = "HTTP/1.1 200 OK\r\nCall: c1\r\nSignature: s\r\n"
-	kibibyte  = "400\r\n"
 	chunkHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
@@ -79,8 +72,7 @@
 // an answer passes for a whole one.
 func TestBytesWithoutEndEndTheCall(t *testing.T) {
 	text := strings.Repeat("a", 1024)
-	chunk := kibibyte + text + "\r\n"
-	event := "id: %d\ndata: a\n\n"
+	chunk := "400\r\n" + text + "\r\n"
 	for _, c := range []struct {
 		name, path, begin, repeated string
 		maxRead                     int64
@@ -102,7 +94,7 @@
 		{"line of an event", "/chat/x", okHead + "\r\nid: 1\ndata: ", text, maxBodyRead},
 		{"lines of an event", "/chat/x", okHead + "\r\nid: 1\n", "data: " + text + "\n", maxBodyRead},
 		{"comments", "/chat/x", okHead + "\r\n", ":\n", maxBodyRead},
-		{"events of one number", "/chat/x", okHead + "\r\n", fmt.Sprintf(event, 1), maxBodyRead},
+		{"events of one number", "/chat/x", okHead + "\r\n", "id: 1\ndata: a\n\n", maxBodyRead},
 		{"events without a number", "/chat/x", okHead + "\r\n", "data: " + text + "\n\n", maxBodyRead},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -175,13 +167,7 @@
 
 // discard makes a call and reads its answer without holding it.
 func (w *harness) discard(path string) {
-	req, err := http.NewRequest(http.MethodPost, w.front.URL+path, strings.NewReader("body"))
-	if err != nil {
-		panic(err)
-	}
-	req.Header.Set("Call", "c1")
-	req.Header.Set("Key", "key")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := http.DefaultClient.Do(w.request(path))
 	if err != nil {
 		return
 	}
--- a/daemon/router/rejection.go
+++ b/daemon/router/rejection.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"github.com/apex/log"
-
-	"cardamomwick.example/core/wire"
 	"cardamomwick.example/daemon/frame"
 )
 
@@ -30,14 +27,7 @@
 
 // Receive registers the frame handler, which passes rejections to a router.
 func (x *Rejections) Receive(r *Router) {
-	x.transport.HandleOneWay(methodRejection, func(from string, body []byte) {
-		var m rejection
-		if err := wire.Decode(body, &m); err != nil {
-			log.WithError(err).WithFields(log.Fields{"step": "decode rejection", "peer": from}).Warn("message dropped")
-			return
-		}
-		r.mergeRejection(&m)
-	})
+	frame.HandleDecoded(x.transport, methodRejection, func(_ string, m *rejection) { r.mergeRejection(m) })
 }
 
 // Tell sends to peers the room that a rejection by a server has shown. It does not wait.
--- a/daemon/router/relay.go
+++ b/daemon/router/relay.go
@@ -223,8 +223,8 @@
 
 // forwardLongPart forwards a part of an answer that is too long to be held, after those held before.
 func (c *call) forwardLongPart(a *relay.Answer, held, part []byte) {
-	if !c.begun && !c.beginLong(a.Status, a.Header, -1) {
-		c.abortRelayed()
+	if !c.begun {
+		c.beginLong(a.Status, a.Header, -1)
 	}
 	for _, p := range [][]byte{held, part} {
 		if _, err := c.w.Write(p); err != nil {
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -125,14 +125,20 @@
 	err    error
 }
 
-func (w *harness) call(path string, headers ...string) reply {
-	w.t.Helper()
+// request returns a call of the customer.
+func (w *harness) request(path string) *http.Request {
 	req, err := http.NewRequest(http.MethodPost, w.front.URL+path, strings.NewReader("body"))
 	if err != nil {
-		w.t.Fatal(err)
+		panic(err)
 	}
 	req.Header.Set("Call", "c1")
 	req.Header.Set("Key", "key")
+	return req
+}
+
+func (w *harness) call(path string, headers ...string) reply {
+	w.t.Helper()
+	req := w.request(path)
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
