--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -77,7 +77,8 @@
 		return nil
 	}
 	debug.SetGCPercent(gcPercent)
-	daemon.SetUpLog(logFile(s), s.Log.Level, s.Instance.Name)
+	flushLog := daemon.SetUpLog(logFile(s), s.Log.Level, s.Instance.Name)
+	defer flushLog()
 	logWarnings(s, file)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
@@ -85,12 +86,12 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	d, err := newInstance(s)
 	if err != nil {
-		log.WithError(err).WithField("step", "start").Error("instance can't start")
+		log.WithError(err).WithFields(log.Fields{"step": "start", "exit_code": exitFailed}).Error("instance can't start")
 		return cli.Exit(err.Error(), exitFailed)
 	}
 	go reloadOnChange(d, file, hangups)
 	if err := d.Run(stop); err != nil {
-		log.WithError(err).WithField("step", "run").Error("instance ended with an error")
+		log.WithError(err).WithFields(log.Fields{"step": "run", "exit_code": exitFailed}).Error("instance ended with an error")
 		return cli.Exit(err.Error(), exitFailed)
 	}
 	return nil
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -58,9 +58,11 @@
 	mirror      *fleet.Mirror
 	lastSuccess time.Time
 	lost        bool
-	// mu guards contact.
+	// mu guards contact and confirmedAt.
 	mu      sync.Mutex
 	contact resumption.Contact
+	// confirmedAt is when a replica with contact to the leader last answered.
+	confirmedAt time.Time
 	// lastFailed: the last request got no answer.
 	lastFailed bool
 	// onFleet receives the list of servers after each request.
@@ -95,6 +97,18 @@
 	return w.contact.CurrentSince(now.Add(-resumption.AnnounceTime), now)
 }
 
+// SinceConfirmed returns the time since a replica with contact to the leader last answered, which
+// is how old the declaration in force here may be; -1 if none has answered since the start. Safe
+// for concurrent use.
+func (w *Watch) SinceConfirmed() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.confirmedAt.IsZero() {
+		return -1
+	}
+	return time.Since(w.confirmedAt)
+}
+
 // Serve watches until the context ends.
 func (w *Watch) Serve(ctx context.Context) error {
 	w.bootstrap(ctx)
@@ -174,7 +188,7 @@
 	if reply == nil || reply.NotLeader {
 		return false
 	}
-	w.apply(reply)
+	w.apply(reply, "any replica")
 	w.onFleet(w.mirror.Servers(time.Now()))
 	return w.table.Load() != nil
 }
@@ -206,18 +220,19 @@
 	w.recordResult(err)
 	w.lastFailed = err != nil
 	if err == nil {
-		w.apply(&reply)
+		w.apply(&reply, "replica group")
 	}
 	w.onFleet(w.mirror.Servers(time.Now()))
 }
 
-func (w *Watch) apply(reply *watchReply) {
+// apply applies a reply; from names in the log whose it is.
+func (w *Watch) apply(reply *watchReply, from string) {
 	w.client.Directory().SetMembers(reply.Members)
 	if len(reply.QuarantineDecisions) > 0 {
 		w.onDecisions(reply.QuarantineDecisions) // before the first call is accepted
 	}
 	if len(reply.Declaration) > 0 {
-		if err := w.applyDeclaration(reply.Declaration); err != nil {
+		if err := w.applyDeclaration(reply.Declaration, from); err != nil {
 			log.WithError(err).WithField("step", "apply declaration").Error("declaration rejected; the previous one stays in force")
 		}
 	}
@@ -226,7 +241,7 @@
 	}
 }
 
-func (w *Watch) applyDeclaration(compressed []byte) error {
+func (w *Watch) applyDeclaration(compressed []byte, from string) error {
 	data, err := decompress(compressed)
 	if err != nil {
 		return err
@@ -241,7 +256,7 @@
 	t := routing.NewTable(d)
 	w.table.Store(t)
 	w.onTable(t)
-	log.WithFields(log.Fields{"step": "apply declaration", "version": d.Version, "routes": len(d.Routes)}).Info("declaration in force")
+	log.WithFields(log.Fields{"step": "apply declaration", "version": d.Version, "routes": len(d.Routes), "from": from}).Info("declaration in force")
 	return nil
 }
 
@@ -256,6 +271,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.contact.Answered(now)
+		w.confirmedAt = now
 		return
 	}
 	if !w.lost && now.Sub(w.lastSuccess) >= lossTimeout {
--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -24,6 +24,8 @@
 	maxAnsweredPerSecond = 300
 	// dropReportInterval is how often dropped lines are reported.
 	dropReportInterval = time.Second
+	// flushTimeout bounds the wait for queued lines before the process ends.
+	flushTimeout = 500 * time.Millisecond
 )
 
 // AnsweredField marks the log lines about answered calls, which are dropped first. It is not
@@ -35,6 +37,7 @@
 type boundedHandler struct {
 	name    string
 	lines   chan []byte
+	flushes chan chan<- struct{}
 	dropped atomic.Int64
 
 	mu       sync.Mutex
@@ -91,6 +94,9 @@
 		case line := <-h.lines:
 			// A failure to write the log can't be reported anywhere.
 			_, _ = w.Write(line)
+		case done := <-h.flushes:
+			h.writeQueued(w)
+			close(done)
 		case <-report.C:
 			if n := h.dropped.Swap(0); n > 0 {
 				_, _ = fmt.Fprintf(w, "{\"fields\":{\"instance\":%q,\"lines\":%d},\"level\":\"warn\",\"message\":\"log lines dropped\"}\n", h.name, n)
@@ -99,14 +105,39 @@
 	}
 }
 
+// writeQueued writes the lines that are queued now.
+func (h *boundedHandler) writeQueued(w io.Writer) {
+	for range len(h.lines) {
+		_, _ = w.Write(<-h.lines) // see write
+	}
+}
+
+// flush waits until the lines queued so far are written, for flushTimeout at most.
+func (h *boundedHandler) flush() {
+	timeout := time.After(flushTimeout)
+	done := make(chan struct{})
+	select {
+	case h.flushes <- done:
+	case <-timeout:
+		return
+	}
+	select {
+	case <-done:
+	case <-timeout:
+	}
+}
+
 func newBoundedHandler(w io.Writer, name string) *boundedHandler {
-	h := &boundedHandler{name: name, lines: make(chan []byte, maxQueuedLines)}
+	h := &boundedHandler{name: name, lines: make(chan []byte, maxQueuedLines), flushes: make(chan chan<- struct{})}
 	go h.write(w)
 	return h
 }
 
-// SetUpLog makes the process log JSON lines of the given level and above to w.
-func SetUpLog(w io.Writer, level, name string) {
-	log.SetHandler(newBoundedHandler(w, name))
+// SetUpLog makes the process log JSON lines of the given level and above to w. The returned
+// function writes the lines that are still queued; call it before the process ends.
+func SetUpLog(w io.Writer, level, name string) (flush func()) {
+	h := newBoundedHandler(w, name)
+	log.SetHandler(h)
 	log.SetLevelFromString(level)
+	return h.flush
 }
--- a/daemon/logging_test.go
+++ b/daemon/logging_test.go
@@ -70,3 +70,33 @@
 		}
 	}
 }
+
+// The line that says why a process ends is the last one before it ends.
+func TestLastLinesAreWrittenBeforeTheProcessEnds(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	h := newBoundedHandler(w, "i1")
+	logger := &log.Logger{Handler: h, Level: log.InfoLevel}
+	for range 100 {
+		logger.Info("queued")
+	}
+	logger.Info("instance can't start")
+	close(w.release)
+	h.flush()
+	if text := w.text(); !strings.HasSuffix(text, "\"instance can't start\"}\n") || strings.Count(text, "\n") != 101 {
+		t.Errorf("%d lines were written, the last of them %q", strings.Count(text, "\n"), text[strings.LastIndex(strings.TrimSpace(text), "\n")+1:])
+	}
+}
+
+func TestFlushDoesNotWaitForAReaderThatHasStopped(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	defer close(w.release)
+	h := newBoundedHandler(w, "i1")
+	(&log.Logger{Handler: h, Level: log.InfoLevel}).Info("queued")
+	flushed := make(chan struct{})
+	go func() { h.flush(); close(flushed) }()
+	select {
+	case <-flushed:
+	case <-time.After(20 * flushTimeout):
+		t.Error("the flush waits for a reader that does not read")
+	}
+}
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -121,9 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if loaded.TornBytes > 0 {
-		log.WithField("bytes", loaded.TornBytes).WithField("step", "open storage").Warn("truncated an incomplete record at the end of the log")
-	}
+	logOpened(store, loaded)
 	r := &Replica{opt: opt, inbox: make(chan func(), inboxLength), stopped: make(chan struct{}), store: store, machine: state.New(),
 		proposals: map[uint64]proposal{}, reads: map[uint64]func(error){}, incomingSnapshots: map[uint64][]byte{}, sendingTo: map[uint64]bool{},
 		senderAddress: map[uint64]string{}, lastMessage: map[uint64]time.Time{}, views: newViewHolder()}
@@ -134,6 +132,13 @@
 	return r, nil
 }
 
+// logOpened logs what a data folder held when it was opened.
+func logOpened(store *storage.Store, l *storage.Loaded) {
+	log.WithFields(log.Fields{"step": "open storage", "replica": store.Identity().ID, "group": store.Identity().Group, "term": l.State.Term,
+		"snapshot": l.Snapshot.Meta.Index, "entries": len(l.Entries), "commit": l.State.Commit, "segments": l.Segments,
+		"torn_bytes": l.TornBytes}).Info("opened the data folder")
+}
+
 func (r *Replica) restore(l *storage.Loaded) error {
 	if len(l.Snapshot.Data) > 0 {
 		if err := r.machine.Restore(l.Snapshot.Data); err != nil {
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -39,6 +39,7 @@
 			}
 			return 0
 		})
+		gauge("cardamomwick_declaration_confirmed_age_seconds", func() float64 { return d.watch.SinceConfirmed().Seconds() })
 	}
 	if d.replica != nil {
 		d.registerDutyGauges()
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -85,6 +85,8 @@
 	// TornBytes is the length of an incomplete record, never synced, that was truncated from
 	// the end of the log.
 	TornBytes int64
+	// Segments is the number of log segments that were read.
+	Segments int
 }
 
 func createOSFile(path string) (File, error) {
@@ -214,10 +216,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "list log segments")
 	}
+	l.Segments = len(names)
 	for i, name := range names {
 		s.number = segmentNumber(name)
-		if err := s.loadSegment(name, i == len(names)-1, l); err != nil {
-			return nil, err
+		later := len(names) - 1 - i
+		if err := s.loadSegment(name, later == 0, l); err != nil {
+			return nil, eris.Wrapf(err, "segment with %d later ones", later)
 		}
 	}
 	return l, nil
@@ -264,7 +268,7 @@
 			continue
 		}
 		if !last || follows {
-			return eris.Wrapf(ErrCorrupt, "%s at byte %d", filepath.Base(name), off)
+			return eris.Wrapf(ErrCorrupt, "%s at byte %d of %d, %v", filepath.Base(name), off, len(data), err)
 		}
 		l.TornBytes = int64(len(data) - off)
 		return s.truncate(name, int64(off))
