--- a/daemon/replica/audit.go
+++ b/daemon/replica/audit.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"io"
 	"os"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/filesystem"
 )
 
 const auditName = "audit.jsonl"
@@ -18,26 +20,27 @@
 // applied, one JSON object per line. Entries that are not synced yet can be
 // recovered from the consensus log.
 type auditFile struct {
+	fs   filesystem.FS
 	path string
-	file *os.File
+	file filesystem.File
 	// last is the highest sequence number in the file.
 	last uint64
 }
 
-func openAudit(path string) (*auditFile, error) {
-	a := &auditFile{path: path}
+func openAudit(fs filesystem.FS, path string) (*auditFile, error) {
+	a := &auditFile{fs: fs, path: path}
 	size, err := a.scan(func(e state.AuditEntry) { a.last = e.Sequence })
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
 	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o600)
+	f, err := fs.Open(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "open audit file")
 	}
 	if err := f.Truncate(size); err != nil {
 		return nil, eris.Wrap(err, "truncate incomplete audit line")
 	}
-	if _, err := f.Seek(size, 0); err != nil {
+	if _, err := f.Seek(size, io.SeekStart); err != nil {
 		return nil, eris.Wrap(err, "open audit file")
 	}
 	a.file = f
@@ -47,7 +50,7 @@
 // scan calls f with each entry up to the first incomplete or invalid line, and returns
 // the length of the file up to there.
 func (a *auditFile) scan(f func(state.AuditEntry)) (int64, error) {
-	file, err := os.Open(a.path)
+	file, err := a.fs.OpenRead(a.path)
 	if err != nil {
 		return 0, err
 	}
--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -44,7 +44,7 @@
 func (r *Replica) tryReopen() error {
 	r.audit.close()
 	r.store.Close()
-	store, loaded, err := storage.Open(r.opt.Folder)
+	store, loaded, err := storage.Open(r.opt.FS, r.opt.Folder)
 	if err != nil {
 		return err
 	}
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -13,6 +13,7 @@
 	"cardamomwick.example/core/raft"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/core/wire"
+	"cardamomwick.example/daemon/filesystem"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/storage"
 )
@@ -54,6 +55,8 @@
 	Transport *frame.Transport
 	// Folder is the data folder.
 	Folder string
+	// FS is the file system of the data folder; nil means the operating system's.
+	FS filesystem.FS
 	// Directory holds the addresses of the other replicas.
 	Directory *Directory
 	// Operators maps the names of the operators that are trusted until the first bundle
@@ -117,7 +120,10 @@
 
 // New opens the data folder and registers the frame handlers.
 func New(opt Options) (*Replica, error) {
-	store, loaded, err := storage.Open(opt.Folder)
+	if opt.FS == nil {
+		opt.FS = filesystem.OS{}
+	}
+	store, loaded, err := storage.Open(opt.FS, opt.Folder)
 	if err != nil {
 		return nil, err
 	}
@@ -146,7 +152,7 @@
 		}
 	}
 	var err error
-	if r.audit, err = openAudit(filepath.Join(r.opt.Folder, auditName)); err != nil {
+	if r.audit, err = openAudit(r.opt.FS, filepath.Join(r.opt.Folder, auditName)); err != nil {
 		return err
 	}
 	r.applied = l.Snapshot.Meta.Index
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -9,10 +9,8 @@
 	"encoding/binary"
 	"errors"
 	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -21,6 +19,7 @@
 
 	"cardamomwick.example/core/raft"
 	"cardamomwick.example/core/wire"
+	"cardamomwick.example/daemon/filesystem"
 )
 
 // Errors of the store.
@@ -37,7 +36,8 @@
 const (
 	identityFile   = "identity"
 	snapshotFile   = "snapshot"
-	segmentGlob    = "wal-*.log"
+	segmentPrefix  = "wal-"
+	segmentSuffix  = ".log"
 	headerBytes    = 8
 	maxRecordBytes = 64 << 20
 	// SegmentBytes is the segment size above which the replica saves a snapshot, which
@@ -56,25 +56,17 @@
 	Group uint64 `msgpack:"g"`
 }
 
-// File is the part of *os.File that the store uses; tests inject failures.
-type File interface {
-	io.Writer
-	Sync() error
-	Close() error
-}
-
 // Store is an open data folder. It is not safe for concurrent use.
 type Store struct {
+	fs       filesystem.FS
 	dir      string
 	identity Identity
-	segment  File
+	segment  filesystem.File
 	number   uint64
 	size     int64
 	failed   bool
 	// unsynced is set while an appended commit index is not synced.
 	unsynced bool
-	// createFile creates a file and opens it for writing.
-	createFile func(path string) (File, error)
 }
 
 // Loaded is the content of a folder when it was opened.
@@ -89,16 +81,12 @@
 	Segments int
 }
 
-func createOSFile(path string) (File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_EXCL, 0o600)
-}
-
 // Open opens a data folder, which it creates if necessary.
-func Open(dir string) (*Store, *Loaded, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+func Open(fs filesystem.FS, dir string) (*Store, *Loaded, error) {
+	if err := fs.MkdirAll(dir); err != nil {
 		return nil, nil, eris.Wrap(err, "create data folder")
 	}
-	s := &Store{dir: dir, createFile: createOSFile}
+	s := &Store{fs: fs, dir: dir}
 	if err := s.loadIdentity(); err != nil {
 		return nil, nil, err
 	}
@@ -113,7 +101,7 @@
 func (s *Store) Identity() Identity { return s.identity }
 
 func (s *Store) loadIdentity() error {
-	data, err := os.ReadFile(filepath.Join(s.dir, identityFile))
+	data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, identityFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return s.createIdentity()
 	}
@@ -164,8 +152,8 @@
 // content.
 func (s *Store) writeFile(name string, data []byte) error {
 	tmp := filepath.Join(s.dir, name+".tmp")
-	os.Remove(tmp)
-	f, err := s.createFile(tmp)
+	s.fs.Remove(tmp)
+	f, err := s.fs.Create(tmp)
 	if err != nil {
 		return err
 	}
@@ -180,29 +168,28 @@
 	if err := f.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(tmp, filepath.Join(s.dir, name)); err != nil {
+	if err := s.fs.Rename(tmp, filepath.Join(s.dir, name)); err != nil {
 		return err
 	}
 	return s.syncDir()
 }
 
-func (s *Store) syncDir() error {
-	d, err := os.Open(s.dir)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
-}
+func (s *Store) syncDir() error { return s.fs.SyncDir(s.dir) }
 
+// segments lists the paths of the log segments, oldest first.
 func (s *Store) segments() ([]string, error) {
-	names, err := filepath.Glob(filepath.Join(s.dir, segmentGlob))
-	sort.Strings(names)
-	return names, err
+	names, err := s.fs.List(s.dir)
+	var paths []string
+	for _, name := range names {
+		if strings.HasPrefix(name, segmentPrefix) && strings.HasSuffix(name, segmentSuffix) {
+			paths = append(paths, filepath.Join(s.dir, name))
+		}
+	}
+	return paths, err
 }
 
 func segmentNumber(path string) uint64 {
-	name := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(path), "wal-"), ".log")
+	name := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(path), segmentPrefix), segmentSuffix)
 	n, _ := strconv.ParseUint(name, 10, 64)
 	return n
 }
@@ -228,7 +215,7 @@
 }
 
 func (s *Store) loadSnapshot(l *Loaded) error {
-	data, err := os.ReadFile(filepath.Join(s.dir, snapshotFile))
+	data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, snapshotFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
@@ -249,7 +236,7 @@
 // loadSegment replays a segment. Only the last record of the last segment may be torn: it
 // was never synced and therefore never acknowledged.
 func (s *Store) loadSegment(name string, last bool, l *Loaded) error {
-	data, err := os.ReadFile(name)
+	data, err := filesystem.ReadFile(s.fs, name)
 	if err != nil {
 		return eris.Wrap(err, "read log segment")
 	}
@@ -278,7 +265,7 @@
 
 // truncate removes a torn record from the end of a segment.
 func (s *Store) truncate(name string, size int64) error {
-	f, err := os.OpenFile(name, os.O_WRONLY, 0)
+	f, err := s.fs.Open(name)
 	if err != nil {
 		return eris.Wrap(err, "truncate torn record")
 	}
@@ -318,8 +305,8 @@
 		}
 	}
 	s.number++
-	path := filepath.Join(s.dir, "wal-"+leftPad(s.number)+".log")
-	f, err := s.createFile(path)
+	path := filepath.Join(s.dir, segmentPrefix+leftPad(s.number)+segmentSuffix)
+	f, err := s.fs.Create(path)
 	if err != nil {
 		return eris.Wrap(err, "create log segment")
 	}
@@ -416,7 +403,7 @@
 		return err
 	}
 	for _, name := range old {
-		os.Remove(name)
+		s.fs.Remove(name)
 	}
 	return eris.Wrap(s.syncDir(), "remove old segments")
 }
@@ -436,7 +423,7 @@
 		return err
 	}
 	for _, name := range old {
-		os.Remove(name)
+		s.fs.Remove(name)
 	}
 	return eris.Wrap(s.syncDir(), "remove old segments")
 }
--- a/daemon/storage/storage_test.go
+++ b/daemon/storage/storage_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"cardamomwick.example/core/raft"
+	"cardamomwick.example/daemon/filesystem"
 )
 
 func entry(i uint64) raft.Entry {
@@ -17,7 +18,7 @@
 func createLog(t *testing.T, n uint64) (dir string) {
 	t.Helper()
 	dir = t.TempDir()
-	s, _, err := Open(dir)
+	s, _, err := Open(filesystem.OS{}, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,7 +33,7 @@
 
 func onlySegment(t *testing.T, dir string) string {
 	t.Helper()
-	names, _ := filepath.Glob(filepath.Join(dir, segmentGlob))
+	names, _ := filepath.Glob(filepath.Join(dir, segmentPrefix+"*"))
 	if len(names) != 1 {
 		t.Fatalf("%d segments", len(names))
 	}
@@ -41,7 +42,7 @@
 
 func TestReopen(t *testing.T) {
 	dir := createLog(t, 5)
-	s, l, err := Open(dir)
+	s, l, err := Open(filesystem.OS{}, dir)
 	if err != nil || len(l.Entries) != 5 || l.State.Commit != 5 {
 		t.Fatalf("%v, %d entries, state %+v", err, len(l.Entries), l.State)
 	}
@@ -51,7 +52,7 @@
 		t.Fatal(err)
 	}
 	s.Close()
-	s, l, err = Open(dir)
+	s, l, err = Open(filesystem.OS{}, dir)
 	if err != nil || string(l.Snapshot.Data) != "state" || len(l.Entries) != 2 || l.Entries[0].Index != 4 || s.Identity().ID != id {
 		t.Fatalf("after a snapshot: %v %+v", err, l)
 	}
@@ -68,7 +69,7 @@
 		id, _ := os.ReadFile(filepath.Join(dir, identityFile))
 		os.WriteFile(filepath.Join(copied, identityFile), id, 0o600)
 		os.WriteFile(filepath.Join(copied, filepath.Base(name)), whole[:size], 0o600)
-		s, l, err := Open(copied)
+		s, l, err := Open(filesystem.OS{}, copied)
 		if err != nil || len(l.Entries) != size/record {
 			t.Fatalf("cut at %d: %v, %d entries, want %d", size, err, len(l.Entries), size/record)
 		}
@@ -76,7 +77,7 @@
 			t.Fatal(err)
 		}
 		s.Close()
-		if _, l, err = Open(copied); err != nil || len(l.Entries) != size/record+1 {
+		if _, l, err = Open(filesystem.OS{}, copied); err != nil || len(l.Entries) != size/record+1 {
 			t.Fatalf("append after a cut at %d: %v", size, err)
 		}
 	}
@@ -88,19 +89,19 @@
 	data, _ := os.ReadFile(name)
 	data[len(data)/2] ^= 0x40
 	os.WriteFile(name, data, 0o600)
-	if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+	if _, _, err := Open(filesystem.OS{}, dir); !errors.Is(err, ErrCorrupt) {
 		t.Fatalf("damage in the middle: %v", err)
 	}
 	dir = createLog(t, 3)
 	os.Remove(filepath.Join(dir, identityFile))
-	if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+	if _, _, err := Open(filesystem.OS{}, dir); !errors.Is(err, ErrCorrupt) {
 		t.Fatalf("a log without its identity: %v", err)
 	}
 }
 
 // failingFile fails every sync once the count has run down.
 type failingFile struct {
-	File
+	filesystem.File
 	left *int
 }
 
@@ -113,7 +114,7 @@
 
 func TestFailedSyncIsFinal(t *testing.T) {
 	dir := t.TempDir()
-	s, _, err := Open(dir)
+	s, _, err := Open(filesystem.OS{}, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +138,7 @@
 // commit index, in addition to that of the entry.
 func TestCommitIndexAloneIsNotSynced(t *testing.T) {
 	dir := t.TempDir()
-	s, _, err := Open(dir)
+	s, _, err := Open(filesystem.OS{}, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +161,7 @@
 		t.Errorf("%d syncs, unsynced %v after a sync", syncs, s.Unsynced())
 	}
 	must(s.Close())
-	if _, l, err := Open(dir); err != nil || l.State.Commit != 1 || len(l.Entries) != 1 {
+	if _, l, err := Open(filesystem.OS{}, dir); err != nil || l.State.Commit != 1 || len(l.Entries) != 1 {
 		t.Errorf("read back %+v: %v", l, err)
 	}
 }
@@ -169,7 +170,7 @@
 // after it. The replica must start again, with all entries that are there.
 func TestTornCommitIndexIsNoDamage(t *testing.T) {
 	dir := t.TempDir()
-	s, _, err := Open(dir)
+	s, _, err := Open(filesystem.OS{}, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -193,7 +194,7 @@
 	}
 	must(os.WriteFile(names[len(names)-1], data, 0o600))
 	for range 2 { // the second open reads the segment as one that is not the last
-		s, l, err := Open(dir)
+		s, l, err := Open(filesystem.OS{}, dir)
 		if err != nil || len(l.Entries) != 2 {
 			t.Fatalf("read back %+v: %v", l, err)
 		}
@@ -202,16 +203,16 @@
 	// A record that was synced before the next one was written is still missed.
 	data[from-1] ^= 0x40
 	must(os.WriteFile(names[len(names)-1], data, 0o600))
-	if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+	if _, _, err := Open(filesystem.OS{}, dir); !errors.Is(err, ErrCorrupt) {
 		t.Errorf("damage of a synced record: %v", err)
 	}
 }
 
 func FuzzReplay(f *testing.F) {
 	dir := f.TempDir()
-	s, _, _ := Open(dir)
+	s, _, _ := Open(filesystem.OS{}, dir)
 	s.Append(&raft.HardState{Term: 1}, []raft.Entry{entry(1)})
-	names, _ := filepath.Glob(filepath.Join(dir, segmentGlob))
+	names, _ := filepath.Glob(filepath.Join(dir, segmentPrefix+"*"))
 	data, _ := os.ReadFile(names[0])
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -233,7 +234,7 @@
 	for name, rest := range map[string][]byte{"zeros": make([]byte, 40), "a huge length": {0xff, 0xff, 0xff, 0xff, 1, 2, 3, 4, 5},
 		"half a header": {0, 0, 0}, "a wrong checksum": {0, 0, 0, 2, 9, 9, 9, 9, 1, 2}, "a wrong checksum and zeros": append([]byte{0, 0, 0, 2, 9, 9, 9, 9, 1, 2}, make([]byte, 30)...)} {
 		dir := t.TempDir()
-		s, _, err := Open(dir)
+		s, _, err := Open(filesystem.OS{}, dir)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -251,7 +252,7 @@
 		}
 		f.Close()
 		for range 2 { // the second open reads the truncated log
-			s, l, err := Open(dir)
+			s, l, err := Open(filesystem.OS{}, dir)
 			if err != nil {
 				t.Fatalf("%s: %v", name, err)
 			}
@@ -267,7 +268,7 @@
 // since it is unknown which part of it is on the disk.
 func TestRewriteKeepsEverything(t *testing.T) {
 	dir := t.TempDir()
-	s, _, err := Open(dir)
+	s, _, err := Open(filesystem.OS{}, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -277,7 +278,7 @@
 		}
 	}
 	s.Close()
-	s, l, err := Open(dir)
+	s, l, err := Open(filesystem.OS{}, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -288,7 +289,7 @@
 		t.Errorf("%d segments are left", len(names))
 	}
 	s.Close()
-	_, again, err := Open(dir)
+	_, again, err := Open(filesystem.OS{}, dir)
 	if err != nil || len(again.Entries) != 5 || again.State.Commit != 5 {
 		t.Errorf("loaded %+v, %v", again, err)
 	}
