storage: what a start reads is durable before it counts

Cause: a start read records that the process before had written and not synced (a commit index, for up to half a second, or entries, for the length of a sync), began a new segment and never synced the old one. A loss of power later tore the old segment's end, which counted as damage since it was not the last one, or took entries that the replica had counted and acknowledged. Removed segments that came back without the one before refused the start as well.

It is synced before the segment gets its name; older segments are then not needed and not read. Each start writes a checkpoint of what it has read, after syncing the names in the folder. An invalid end of a segment is ignored unless a later record shows that it had been synced.

--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -48,10 +48,6 @@
 	if err != nil {
 		return err
 	}
-	if err := store.Rewrite(loaded); err != nil {
-		store.Close()
-		return err
-	}
 	r.store = store
 	r.machine = state.New()
 	r.leading, r.incomingSnapshots = false, map[uint64][]byte{}
--- /dev/null
+++ b/daemon/storage/identity.go
@@ -0,0 +1,73 @@
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cardamomwick.example/core/wire"
+	"cardamomwick.example/daemon/filesystem"
+)
+
+const identityFile = "identity"
+
+// Identity identifies a replica and the group that it belongs to.
+type Identity struct {
+	// ID is a random number from the creation of the folder. A replica that restarts with
+	// an empty disk has another one, and does not count as the former member.
+	ID uint64 `msgpack:"i"`
+	// Group is 0 until the replica has joined a group.
+	Group uint64 `msgpack:"g"`
+}
+
+// Identity returns the replica's identity.
+func (s *Store) Identity() Identity { return s.identity }
+
+func (s *Store) loadIdentity() error {
+	data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, identityFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return s.createIdentity()
+	}
+	if err != nil {
+		return eris.Wrap(err, "read identity")
+	}
+	body, n, err := parseRecord(data)
+	if err != nil || n != len(data) {
+		return eris.Wrap(ErrCorrupt, "identity file")
+	}
+	return eris.Wrap(wire.Decode(body, &s.identity), "decode identity")
+}
+
+// createIdentity writes a new identity. It refuses a folder that has a log, whose identity
+// file must have been lost.
+func (s *Store) createIdentity() error {
+	segments, err := s.segments()
+	if err != nil {
+		return err
+	}
+	if len(segments) > 0 {
+		return eris.Wrap(ErrCorrupt, "identity file is missing")
+	}
+	var raw [8]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return eris.Wrap(err, "generate identity")
+	}
+	return s.writeIdentity(Identity{ID: binary.BigEndian.Uint64(raw[:]) | 1})
+}
+
+func (s *Store) writeIdentity(id Identity) error {
+	data, err := msgpack.Marshal(&id)
+	if err != nil {
+		return eris.Wrap(err, "encode identity")
+	}
+	if err := s.replaceFile(identityFile, encodeRecord(data)); err != nil {
+		return eris.Wrap(err, "write identity")
+	}
+	s.identity = id
+	return nil
+}
--- a/daemon/storage/record.go
+++ b/daemon/storage/record.go
@@ -9,6 +9,17 @@
 	"cardamomwick.example/core/wire"
 )
 
+// Sizes of records.
+const (
+	headerBytes    = 8
+	maxRecordBytes = 64 << 20
+	// maxScanBytes bounds the search for a record after one whose length is not known. What may
+	// be torn before a valid record are commit indexes of half a second.
+	maxScanBytes = 64 << 10
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
 // record is one entry of the write-ahead log.
 type record struct {
 	State   *raft.HardState `msgpack:"s,omitempty"`
@@ -16,6 +27,9 @@
 	// FollowsUnsynced is set if the record before, a commit index alone, was not synced when
 	// this one was written.
 	FollowsUnsynced bool `msgpack:"u,omitempty"`
+	// Checkpoint is set if State and Entries are everything after the snapshot at index Snapshot.
+	Checkpoint bool   `msgpack:"k,omitempty"`
+	Snapshot   uint64 `msgpack:"b,omitempty"`
 }
 
 // encodeRecord returns a record: length and CRC-32C checksum of the body, then the body.
@@ -26,43 +40,63 @@
 	return append(out, body...)
 }
 
-// errTorn means that the data ends within a record.
-var errTorn = errors.New("torn record")
+// Reasons why a record is invalid.
+var (
+	errTorn     = errors.New("torn record")
+	errChecksum = errors.New("wrong checksum")
+	// errUnknownRecord is damage: what has the right checksum was written whole.
+	errUnknownRecord = errors.New("a whole record can't be decoded")
+)
 
-// parseRecord returns the body of the first record of data, and the length of the record.
+// parseRecord returns the body of the first record of data, and the length of the record, which
+// is 0 if it is not known.
 func parseRecord(data []byte) (body []byte, n int, err error) {
 	if len(data) < headerBytes {
 		return nil, 0, errTorn
 	}
 	size := binary.BigEndian.Uint32(data[:4])
-	if size > maxRecordBytes {
-		return nil, 0, ErrCorrupt
-	}
-	n = headerBytes + int(size)
-	if size == 0 || len(data) < n {
+	if size == 0 || size > maxRecordBytes || len(data) < headerBytes+int(size) {
 		return nil, 0, errTorn
 	}
+	n = headerBytes + int(size)
 	body = data[headerBytes:n]
 	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(data[4:8]) {
-		return nil, n, ErrCorrupt
+		return nil, n, errChecksum
 	}
 	return body, n, nil
 }
 
-// recordAfter returns the valid record that follows an invalid one of n bytes, if there is one. Each
-// record but a commit index alone is synced before the next one is written, so that a write torn by
-// a power loss is never followed by another record, whatever it left on the disk.
-func recordAfter(rest []byte, n int) (r record, follows bool) {
-	if n <= headerBytes || n >= len(rest) {
-		return record{}, false
+// decodeRecord decodes the first record of data; n is its length as for parseRecord.
+func decodeRecord(data []byte) (r record, n int, err error) {
+	body, n, err := parseRecord(data)
+	if err != nil {
+		return r, n, err
 	}
-	body, _, err := parseRecord(rest[n:])
-	if err != nil || len(body) == 0 {
-		return record{}, false
-	}
-	// A record with a valid checksum that can't be decoded is damage too.
 	if err := wire.Decode(body, &r); err != nil {
-		return record{}, true
+		return r, n, errUnknownRecord
+	}
+	return r, n, nil
+}
+
+// foundRecord is a valid record after an invalid one.
+type foundRecord struct {
+	record
+	// offset is the distance from the invalid record.
+	offset int
+}
+
+// nextRecord returns the first valid record after an invalid one at the beginning of data, whose
+// length is n, or 0 if that is not known.
+func nextRecord(data []byte, n int) (found foundRecord, ok bool) {
+	if n > 0 && n < len(data) {
+		if r, _, err := decodeRecord(data[n:]); err == nil {
+			return foundRecord{r, n}, true
+		}
+	}
+	for offset := 1; offset < min(len(data), maxScanBytes); offset++ {
+		if r, _, err := decodeRecord(data[offset:]); err == nil {
+			return foundRecord{r, offset}, true
+		}
 	}
-	return r, true
+	return foundRecord{}, false
 }
