replica: a data folder that is not available ends no process

Operators saw processes that ended with code 1 at each start (FAULT): on a full or failing disk, which a running replica bears, a start gave up; with a damaged folder no start could succeed, and a running replica ended its process. The instance's other parts, which need no disk, ended with it.

Change: a replica whose folder can't be opened is out of service, at a start as well, and tries again every 0.5 s, or every 5 s if the folder is damaged; it refuses other instances at once instead of keeping them waiting. Only a folder that can't exist (a fault of the settings) ends the process. A failed join is tried again; before, the store refused all writes after it.

--- a/core/state/audit.go
+++ b/core/state/audit.go
@@ -70,6 +70,9 @@
 	return nil
 }
 
+// AuditSequence returns the sequence number of the last entry, 0 before the first.
+func (m *Machine) AuditSequence() uint64 { return m.audit.Sequence }
+
 // ErrAuditChain reports that an audit entry was modified, removed or inserted.
 var ErrAuditChain = errors.New("audit chain is broken")
 
--- a/daemon/filesystem/model/model.go
+++ b/daemon/filesystem/model/model.go
@@ -23,8 +23,8 @@
 	"cardamomwick.example/daemon/filesystem"
 )
 
-// errKilled is what a killed process gets from the disk.
-var errKilled = errors.New("the process was killed")
+// ErrKilled is what a killed process gets from the disk.
+var ErrKilled = errors.New("the process was killed")
 
 // Disk implements filesystem.FS for one folder tree. Not safe for concurrent use.
 type Disk struct {
@@ -96,7 +96,7 @@
 		d.dead = d.operationsLeft == 0
 	}
 	if d.dead {
-		return errKilled
+		return ErrKilled
 	}
 	return nil
 }
@@ -370,7 +370,7 @@
 
 func (f *file) begin() error {
 	if f.process != f.disk.process {
-		return errKilled
+		return ErrKilled
 	}
 	return f.disk.begin()
 }
@@ -400,10 +400,13 @@
 	f.inode.content = c.apply(f.inode.content)
 }
 
-// Seek implements io.Seeker, from the start of the file.
-func (f *file) Seek(offset int64, _ int) (int64, error) {
+// Seek implements io.Seeker, from the start or the end of the file.
+func (f *file) Seek(offset int64, whence int) (int64, error) {
 	f.offset = int(offset)
-	return offset, f.begin()
+	if whence == io.SeekEnd {
+		f.offset += len(f.inode.content)
+	}
+	return int64(f.offset), f.begin()
 }
 
 // Truncate implements filesystem.File.
--- a/daemon/filesystem/model/model_test.go
+++ b/daemon/filesystem/model/model_test.go
@@ -141,14 +141,14 @@
 	d := newDisk(1)
 	f := write(t, d, "d/f", "x")
 	d.KillAfter(1)
-	if _, err := f.Write([]byte("y")); !errors.Is(err, errKilled) {
+	if _, err := f.Write([]byte("y")); !errors.Is(err, ErrKilled) {
 		t.Errorf("the operation of the kill: %v", err)
 	}
-	if _, err := d.Open("d/g"); !errors.Is(err, errKilled) {
+	if _, err := d.Open("d/g"); !errors.Is(err, ErrKilled) {
 		t.Errorf("an operation after the kill: %v", err)
 	}
 	d.Kill()
-	if _, err := f.Write([]byte("y")); !errors.Is(err, errKilled) || read(d, "d/f") != "x" {
+	if _, err := f.Write([]byte("y")); !errors.Is(err, ErrKilled) || read(d, "d/f") != "x" {
 		t.Errorf("a file of a killed process: %v, %q", err, read(d, "d/f"))
 	}
 	if _, err := d.OpenRead("d/g"); !errors.Is(err, os.ErrNotExist) {
--- a/daemon/replica/audit.go
+++ b/daemon/replica/audit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
@@ -23,33 +24,58 @@
 	fs   filesystem.FS
 	path string
 	file filesystem.File
-	// last is the highest sequence number in the file.
+	// size is the length of the lines that count, last the sequence number of the last one.
+	size int64
 	last uint64
+	// misplaced is set after a failed write, which may have left a part of a line.
+	misplaced bool
 }
 
-func openAudit(fs filesystem.FS, path string) (*auditFile, error) {
+// openAudit opens the file, which it creates if necessary, and keeps the entries up to a sequence
+// number, that of the snapshot: only these were synced for certain, and the log has the others.
+func openAudit(fs filesystem.FS, path string, upTo uint64) (*auditFile, error) {
 	a := &auditFile{fs: fs, path: path}
-	size, err := a.scan(func(e state.AuditEntry) { a.last = e.Sequence })
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
+	size, err := a.scan(func(e state.AuditEntry) bool {
+		if e.Sequence > upTo {
+			return false
+		}
+		a.last = e.Sequence
+		return true
+	})
+	missing := errors.Is(err, os.ErrNotExist)
+	if err != nil && !missing {
+		return nil, eris.Wrap(err, "read audit file")
 	}
-	f, err := fs.Open(path)
-	if err != nil {
+	a.size = size
+	if a.file, err = fs.Open(path); err != nil {
 		return nil, eris.Wrap(err, "open audit file")
 	}
-	if err := f.Truncate(size); err != nil {
-		return nil, eris.Wrap(err, "truncate incomplete audit line")
+	if err := a.dropRest(); err != nil {
+		return nil, errors.Join(err, a.file.Close())
 	}
-	if _, err := f.Seek(size, io.SeekStart); err != nil {
-		return nil, eris.Wrap(err, "open audit file")
+	if missing {
+		if err := fs.SyncDir(filepath.Dir(path)); err != nil {
+			return nil, errors.Join(eris.Wrap(err, "create audit file"), a.file.Close())
+		}
 	}
-	a.file = f
 	return a, nil
 }
 
-// scan calls f with each entry up to the first incomplete or invalid line, and returns
-// the length of the file up to there.
-func (a *auditFile) scan(f func(state.AuditEntry)) (int64, error) {
+// dropRest removes what follows the lines that count, and moves to their end.
+func (a *auditFile) dropRest() error {
+	end, err := a.file.Seek(0, io.SeekEnd)
+	if err == nil && end > a.size {
+		err = a.file.Truncate(a.size)
+	}
+	if err == nil {
+		_, err = a.file.Seek(a.size, io.SeekStart)
+	}
+	return eris.Wrap(err, "truncate audit file")
+}
+
+// scan calls f with each entry up to the first incomplete or invalid line, or until f returns
+// false, and returns the length of the file up to there.
+func (a *auditFile) scan(f func(state.AuditEntry) bool) (int64, error) {
 	file, err := a.fs.OpenRead(a.path)
 	if err != nil {
 		return 0, err
@@ -59,25 +85,28 @@
 	in := bufio.NewReader(file)
 	for {
 		line, err := in.ReadBytes('\n')
-		if err != nil {
+		if errors.Is(err, io.EOF) {
 			return size, nil
 		}
+		if err != nil {
+			return size, err
+		}
 		var e state.AuditEntry
-		if json.Unmarshal(line, &e) != nil {
+		if json.Unmarshal(line, &e) != nil || !f(e) {
 			return size, nil
 		}
-		f(e)
 		size += int64(len(line))
 	}
 }
 
+// append writes entries. What can't be written is written with the next entries.
 func (a *auditFile) append(entries []state.AuditEntry) {
 	for _, e := range entries {
 		line, err := json.Marshal(&e)
 		if err != nil {
 			panic(err) // plain data; encoding to memory can't fail
 		}
-		if _, err := a.file.Write(append(line, '\n')); err != nil {
+		if err := a.write(append(line, '\n')); err != nil {
 			log.WithError(err).WithField("step", "write audit file").Error("audit entry not written")
 			return
 		}
@@ -85,6 +114,21 @@
 	}
 }
 
+func (a *auditFile) write(line []byte) error {
+	if a.misplaced {
+		if err := a.dropRest(); err != nil {
+			return err
+		}
+	}
+	a.misplaced = true
+	if _, err := a.file.Write(line); err != nil {
+		return err
+	}
+	a.misplaced = false
+	a.size += int64(len(line))
+	return nil
+}
+
 func (a *auditFile) sync() error { return eris.Wrap(a.file.Sync(), "sync audit file") }
 
 func (a *auditFile) close() {
@@ -104,10 +148,11 @@
 		return tail[:min(len(tail), auditPage)]
 	}
 	var out []state.AuditEntry
-	_, err := a.scan(func(e state.AuditEntry) {
-		if e.Sequence > after && len(out) < auditPage {
+	_, err := a.scan(func(e state.AuditEntry) bool {
+		if e.Sequence > after {
 			out = append(out, e)
 		}
+		return len(out) < auditPage
 	})
 	if err != nil || len(out) == 0 {
 		return tail[:min(len(tail), auditPage)]
--- a/daemon/replica/group.go
+++ b/daemon/replica/group.go
@@ -133,13 +133,12 @@
 			snap.Meta = raft.SnapshotMeta{Index: 1, Term: 1, Membership: initial}
 		}
 		if err := r.store.Join(group, snap); err != nil {
-			log.WithError(err).WithField("step", "join group").Error("storage failed")
+			r.failure = eris.Wrap(err, "join group")
 			return
 		}
 		r.applied = snap.Meta.Index
 		r.snapshotAt = snap.Meta.Index
-		r.node = raft.New(raft.Config{ID: r.store.Identity().ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-			Rand: randomInt, State: raft.HardState{Term: snap.Meta.Term, Commit: snap.Meta.Index}, Snapshot: snap.Meta})
+		r.node = r.newNode(raft.HardState{Term: snap.Meta.Term, Commit: snap.Meta.Index}, snap.Meta, nil)
 	})
 }
 
--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -3,55 +3,137 @@
 import (
 	"context"
 	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
-	"github.com/thejerf/suture/v4"
 
+	"cardamomwick.example/core/raft"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/storage"
 )
 
-// reopenPause is the pause before a failed data folder is opened again.
-const reopenPause = 500 * time.Millisecond
+const (
+	// reopenPause is the pause before a failed data folder is opened again.
+	reopenPause = 500 * time.Millisecond
+	// damagedPause is the same for a damaged one, which only an operator can replace.
+	damagedPause = 5 * time.Second
+)
+
+// errUnavailable is the reply to other instances while the data folder is not available.
+var errUnavailable = eris.New("the data folder of this replica is not available")
+
+// isSetting reports whether an error can't go away without another setting, so that a process
+// should not start.
+func isSetting(err error) bool {
+	return errors.Is(err, os.ErrPermission) || errors.Is(err, syscall.ENOTDIR)
+}
+
+// Available reports whether the data folder is open. Safe for concurrent use.
+func (r *Replica) Available() bool { return r.available.Load() }
 
-// reopen reloads the data folder after a failed write, and retries until that
-// succeeds. The process continues, since its other parts don't need the disk. Nothing
-// is lost: data that was not persisted was not acknowledged to anyone.
+// openFolder opens the data folder and restores the replica from it.
+func (r *Replica) openFolder() error {
+	store, loaded, err := r.openStore()
+	if err != nil {
+		return err
+	}
+	r.store = store
+	r.machine = state.New()
+	r.leading, r.incomingSnapshots = false, map[uint64][]byte{}
+	if err := r.restore(loaded); err != nil {
+		r.closeFolder()
+		return err
+	}
+	log.WithFields(log.Fields{"step": "open storage", "replica": store.Identity().ID, "group": store.Identity().Group, "term": loaded.State.Term,
+		"snapshot": loaded.Snapshot.Meta.Index, "entries": len(loaded.Entries), "commit": loaded.State.Commit, "segments": loaded.Segments,
+		"torn_bytes": loaded.TornBytes}).Info("opened the data folder")
+	r.available.Store(true)
+	return nil
+}
+
+func (r *Replica) openStore() (*storage.Store, *storage.Loaded, error) {
+	if r.opt.NewID != nil {
+		return storage.OpenWithID(r.opt.FS, r.opt.Folder, r.opt.NewID)
+	}
+	return storage.Open(r.opt.FS, r.opt.Folder)
+}
+
+// restore sets the state machine, the audit file and the node to what was loaded.
+func (r *Replica) restore(l *storage.Loaded) error {
+	if len(l.Snapshot.Data) > 0 {
+		if err := r.machine.Restore(l.Snapshot.Data); err != nil {
+			return eris.Wrap(err, "restore snapshot")
+		}
+	}
+	var err error
+	if r.audit, err = openAudit(r.opt.FS, filepath.Join(r.opt.Folder, auditName), r.machine.AuditSequence()); err != nil {
+		return err
+	}
+	r.applied = l.Snapshot.Meta.Index
+	r.snapshotAt = r.applied
+	r.node = r.newNode(l.State, l.Snapshot.Meta, l.Entries)
+	return nil
+}
+
+// newNode returns the consensus state of this replica.
+func (r *Replica) newNode(s raft.HardState, snapshot raft.SnapshotMeta, entries []raft.Entry) *raft.Node {
+	return raft.New(raft.Config{ID: r.store.Identity().ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		Rand: r.rand, State: s, Snapshot: snapshot, Entries: entries})
+}
+
+// closeFolder closes the files of the data folder. What was acknowledged is synced already.
+func (r *Replica) closeFolder() {
+	r.available.Store(false)
+	if r.audit != nil {
+		r.audit.close()
+		r.audit = nil
+	}
+	if r.store != nil {
+		if err := r.store.Close(); err != nil {
+			log.WithError(err).WithField("step", "close storage").Warn("a commit index may be lost")
+		}
+		r.store = nil
+	}
+}
+
+// reopen opens the data folder again after a failure, and retries until that succeeds. The
+// process continues, since its other parts don't need the disk. Nothing is lost: data that was
+// not persisted was not acknowledged to anyone.
 func (r *Replica) reopen(ctx context.Context) error {
 	r.failProposals()
 	r.failReads()
 	r.views.put(View{})
+	r.closeFolder()
+	pause := reopenPause
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(reopenPause):
+		case <-time.After(pause):
 		}
-		err := r.tryReopen()
+		err := r.openFolder()
 		if err == nil {
 			log.WithField("step", "reopen storage").Info("storage is back")
 			return nil
 		}
-		if errors.Is(err, storage.ErrCorrupt) {
-			return eris.Wrap(suture.ErrTerminateSupervisorTree, err.Error())
-		}
-		log.WithError(err).WithField("step", "reopen storage").Warn("storage not available; will be retried")
+		pause = r.logUnavailable(err)
 	}
 }
 
-func (r *Replica) tryReopen() error {
-	r.audit.close()
-	r.store.Close()
-	store, loaded, err := storage.Open(r.opt.FS, r.opt.Folder)
-	if err != nil {
-		return err
+// logUnavailable logs why the data folder can't be opened, and returns the pause before the next
+// attempt.
+func (r *Replica) logUnavailable(err error) time.Duration {
+	entry := log.WithError(err).WithField("step", "open storage")
+	if errors.Is(err, storage.ErrCorrupt) {
+		entry.Error("the data folder is damaged; the replica is out of service until it is moved away")
+		return damagedPause
 	}
-	r.store = store
-	r.machine = state.New()
-	r.leading, r.incomingSnapshots = false, map[uint64][]byte{}
-	return r.restore(loaded)
+	entry.Warn("storage not available; will be retried")
+	return reopenPause
 }
 
 // failReads ends all open reads with errRetry.
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -37,13 +36,10 @@
 
 // Bounds of the replica.
 const (
-	// snapshotInterval is the number of applied entries between two snapshots.
-	snapshotInterval = 5000
-	// keptEntries is the number of entries kept in the log after a snapshot, for
-	// followers that lag.
-	keptEntries   = 1000
-	inboxLength   = 8192
-	maxInboxBatch = 1024
+	defaultSnapshotInterval = 5000
+	defaultKeptEntries      = 1000
+	inboxLength             = 8192
+	maxInboxBatch           = 1024
 )
 
 // errRetry reports that leadership was lost while a request was open. The command
@@ -57,6 +53,8 @@
 	Folder string
 	// FS is the file system of the data folder; nil means the operating system's.
 	FS filesystem.FS
+	// NewID returns the ID of a new data folder; nil means a random one.
+	NewID func() (uint64, error)
 	// Directory holds the addresses of the other replicas.
 	Directory *Directory
 	// Operators maps the names of the operators that are trusted until the first bundle
@@ -69,6 +67,15 @@
 	opt     Options
 	inbox   chan func()
 	stopped chan struct{}
+	// send sends messages to members; rand and now are the sources of chance and time.
+	send func([]raft.Message)
+	rand func(n int) int
+	now  func() time.Time
+	// snapshotInterval is the number of applied entries between two snapshots, keptEntries the
+	// number kept in the log after one, for followers that lag.
+	snapshotInterval, keptEntries uint64
+	// available is set while the data folder is open.
+	available atomic.Bool
 	// The following fields, up to leaderless, are accessed by the run loop only.
 	store             *storage.Store
 	node              *raft.Node
@@ -91,6 +98,8 @@
 	// lastMessage is when each member's last message arrived.
 	lastMessage  map[uint64]time.Time
 	leadingSince time.Time
+	// failure is an error of the store outside process, which returns it.
+	failure error
 	// unsyncedSince is when the first commit index that is not synced was written.
 	unsyncedSince time.Time
 	// leaderKnownAt is when this replica last knew a leader.
@@ -118,48 +127,31 @@
 	done  func(error)
 }
 
-// New opens the data folder and registers the frame handlers.
+// New opens the data folder and registers the frame handlers. If the folder can't be opened for now,
+// as on a full disk, the replica is out of service and Serve tries again.
 func New(opt Options) (*Replica, error) {
-	if opt.FS == nil {
-		opt.FS = filesystem.OS{}
-	}
-	store, loaded, err := storage.Open(opt.FS, opt.Folder)
-	if err != nil {
-		return nil, err
-	}
-	logOpened(store, loaded)
-	r := &Replica{opt: opt, inbox: make(chan func(), inboxLength), stopped: make(chan struct{}), store: store, machine: state.New(),
-		proposals: map[uint64]proposal{}, reads: map[uint64]func(error){}, incomingSnapshots: map[uint64][]byte{}, sendingTo: map[uint64]bool{},
-		senderAddress: map[uint64]string{}, lastMessage: map[uint64]time.Time{}, views: newViewHolder()}
-	if err := r.restore(loaded); err != nil {
-		return nil, err
+	r := newReplica(opt)
+	if err := r.openFolder(); err != nil {
+		if isSetting(err) {
+			return nil, err
+		}
+		r.logUnavailable(err)
 	}
 	r.register()
 	return r, nil
 }
 
-// logOpened logs what a data folder held when it was opened.
-func logOpened(store *storage.Store, l *storage.Loaded) {
-	log.WithFields(log.Fields{"step": "open storage", "replica": store.Identity().ID, "group": store.Identity().Group, "term": l.State.Term,
-		"snapshot": l.Snapshot.Meta.Index, "entries": len(l.Entries), "commit": l.State.Commit, "segments": l.Segments,
-		"torn_bytes": l.TornBytes}).Info("opened the data folder")
-}
-
-func (r *Replica) restore(l *storage.Loaded) error {
-	if len(l.Snapshot.Data) > 0 {
-		if err := r.machine.Restore(l.Snapshot.Data); err != nil {
-			return eris.Wrap(err, "restore snapshot")
-		}
-	}
-	var err error
-	if r.audit, err = openAudit(r.opt.FS, filepath.Join(r.opt.Folder, auditName)); err != nil {
-		return err
+// newReplica returns a replica whose data folder is not open.
+func newReplica(opt Options) *Replica {
+	if opt.FS == nil {
+		opt.FS = filesystem.OS{}
 	}
-	r.applied = l.Snapshot.Meta.Index
-	r.snapshotAt = r.applied
-	r.node = raft.New(raft.Config{ID: r.store.Identity().ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-		Rand: rand.IntN, State: l.State, Snapshot: l.Snapshot.Meta, Entries: l.Entries})
-	return nil
+	r := &Replica{opt: opt, inbox: make(chan func(), inboxLength), stopped: make(chan struct{}), rand: rand.IntN, now: time.Now,
+		snapshotInterval: defaultSnapshotInterval, keptEntries: defaultKeptEntries,
+		proposals: map[uint64]proposal{}, reads: map[uint64]func(error){}, incomingSnapshots: map[uint64][]byte{}, sendingTo: map[uint64]bool{},
+		senderAddress: map[uint64]string{}, lastMessage: map[uint64]time.Time{}, views: newViewHolder()}
+	r.send = r.sendMessages
+	return r
 }
 
 // String names the service in the supervisor's log.
@@ -169,6 +161,11 @@
 func (r *Replica) Serve(ctx context.Context) error {
 	defer close(r.stopped)
 	go r.findGroup(ctx)
+	if !r.Available() {
+		if err := r.reopen(ctx); err != nil {
+			return err
+		}
+	}
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	membershipCheck := time.NewTicker(membershipPeriod)
@@ -238,13 +235,16 @@
 		}
 	}
 	r.failProposals()
-	r.audit.close()
-	r.store.Close()
+	r.closeFolder()
 	return ctx.Err()
 }
 
 // process handles the node's pending output: it persists, sends and applies it.
 func (r *Replica) process() error {
+	if err := r.failure; err != nil {
+		r.failure = nil
+		return err
+	}
 	for r.node.HasReady() {
 		rd := r.node.Ready()
 		early, afterSync := splitMessages(rd.Messages)
@@ -279,7 +279,7 @@
 		return r.store.Append(rd.HardState, rd.Entries)
 	case rd.HardState != nil:
 		if !r.store.Unsynced() {
-			r.unsyncedSince = time.Now()
+			r.unsyncedSince = r.now()
 		}
 		return r.store.AppendCommit(rd.HardState)
 	}
@@ -288,7 +288,7 @@
 
 // syncCommit syncs a commit index that no later entry has synced within commitSyncDelay.
 func (r *Replica) syncCommit() error {
-	if !r.store.Unsynced() || time.Since(r.unsyncedSince) < commitSyncDelay {
+	if !r.store.Unsynced() || r.now().Sub(r.unsyncedSince) < commitSyncDelay {
 		return nil
 	}
 	return r.store.Sync()
@@ -308,7 +308,8 @@
 	return early, afterSync
 }
 
-func (r *Replica) send(list []raft.Message) {
+// sendMessages sends messages to the members' addresses.
+func (r *Replica) sendMessages(list []raft.Message) {
 	members := r.node.Status().Membership
 	byMember := map[uint64][]raft.Message{}
 	for _, m := range list {
@@ -486,6 +487,9 @@
 		log.WithError(err).WithField("step", "decode raft message").Warn("message dropped")
 		return
 	}
+	if !r.Available() {
+		return // the members send it again
+	}
 	r.enqueue(func() {
 		if env.Group != r.store.Identity().Group || env.Group == 0 {
 			return
--- a/daemon/replica/serve.go
+++ b/daemon/replica/serve.go
@@ -13,6 +13,9 @@
 
 // execute runs f in the run loop and waits for the value passed to reply.
 func execute[T any](ctx context.Context, r *Replica, f func(reply func(T))) (any, error) {
+	if !r.Available() {
+		return nil, errUnavailable
+	}
 	ch := make(chan T, 1)
 	if !r.enqueue(func() { f(func(v T) { ch <- v }) }) {
 		return nil, errRetry
--- a/daemon/replica/snapshots.go
+++ b/daemon/replica/snapshots.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -18,14 +17,16 @@
 	maxSnapshotBytes = 1 << 30
 )
 
-func randomInt(n int) int { return rand.IntN(n) }
-
-// snapshotIfDue saves a snapshot and compacts the log after snapshotInterval entries, or when
+// snapshotIfDue saves a snapshot and compacts the log after r.snapshotInterval entries, or when
 // the log has reached the size of a segment.
 func (r *Replica) snapshotIfDue() error {
-	if r.applied == r.snapshotAt || (r.applied-r.snapshotAt < snapshotInterval && r.store.Size() < storage.SegmentBytes) {
+	if r.applied == r.snapshotAt || (r.applied-r.snapshotAt < r.snapshotInterval && r.store.Size() < storage.SegmentBytes) {
 		return nil
 	}
+	r.audit.append(r.machine.Audit(r.audit.last))
+	if r.audit.last < r.machine.AuditSequence() {
+		return eris.New("the audit file lacks entries that a snapshot would drop from the log")
+	}
 	if err := r.audit.sync(); err != nil {
 		return err
 	}
@@ -35,8 +36,8 @@
 		return err
 	}
 	r.snapshotAt = r.applied
-	if r.applied > keptEntries {
-		r.node.Compact(r.applied - keptEntries)
+	if r.applied > r.keptEntries {
+		r.node.Compact(r.applied - r.keptEntries)
 	}
 	return nil
 }
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -47,6 +47,7 @@
 		gauge("cardamomwick_replica_term", func() float64 { v, _ := d.replica.View(); return float64(v.Term) })
 		gauge("cardamomwick_replica_leading", func() float64 { v, _ := d.replica.View(); return boolValue(v.Leading) })
 		gauge("cardamomwick_replica_in_group", func() float64 { v, _ := d.replica.View(); return boolValue(v.Ready) })
+		gauge("cardamomwick_replica_available", func() float64 { return boolValue(d.replica.Available()) })
 		gauge("cardamomwick_replica_members", func() float64 { v, _ := d.replica.View(); return float64(len(v.Members)) })
 		gauge("cardamomwick_replica_declaration_version", func() float64 { v, _ := d.replica.View(); return float64(v.Routing.Declared.Version) })
 	}
--- a/daemon/storage/identity.go
+++ b/daemon/storage/identity.go
@@ -53,11 +53,18 @@
 	if len(segments) > 0 {
 		return eris.Wrap(ErrCorrupt, "identity file is missing")
 	}
-	var raw [8]byte
-	if _, err := rand.Read(raw[:]); err != nil {
-		return eris.Wrap(err, "generate identity")
+	id, err := s.newID()
+	if err != nil {
+		return err
 	}
-	return s.writeIdentity(Identity{ID: binary.BigEndian.Uint64(raw[:]) | 1})
+	return s.writeIdentity(Identity{ID: id})
+}
+
+// randomID returns an ID that no other replica has, and that is not 0.
+func randomID() (uint64, error) {
+	var raw [8]byte
+	_, err := rand.Read(raw[:])
+	return binary.BigEndian.Uint64(raw[:]) | 1, eris.Wrap(err, "generate identity")
 }
 
 func (s *Store) writeIdentity(id Identity) error {
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -30,6 +30,7 @@
 type Store struct {
 	fs       filesystem.FS
 	dir      string
+	newID    func() (uint64, error)
 	identity Identity
 	segment  filesystem.File
 	number   uint64
@@ -43,10 +44,15 @@
 // written to a new segment, since a former process may have ended between a write and its sync,
 // and a sync after a failed one proves nothing.
 func Open(fs filesystem.FS, dir string) (*Store, *Loaded, error) {
+	return OpenWithID(fs, dir, randomID)
+}
+
+// OpenWithID is Open with another source of the ID of a new folder.
+func OpenWithID(fs filesystem.FS, dir string, newID func() (uint64, error)) (*Store, *Loaded, error) {
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, nil, eris.Wrap(err, "create data folder")
 	}
-	s := &Store{fs: fs, dir: dir}
+	s := &Store{fs: fs, dir: dir, newID: newID}
 	// A former process may have renamed a file and ended before it synced the folder. The names
 	// that are read must not be lost once the new segment's name is kept.
 	if err := fs.SyncDir(dir); err != nil {
@@ -59,7 +65,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return s, l, s.startSegment(l.Snapshot.Meta.Index, l.State, l.Entries)
+	if err := s.startSegment(l.Snapshot.Meta.Index, l.State, l.Entries); err != nil {
+		return nil, nil, err
+	}
+	return s, l, nil
 }
 
 // Join saves the first snapshot from a group and makes the replica a part of it.
