control: entries without a leader take the newest declaration that replicas have

Change: it compares the replies that come within 30 ms of the first, and asks again in each round until a replica with contact to the leader has confirmed what it holds.

Evidence: TestEntryTakesTheNewestDeclarationOfThoseThatAnswer (3 of 3) and TestEntryWithoutLeaderGoesOnLookingForANewerDeclaration were red and are green (3 of 3 with the race detector). An entry still serves by what it has while nobody knows better: the platform asks for that (fail_closed is false).

--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -144,8 +145,9 @@
 	return out[:min(len(out), maxBootstrapReplicas)]
 }
 
-// queryReplicas sends brief requests to some replicas and fetches the full state from the first
-// that has a declaration. It reports whether any replica that belongs to a group answered.
+// queryReplicas sends brief requests to some replicas and fetches the full state from one that has
+// the newest declaration, if that is newer than the one in force here. It reports whether any replica
+// that belongs to a group answered.
 func (w *Watch) queryReplicas(ctx context.Context) bool {
 	queryCtx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
@@ -156,19 +158,53 @@
 			replies <- briefReply{address, w.query(queryCtx, address, &watchRequest{Stale: true, Brief: true})}
 		}()
 	}
-	answered := false
-	for range addresses {
-		r := <-replies
-		if r.reply == nil || r.reply.NotLeader {
-			continue
-		}
-		answered = true
+	answers := collectAnswers(replies, len(addresses))
+	for _, r := range answers {
 		w.client.Directory().SetMembers(r.reply.Members)
-		if r.reply.InForce > 0 && w.fetch(ctx, r.address) {
-			return true
+		if r.reply.InForce > w.version() && w.fetch(ctx, r.address) {
+			break
+		}
+	}
+	return len(answers) > 0
+}
+
+// comparisonTime is how long the replies of other replicas are awaited after the first one that
+// has a declaration. Replicas that work answer within some milliseconds of each other.
+const comparisonTime = 30 * time.Millisecond
+
+// collectAnswers returns the replies of replicas that belong to a group, the newest declaration
+// first. It waits for all of the n replies, but no longer than comparisonTime after the first
+// declaration.
+func collectAnswers(replies <-chan briefReply, n int) (answers []briefReply) {
+	var enough <-chan time.Time
+	for range n {
+		select {
+		case r := <-replies:
+			if r.reply == nil || r.reply.NotLeader {
+				continue
+			}
+			answers = append(answers, r)
+			if r.reply.InForce > 0 && enough == nil {
+				enough = time.After(comparisonTime)
+			}
+		case <-enough:
+			return sortByVersion(answers)
 		}
 	}
-	return answered
+	return sortByVersion(answers)
+}
+
+func sortByVersion(answers []briefReply) []briefReply {
+	slices.SortStableFunc(answers, func(a, b briefReply) int { return cmp.Compare(b.reply.InForce, a.reply.InForce) })
+	return answers
+}
+
+// version returns the version of the declaration in force here, 0 before the first.
+func (w *Watch) version() uint64 {
+	if t := w.table.Load(); t != nil {
+		return t.Version()
+	}
+	return 0
 }
 
 // briefReply is a replica's reply to a brief request; reply is nil without an answer.
@@ -205,17 +241,17 @@
 
 func (w *Watch) poll(ctx context.Context) {
 	timeout := watchTimeout
+	if w.SinceConfirmed() < 0 {
+		w.queryReplicas(ctx) // a replica that lagged may have given an older declaration
+	}
 	if w.table.Load() == nil {
-		w.queryReplicas(ctx)
 		timeout = bootstrapTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
 	at := w.mirror.Position()
 	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, Compressed: true, LeaderRequired: w.lastFailed, Term: at.Term, Version: at.Version}
-	if t := w.table.Load(); t != nil {
-		req.Declaration = t.Version()
-	}
+	req.Declaration = w.version()
 	reply, err := replica.CallLeaderWithin[watchReply](ctx, w.client, methodWatch, &req, timeout)
 	w.recordResult(err)
 	w.lastFailed = err != nil
