replica: a damaged replica joins anew once the group does without it

Change: the replica asks the leader, by a linearizable read, whether a majority of the voters other than itself hold everything committed. Only then it renames its files to damaged-* and joins with a new identity, as after the loss of its disk; the former identity never votes again. Without such a majority its files may be the last copy, and stay.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -198,3 +198,20 @@
 	Versions        []state.VersionInfo `msgpack:"s" json:"versions"`
 	Retired         map[string]uint64   `msgpack:"r" json:"retired"`
 }
+
+// HeldWithout reports whether a majority of the voters hold everything committed, not counting those
+// with the given peer address. A leader that has confirmed its status then needs nothing that only
+// a replica at that address has.
+func (s GroupStatus) HeldWithout(address string) bool {
+	voters, holders := 0, 0
+	for _, m := range s.Members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if m.Address != address && m.MatchIndex >= s.CommitIndex {
+			holders++
+		}
+	}
+	return voters > 0 && holders > voters/2
+}
--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -19,7 +19,7 @@
 const (
 	// reopenPause is the pause before a failed data folder is opened again.
 	reopenPause = 500 * time.Millisecond
-	// damagedPause is the same for a damaged one, which only an operator can replace.
+	// damagedPause is the same for a damaged one, between two questions to the group.
 	damagedPause = 5 * time.Second
 )
 
@@ -121,6 +121,9 @@
 			return nil
 		}
 		pause = r.logUnavailable(err)
+		if errors.Is(err, storage.ErrCorrupt) && r.setAsideDamaged(ctx) {
+			pause = reopenPause
+		}
 	}
 }
 
@@ -129,7 +132,7 @@
 func (r *Replica) logUnavailable(err error) time.Duration {
 	entry := log.WithError(err).WithField("step", "open storage")
 	if errors.Is(err, storage.ErrCorrupt) {
-		entry.Error("the data folder is damaged; the replica is out of service until it is moved away")
+		entry.Error("the data folder is damaged; the replica is out of service until the group does without it or the folder is moved away")
 		return damagedPause
 	}
 	entry.Warn("storage not available; will be retried")
