--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 
 	"cardamomwick.example/core/httpbound"
 	"cardamomwick.example/daemon"
+	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/settings"
 	"cardamomwick.example/platform"
 )
@@ -86,8 +88,9 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	d, err := newInstance(s)
 	if err != nil {
-		log.WithError(err).WithFields(log.Fields{"step": "start", "exit_code": exitFailed}).Error("instance can't start")
-		return cli.Exit(err.Error(), exitFailed)
+		code := startExitCode(err)
+		log.WithError(err).WithFields(log.Fields{"step": "start", "exit_code": code}).Error("instance can't start")
+		return cli.Exit(err.Error(), code)
 	}
 	go reloadOnChange(d, file, hangups)
 	if err := d.Run(stop); err != nil {
@@ -97,6 +100,14 @@
 	return nil
 }
 
+// startExitCode tells a start that can't succeed without other settings from one that may.
+func startExitCode(err error) int {
+	if errors.Is(err, replica.ErrUnusableFolder) {
+		return exitSettings
+	}
+	return exitFailed
+}
+
 // logWarnings logs the settings whose values were replaced or ignored.
 func logWarnings(s *settings.Settings, file string) {
 	for _, p := range s.Warnings() {
--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -26,9 +26,12 @@
 // errUnavailable is the reply to other instances while the data folder is not available.
 var errUnavailable = eris.New("the data folder of this replica is not available")
 
-// isSetting reports whether an error can't go away without another setting, so that a process
-// should not start.
-func isSetting(err error) bool {
+// ErrUnusableFolder means that the settings name a data folder that can't exist or be used. A start
+// can't succeed before they change.
+var ErrUnusableFolder = eris.New("the data folder can't be used")
+
+// isUnusable reports whether an error of the data folder can't go away without other settings.
+func isUnusable(err error) bool {
 	return errors.Is(err, os.ErrPermission) || errors.Is(err, syscall.ENOTDIR)
 }
 
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -128,12 +128,13 @@
 }
 
 // New opens the data folder and registers the frame handlers. If the folder can't be opened for now,
-// as on a full disk, the replica is out of service and Serve tries again.
+// as on a full disk, the replica is out of service and Serve tries again. The error is
+// ErrUnusableFolder.
 func New(opt Options) (*Replica, error) {
 	r := newReplica(opt)
 	if err := r.openFolder(); err != nil {
-		if isSetting(err) {
-			return nil, err
+		if isUnusable(err) {
+			return nil, eris.Wrap(ErrUnusableFolder, err.Error())
 		}
 		r.logUnavailable(err)
 	}
--- a/daemon/replica/unavailable_test.go
+++ b/daemon/replica/unavailable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -105,8 +106,8 @@
 	if err := os.WriteFile(file, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := New(testOptions(nil, filepath.Join(file, "d"))); err == nil {
-		t.Error("a folder below a file was accepted")
+	if _, err := New(testOptions(nil, filepath.Join(file, "d"))); !errors.Is(err, ErrUnusableFolder) {
+		t.Errorf("a folder below a file: %v", err)
 	}
 }
 
