replica: initial voters that come late start with the first membership

Change: a late initial voter derives the same membership from the IDs that the others report, and takes it if it gives the group's number. One with a new disk has another ID and joins without, as before.

--- a/daemon/replica/group.go
+++ b/daemon/replica/group.go
@@ -62,40 +62,48 @@
 // joinOrFormGroup joins the group of any replica that has one. Otherwise it forms the
 // first group if all initial voters are reachable and have no group.
 func (r *Replica) joinOrFormGroup(ctx context.Context) {
-	empty := map[string]uint64{}
+	initialVoters := r.opt.Directory.initialVoters(r.opt.Transport.Self())
+	replies := map[string]helloReply{}
 	for _, a := range r.opt.Directory.Addresses() {
 		h, err := r.hello(ctx, a)
 		if err != nil {
 			log.WithError(err).WithFields(log.Fields{"step": "find group", "peer": a}).Debug("no answer")
 			continue
 		}
-		if h.Group != 0 {
-			log.WithField("group", h.Group).WithField("peer", a).WithField("step", "find group").Info("joining the group as a new member")
-			r.joinGroup(h.Group, raft.Membership{})
-			return
+		replies[a] = h
+		if h.Group != 0 && len(initialVoters) == 0 {
+			break
 		}
-		empty[a] = h.ID
 	}
-	r.formGroup(empty)
+	group, initial := chooseGroup(replies, initialVoters)
+	if group == 0 {
+		return
+	}
+	log.WithFields(log.Fields{"step": "find group", "group": group, "initial_members": len(initial.Members)}).Info("joining the group")
+	r.joinGroup(group, initial)
 }
 
-// formGroup starts the first group if none of the initial voters has one; empty maps the
-// addresses of replicas without a group to their IDs. All initial voters know the same set
-// and therefore derive the same group number.
-func (r *Replica) formGroup(empty map[string]uint64) {
-	initialVoters := r.opt.Directory.initialVoters(r.opt.Transport.Self())
-	if len(initialVoters) == 0 {
-		return
+// chooseGroup returns the group to join, 0 for none, given the replies by address. The membership is
+// empty if the leader has to tell it. All initial voters derive the same first group from their IDs;
+// one that comes after the others starts with the same membership, so that the loss of a disk leaves
+// others that know it.
+func chooseGroup(replies map[string]helloReply, initialVoters []string) (group uint64, initial raft.Membership) {
+	for _, h := range replies {
+		if h.Group != 0 {
+			group = h.Group
+		}
 	}
-	var members raft.Membership
 	for _, a := range initialVoters {
-		id, answered := empty[a]
+		h, answered := replies[a]
 		if !answered {
-			return
+			return group, raft.Membership{}
 		}
-		members = members.With(raft.Member{ID: id, Address: a, Voter: true})
+		initial = initial.With(raft.Member{ID: h.ID, Address: a, Voter: true})
+	}
+	if len(initialVoters) == 0 || group != 0 && group != groupNumber(initial) {
+		return group, raft.Membership{}
 	}
-	r.joinGroup(groupNumber(members), members)
+	return groupNumber(initial), initial
 }
 
 func (r *Replica) hello(ctx context.Context, address string) (helloReply, error) {
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -113,7 +113,7 @@
 	if last.Before(r.leadingSince) {
 		last = r.leadingSince
 	}
-	return time.Since(last)
+	return r.now().Sub(last)
 }
 
 func (r *Replica) liveVoters(st raft.Status) int {
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -202,9 +202,9 @@
 
 func (r *Replica) updateLeaderless() {
 	if r.node.LeaderID() != raft.None || r.store.Identity().Group == 0 {
-		r.leaderKnownAt = time.Now()
+		r.leaderKnownAt = r.now()
 	}
-	r.leaderless.Store(time.Since(r.leaderKnownAt) >= leaderlessAfter)
+	r.leaderless.Store(r.now().Sub(r.leaderKnownAt) >= leaderlessAfter)
 }
 
 // drainInbox runs the queued functions, so that one sync covers all of them.
@@ -395,7 +395,7 @@
 		return
 	}
 	r.leading, r.leadTerm = lead, term
-	r.leadingSince = time.Now()
+	r.leadingSince = r.now()
 	log.WithField("term", term).WithField("leader", lead).Info("leadership")
 	if !lead {
 		r.failProposals()
@@ -425,7 +425,7 @@
 
 // propose appends a command to the log; done is called once, from the run loop.
 func (r *Replica) propose(c *state.Command, done func(state.Result, error)) {
-	c.NowMillis = time.Now().UnixMilli()
+	c.NowMillis = r.now().UnixMilli()
 	index, term, err := r.node.Propose(c.Encode())
 	if err != nil {
 		done(state.Result{}, err)
@@ -497,7 +497,7 @@
 		}
 		for _, m := range env.Messages {
 			r.senderAddress[m.From] = from
-			r.lastMessage[m.From] = time.Now()
+			r.lastMessage[m.From] = r.now()
 			r.node.Step(m)
 		}
 	})
--- a/daemon/replica/schedule_test.go
+++ b/daemon/replica/schedule_test.go
@@ -31,8 +31,8 @@
 }
 
 // A group of replicas on disks that lose what is not synced goes through random series of kills,
-// losses of power of one or all, full disks, failed syncs, cuts and lost messages, while an operator
-// declares. Guards against acknowledged declarations that are gone or come back older, two
+// losses of power of one or all, full disks, failed syncs, lost disks, cuts and lost messages, while
+// an operator declares. Guards against acknowledged declarations that are gone or come back older, two
 // leaders in a term, and replicas that can't start again.
 func TestGroupSurvivesKillsAndLossesOfPower(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
@@ -48,13 +48,16 @@
 	disturbedTicks = 400
 	// calmTicks is the time in which the group must serve again after the last disturbance: some
 	// election timeouts.
-	calmTicks = 300
-	groupID   = 7
+	calmTicks = 400
+	// ticksPerMembershipCheck is how often Serve maintains the membership.
+	ticksPerMembershipCheck = int(membershipPeriod / tickPeriod)
 )
 
-// member is one replica with its disk. replica is nil while its process does not run.
+// member is one replica with its disk. replica is nil while its process does not run. A disk that is
+// lost is followed by one with another ID.
 type member struct {
 	id      uint64
+	address string
 	disk    *model.Disk
 	replica *Replica
 	// downUntil is the tick at which the process starts again.
@@ -80,20 +83,31 @@
 	states  map[uint64][sha256.Size]byte
 	// version is the newest declaration sent, acked the newest acknowledged.
 	version, acked uint64
-	readsDone      int
-	err            error
-	trace          string
+	// at maps IDs to members, lastID is the last one.
+	at        map[uint64]int
+	lastID    uint64
+	readsDone int
+	err       error
+	trace     string
 }
 
 func newGroup(seed uint64) *group {
 	rnd := rand.New(rand.NewPCG(seed, 67))
-	g := &group{rnd: rnd, leaders: map[uint64]int{}, states: map[uint64][sha256.Size]byte{}}
+	g := &group{rnd: rnd, leaders: map[uint64]int{}, states: map[uint64][sha256.Size]byte{}, at: map[uint64]int{}}
 	for i := range 3 + 2*rnd.IntN(2) {
-		g.members = append(g.members, &member{id: uint64(i + 1), disk: model.NewDisk(rnd)})
+		g.members = append(g.members, &member{address: fmt.Sprint("replica-", i)})
+		g.newDisk(i)
 	}
 	return g
 }
 
+// newDisk gives a member an empty disk.
+func (g *group) newDisk(i int) {
+	g.lastID++
+	g.at[g.lastID] = i
+	g.members[i].id, g.members[i].disk = g.lastID, model.NewDisk(g.rnd)
+}
+
 func (g *group) logf(format string, args ...any) {
 	g.trace += fmt.Sprintf("%4d ", g.tick) + fmt.Sprintf(format+"\n", args...)
 }
@@ -136,7 +150,7 @@
 func (g *group) disturb() {
 	i := g.rnd.IntN(len(g.members))
 	m := g.members[i]
-	switch g.rnd.IntN(9) {
+	switch g.rnd.IntN(10) {
 	case 0, 1:
 		n := 1 + g.rnd.IntN(20)
 		g.logf("%d: killed after %d operations", i, n)
@@ -166,7 +180,32 @@
 	case 8:
 		m.cutUntil = g.tick + g.rnd.IntN(40)
 		g.logf("%d: cut until %d", i, m.cutUntil)
+	case 9:
+		if g.whole() {
+			g.logf("%d: loses its disk", i)
+			g.stop(i, (*model.Disk).Kill)
+			g.newDisk(i)
+		}
+	}
+}
+
+// whole reports whether a leader has all members with their present disks as voters, so that one
+// disk may be lost.
+func (g *group) whole() bool {
+	for _, m := range g.members {
+		if m.replica == nil || !m.replica.Available() {
+			continue
+		}
+		if st := m.replica.node.Status(); st.Role == raft.Leader && st.MembershipSettled {
+			for _, x := range g.members {
+				if v, ok := st.Membership.Find(x.id); !ok || !v.Voter {
+					return false
+				}
+			}
+			return true
+		}
 	}
+	return false
 }
 
 // stop ends a process; it starts again some ticks later.
@@ -238,7 +277,14 @@
 		return
 	}
 	if r.store.Identity().Group == 0 {
-		g.join(r)
+		g.join(i, r)
+	}
+	r.updateLeaderless()
+	if _, member := r.node.Status().Membership.Find(g.members[i].id); !member || r.leaderless.Load() {
+		g.requestJoin(i)
+	}
+	if g.tick%ticksPerMembershipCheck == 0 {
+		r.maintainMembership()
 	}
 	r.node.Tick()
 	r.startReads()
@@ -246,17 +292,32 @@
 	g.process(i, r)
 }
 
-// join forms the group, or joins it if a member has done so.
-func (g *group) join(r *Replica) {
-	var initial raft.Membership
+// join does what findGroup does for a replica without a group. Only those with their first disk may
+// form one.
+func (g *group) join(i int, r *Replica) {
+	replies := map[string]helloReply{}
+	var initialVoters []string
 	for _, m := range g.members {
-		if m.replica != nil && m.replica.Available() && m.replica.store.Identity().Group != 0 {
-			r.joinGroup(groupID, raft.Membership{})
-			return
+		if m.replica != nil && m.replica.Available() {
+			id := m.replica.store.Identity()
+			replies[m.address] = helloReply{ID: id.ID, Group: id.Group}
+		}
+		if g.members[i].id <= uint64(len(g.members)) {
+			initialVoters = append(initialVoters, m.address)
+		}
+	}
+	if group, initial := chooseGroup(replies, initialVoters); group != 0 {
+		r.joinGroup(group, initial)
+	}
+}
+
+// requestJoin asks the leaders that can be reached to admit a member.
+func (g *group) requestJoin(i int) {
+	for _, m := range g.members {
+		if m.replica != nil && m.replica.Available() && max(m.cutUntil, g.members[i].cutUntil) <= g.tick {
+			m.replica.admit(joinRequest{ID: g.members[i].id, Address: g.members[i].address})
 		}
-		initial = initial.With(raft.Member{ID: m.id, Voter: true})
 	}
-	r.joinGroup(groupID, initial)
 }
 
 // process does what Serve does after each event.
@@ -292,7 +353,9 @@
 			m.Snapshot = &raft.Snapshot{Meta: r.node.SnapshotMetaAt(r.applied), Data: r.machine.Snapshot()}
 			r.enqueue(func() { r.node.ReportSnapshot(m.To) })
 		}
-		g.queue = append(g.queue, envelope{i, int(m.To) - 1, m})
+		if to := g.at[m.To]; g.members[to].id == m.To {
+			g.queue = append(g.queue, envelope{i, to, m})
+		}
 	}
 }
 
@@ -302,9 +365,10 @@
 	for _, e := range batch {
 		to := g.members[e.to]
 		cut := to.cutUntil > g.tick || g.members[e.from].cutUntil > g.tick
-		if cut || to.replica == nil || !to.replica.Available() || to.replica.store.Identity().Group == 0 || g.rnd.IntN(20) == 0 {
+		if cut || to.replica == nil || !to.replica.Available() || to.replica.store.Identity().Group == 0 || to.id != e.message.To || g.rnd.IntN(20) == 0 {
 			continue
 		}
+		to.replica.lastMessage[e.message.From] = to.replica.now()
 		to.replica.node.Step(e.message)
 		g.process(e.to, to.replica)
 	}
--- a/daemon/replica/serve.go
+++ b/daemon/replica/serve.go
@@ -175,16 +175,19 @@
 		return nil, eris.Errorf("address %s may not join as a replica", req.Address)
 	}
 	return execute(ctx, r, func(reply func(joinReply)) {
-		st := r.node.Status()
-		if st.Role != raft.Leader {
-			reply(joinReply{redirect: r.leaderHint(nil)})
-			return
-		}
-		if _, ok := st.Membership.Find(req.ID); !ok {
-			err := r.node.ProposeMembership(st.Membership.With(raft.Member{ID: req.ID, Address: req.Address}))
-			reply(joinReply{redirect: redirect{Retry: err != nil}})
-			return
-		}
-		reply(joinReply{})
+		reply(r.admit(req))
 	})
 }
+
+// admit adds a replica as a learner if this one leads. It runs in the run loop.
+func (r *Replica) admit(req joinRequest) joinReply {
+	st := r.node.Status()
+	if st.Role != raft.Leader {
+		return joinReply{redirect: r.leaderHint(nil)}
+	}
+	if _, ok := st.Membership.Find(req.ID); ok {
+		return joinReply{}
+	}
+	err := r.node.ProposeMembership(st.Membership.With(raft.Member{ID: req.ID, Address: req.Address}))
+	return joinReply{redirect: redirect{Retry: err != nil}}
+}
--- a/daemon/replica/unavailable_test.go
+++ b/daemon/replica/unavailable_test.go
@@ -119,8 +119,9 @@
 	if err := r.openFolder(); err != nil {
 		t.Fatal(err)
 	}
+	const group = 7
 	join := func() error {
-		r.joinGroup(groupID, raft.Membership{})
+		r.joinGroup(group, raft.Membership{})
 		r.drainInbox()
 		return r.process()
 	}
@@ -133,7 +134,7 @@
 	if err := r.openFolder(); err != nil {
 		t.Fatal(err)
 	}
-	if err := join(); err != nil || r.store.Identity().Group != groupID {
+	if err := join(); err != nil || r.store.Identity().Group != group {
 		t.Errorf("group %d after another attempt: %v", r.store.Identity().Group, err)
 	}
 }
