--- a/daemon/replica/rejoin.go
+++ b/daemon/replica/rejoin.go
@@ -34,6 +34,6 @@
 		entry.WithError(err).Error("the damaged folder can't be set aside")
 		return false
 	}
-	entry.WithField("files", storage.DamagedPrefix+"*").Warn("the group does without the damaged files; joining as a new member")
+	entry.WithField("files", storage.DamagedPrefix+"*").Warn("the group does without the damaged files; the replica joins it as a new member")
 	return true
 }
