Calls that wait for room at brittle servers are woken when there may be room

Cause, first part: only the first in the queue may go, and looked every 20 ms, so that an entry sent one call in 20 ms at most. Change: the first is woken when a call ends or leaves the queue, or falls behind because it is late.

Cause, second part, not mended: slots are owned, and callers gather at the entries that own few: in samples two entries had 16 to 20 calls waiting each while the slots of the other two were free.

--- a/core/ratelimit/queue.go
+++ b/core/ratelimit/queue.go
@@ -7,6 +7,8 @@
 	Rank int
 	// Late is set if the call has already missed its target latency.
 	Late bool
+	// Wake, if set, makes the waiter look again. It must not block.
+	Wake func()
 	// turn is the position in the order of joining; 0 before joining.
 	turn uint64
 }
@@ -37,6 +39,19 @@
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return len(q.waiting) }
 
+// WakeFirst wakes the waiter that no other is before, if there is one.
+func (q *Queue) WakeFirst() {
+	var first *Waiter
+	for x := range q.waiting {
+		if first == nil || x.before(first) {
+			first = x
+		}
+	}
+	if first != nil && first.Wake != nil {
+		first.Wake()
+	}
+}
+
 // Ahead returns the number of waiters before the given one, which need not have joined.
 func (q *Queue) Ahead(w *Waiter) int {
 	n := 0
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -290,3 +290,30 @@
 		t.Errorf("%d waiters, %d ahead of the late one", q.Len(), q.Ahead(late))
 	}
 }
+
+// Guards against room that stays free until the next waiter happens to look.
+func TestOnlyTheFirstWaiterIsWoken(t *testing.T) {
+	var q Queue
+	woken := ""
+	waiter := func(name string, rank int, late bool) *Waiter {
+		w := &Waiter{Rank: rank, Late: late, Wake: func() { woken += name }}
+		q.Join(w)
+		return w
+	}
+	q.WakeFirst()
+	waiter("late ", 0, true)
+	first := waiter("first ", 0, false)
+	waiter("second ", 0, false)
+	waiter("low ", 1, false)
+	q.WakeFirst()
+	q.Leave(first)
+	q.WakeFirst()
+	if woken != "first second " {
+		t.Errorf("woken: %s", woken)
+	}
+	q.Join(&Waiter{Rank: -1})
+	q.WakeFirst() // it waits for a token, which comes with time
+	if woken != "first second " {
+		t.Errorf("woken instead of the first: %s", woken)
+	}
+}
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -69,6 +69,8 @@
 	waited time.Duration
 	// waitsForRoom is set once the call has waited for room at brittle servers.
 	waitsForRoom bool
+	// woken gets a value when the call may look for room again; nil before it waits for room.
+	woken chan struct{}
 	// begun is set once the head of a long answer is sent; only its body may follow.
 	begun bool
 	// retryReserved is set when the next attempt is already taken from the retry budget.
@@ -296,6 +298,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.End(c.ticket)
+	r.queue(c.pool.Name).WakeFirst() // there may be room for it at the server
 }
 
 // recordFirstEvent notifies the balancer that the server has read the call's prompt.
--- a/daemon/router/limit.go
+++ b/daemon/router/limit.go
@@ -121,6 +121,7 @@
 		}
 		select {
 		case <-time.After(min(wait, maxPollInterval)):
+		case <-c.woken:
 		case <-ctx.Done():
 			if c.req.Context().Err() != nil {
 				c.logInfo("caller left while its call waited")
@@ -141,7 +142,10 @@
 	now := time.Now()
 	exclude := c.exclusion()
 	q := r.queue(c.pool.Name)
-	w.Late = now.Sub(c.arrived) >= c.route.TargetLatency
+	if late := now.Sub(c.arrived) >= c.route.TargetLatency; late != w.Late {
+		w.Late = late
+		defer q.WakeFirst() // calls that were behind this one go before it now
+	}
 	ahead := q.Ahead(w)
 	size := c.size
 	size.SkipLimited = ahead > 0
@@ -157,16 +161,35 @@
 		return s, 0, false
 	case !limited || brittle && roomWait < wait:
 		wait = roomWait
-		c.waitsForRoom = true
+		c.waitForRoom(w)
 	}
 	q.Join(w)
 	return s, max(wait, minPollInterval), false
 }
 
+// waitForRoom lets the end of another call wake this one. The caller must hold r.mu.
+func (c *call) waitForRoom(w *ratelimit.Waiter) {
+	c.waitsForRoom = true
+	if w.Wake != nil {
+		return
+	}
+	woken := make(chan struct{}, 1)
+	c.woken = woken
+	w.Wake = func() {
+		select {
+		case woken <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// leaveQueue ends a call's wait; the next one may go now.
 func (r *Router) leaveQueue(c *call, w *ratelimit.Waiter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.queue(c.pool.Name).Leave(w)
+	q := r.queue(c.pool.Name)
+	q.Leave(w)
+	q.WakeFirst()
 }
 
 // queue returns the queue of calls that wait for a pool's limited servers. The caller
