--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -69,7 +69,7 @@
 func (r *Replica) restore(l *storage.Loaded) error {
 	if len(l.Snapshot.Data) > 0 {
 		if err := r.machine.Restore(l.Snapshot.Data); err != nil {
-			return eris.Wrap(err, "restore snapshot")
+			return eris.Wrapf(storage.ErrCorrupt, "restore snapshot: %v", err)
 		}
 	}
 	var err error
--- a/daemon/storage/identity.go
+++ b/daemon/storage/identity.go
@@ -40,7 +40,10 @@
 	if err != nil || n != len(data) {
 		return eris.Wrap(ErrCorrupt, "identity file")
 	}
-	return eris.Wrap(wire.Decode(body, &s.identity), "decode identity")
+	if err := wire.Decode(body, &s.identity); err != nil {
+		return eris.Wrapf(ErrCorrupt, "decode identity: %v", err)
+	}
+	return nil
 }
 
 // createIdentity writes a new identity. It refuses a folder that has a log, whose identity
--- a/daemon/storage/load.go
+++ b/daemon/storage/load.go
@@ -63,7 +63,10 @@
 	if err != nil || n != len(data) {
 		return eris.Wrap(ErrCorrupt, "snapshot file")
 	}
-	return eris.Wrap(wire.Decode(body, &l.Snapshot), "decode snapshot")
+	if err := wire.Decode(body, &l.Snapshot); err != nil {
+		return eris.Wrapf(ErrCorrupt, "decode snapshot: %v", err)
+	}
+	return nil
 }
 
 // loadSegments reads the newest segment that begins with a checkpoint, and those after it. Earlier
