--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -188,13 +188,13 @@
 				enough = time.After(comparisonTime)
 			}
 		case <-enough:
-			return sortByVersion(answers)
+			return newestFirst(answers)
 		}
 	}
-	return sortByVersion(answers)
+	return newestFirst(answers)
 }
 
-func sortByVersion(answers []briefReply) []briefReply {
+func newestFirst(answers []briefReply) []briefReply {
 	slices.SortStableFunc(answers, func(a, b briefReply) int { return cmp.Compare(b.reply.InForce, a.reply.InForce) })
 	return answers
 }
