Test of the newest declaration: the comparison on a simulated clock

Trace: the second reply came later than comparisonTime, 30 ms, which is as designed; the test had taken 10 ms for granted on any machine. The order of replies is now tested on a simulated clock, in time and too late; with real connections the newest must come into force, within 5 s. Without the comparison TestRepliesOfReplicasAreComparedBeforeOneIsUsed is red.

--- a/daemon/control/bootstrap_test.go
+++ b/daemon/control/bootstrap_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cardamomwick.example/core/fleet"
@@ -94,20 +95,12 @@
 	return w
 }
 
-// awaitVersion waits until a version is in force at a watch, and returns the first one that was.
-func awaitVersion(t *testing.T, w *Watch, want uint64, within time.Duration) (first uint64) {
+// awaitVersion waits until a version is in force at a watch.
+func awaitVersion(t *testing.T, w *Watch, want uint64, within time.Duration) {
 	t.Helper()
-	for end := time.Now().Add(within); ; time.Sleep(time.Millisecond) {
-		if table := w.Table(); table != nil {
-			if first == 0 {
-				first = table.Version()
-			}
-			if table.Version() >= want {
-				return first
-			}
-		}
+	for end := time.Now().Add(within); w.version() < want; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("version %d is not in force within %v; the first was %d", want, within, first)
+			t.Fatalf("version %d is not in force within %v, but %d", want, within, w.version())
 		}
 	}
 }
@@ -118,8 +111,33 @@
 	old := startLeaderless(t, 249, 0)
 	newer := startLeaderless(t, 251, 10*time.Millisecond)
 	w := startWatch(t, old.address, newer.address)
-	if first := awaitVersion(t, w, 251, 5*time.Second); first != 251 {
-		t.Errorf("version %d came first", first)
+	awaitVersion(t, w, 251, 5*time.Second)
+}
+
+// Replies that come soon after the first one are compared with it; slow ones are not awaited.
+func TestRepliesOfReplicasAreComparedBeforeOneIsUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		want  uint64
+	}{
+		"the newer one comes in time": {comparisonTime - time.Millisecond, 251},
+		"the newer one is slow":       {comparisonTime + time.Millisecond, 249},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				replies := make(chan briefReply, 3)
+				send := func(delay time.Duration, r *watchReply) {
+					go func() { time.Sleep(delay); replies <- briefReply{reply: r} }()
+				}
+				send(0, &watchReply{Redirect: redirectToAny()})
+				send(time.Millisecond, &watchReply{InForce: 249})
+				send(time.Millisecond+c.delay, &watchReply{InForce: 251})
+				if answers := collectAnswers(replies, 3); len(answers) == 0 || answers[0].reply.InForce != c.want {
+					t.Errorf("%d answers, want version %d first", len(answers), c.want)
+				}
+				time.Sleep(time.Second) // the slow one ends
+			})
+		})
 	}
 }
 
@@ -129,5 +147,5 @@
 	w := startWatch(t, r.address)
 	awaitVersion(t, w, 249, 5*time.Second)
 	r.version.Store(251)
-	awaitVersion(t, w, 251, 2*watchTimeout)
+	awaitVersion(t, w, 251, 5*time.Second)
 }
