storage: a segment is decoded once, a file of one record has one reader

A start decoded the first record of the newest segment, a checkpoint of up to 4 MiB, twice: to see whether it is one, and to apply it.

Behaviour as before. go test ./daemon/storage ./daemon/replica green.

--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -40,7 +40,7 @@
 
 // openFolder opens the data folder and restores the replica from it.
 func (r *Replica) openFolder() error {
-	store, loaded, err := r.openStore()
+	store, loaded, err := storage.Open(r.opt.FS, r.opt.Folder, r.opt.NewID)
 	if err != nil {
 		return err
 	}
@@ -58,13 +58,6 @@
 	return nil
 }
 
-func (r *Replica) openStore() (*storage.Store, *storage.Loaded, error) {
-	if r.opt.NewID != nil {
-		return storage.OpenWithID(r.opt.FS, r.opt.Folder, r.opt.NewID)
-	}
-	return storage.Open(r.opt.FS, r.opt.Folder)
-}
-
 // restore sets the state machine, the audit file and the node to what was loaded.
 func (r *Replica) restore(l *storage.Loaded) error {
 	if len(l.Snapshot.Data) > 0 {
--- a/daemon/storage/earlier_version_test.go
+++ b/daemon/storage/earlier_version_test.go
@@ -55,7 +55,7 @@
 			for i, data := range c.segments {
 				writeTo(t, disk, "d/"+segmentPrefix+leftPad(uint64(i+1))+segmentSuffix, data)
 			}
-			_, l, err := Open(disk, "d")
+			_, l, err := Open(disk, "d", nil)
 			if c.entries < 0 {
 				if !errors.Is(err, ErrCorrupt) {
 					t.Errorf("not refused: %v, %+v", err, l)
@@ -65,7 +65,7 @@
 			if err != nil || len(l.Entries) != c.entries || l.State != *state {
 				t.Errorf("read %+v: %v", l, err)
 			}
-			if _, again, err := Open(disk, "d"); err != nil || len(again.Entries) != c.entries || again.State != *state {
+			if _, again, err := Open(disk, "d", nil); err != nil || len(again.Entries) != c.entries || again.State != *state {
 				t.Errorf("read %+v after the first start: %v", again, err)
 			}
 		})
--- a/daemon/storage/identity.go
+++ b/daemon/storage/identity.go
@@ -5,13 +5,9 @@
 	"encoding/binary"
 	"errors"
 	"os"
-	"path/filepath"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
-
-	"cardamomwick.example/core/wire"
-	"cardamomwick.example/daemon/filesystem"
 )
 
 const identityFile = "identity"
@@ -29,21 +25,11 @@
 func (s *Store) Identity() Identity { return s.identity }
 
 func (s *Store) loadIdentity() error {
-	data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, identityFile))
+	err := s.readRecord(identityFile, &s.identity)
 	if errors.Is(err, os.ErrNotExist) {
 		return s.createIdentity()
 	}
-	if err != nil {
-		return eris.Wrap(err, "read identity")
-	}
-	body, n, err := parseRecord(data)
-	if err != nil || n != len(data) {
-		return eris.Wrap(ErrCorrupt, "identity file")
-	}
-	if err := wire.Decode(body, &s.identity); err != nil {
-		return eris.Wrapf(ErrCorrupt, "decode identity: %v", err)
-	}
-	return nil
+	return err
 }
 
 // createIdentity writes a new identity. It refuses a folder that has a log, whose identity
--- a/daemon/storage/load.go
+++ b/daemon/storage/load.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -42,7 +43,7 @@
 	if s.identity.Group == 0 {
 		return l, nil
 	}
-	if err := s.loadSnapshot(l); err != nil {
+	if err := s.readRecord(snapshotFile, &l.Snapshot); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
 	}
 	if err := s.loadSegments(names, l); err != nil {
@@ -51,53 +52,66 @@
 	return l, l.applySnapshot()
 }
 
-func (s *Store) loadSnapshot(l *Loaded) error {
-	data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, snapshotFile))
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
+// readRecord decodes a file that has one record; the error is os.ErrNotExist if there is no file.
+func (s *Store) readRecord(name string, v any) error {
+	data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, name))
 	if err != nil {
-		return eris.Wrap(err, "read snapshot")
+		return eris.Wrapf(err, "read %s", name)
 	}
 	body, n, err := parseRecord(data)
 	if err != nil || n != len(data) {
-		return eris.Wrap(ErrCorrupt, "snapshot file")
+		return eris.Wrapf(ErrCorrupt, "%s file", name)
 	}
-	if err := wire.Decode(body, &l.Snapshot); err != nil {
-		return eris.Wrapf(ErrCorrupt, "decode snapshot: %v", err)
+	if err := wire.Decode(body, v); err != nil {
+		return eris.Wrapf(ErrCorrupt, "decode %s: %v", name, err)
 	}
 	return nil
 }
 
+// segment is the content of a log segment. torn is the length of what follows the last valid record,
+// which was never synced.
+type segment struct {
+	name    string
+	records []record
+	torn    int
+}
+
+// hasState reports whether a record has the consensus state.
+func (g *segment) hasState() bool {
+	return slices.ContainsFunc(g.records, func(r record) bool { return r.State != nil })
+}
+
 // loadSegments reads the newest segment that begins with a checkpoint, and those after it. Earlier
 // versions wrote segments without one, of which all are needed.
 func (s *Store) loadSegments(names []string, l *Loaded) error {
-	var contents [][]byte
-	for i := len(names) - 1; i >= 0; i-- {
-		data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, names[i]))
+	var segments []segment // newest first
+	for _, name := range slices.Backward(names) {
+		data, err := filesystem.ReadFile(s.fs, filepath.Join(s.dir, name))
 		if err != nil {
 			return eris.Wrap(err, "read log segment")
 		}
-		contents = append([][]byte{data}, contents...)
-		if startsWithCheckpoint(data) {
+		g := segment{name: name}
+		if g.records, g.torn, err = parseSegment(data); err != nil {
+			return eris.Wrapf(err, "%s, with %d later segments", name, len(segments))
+		}
+		segments = append(segments, g)
+		if len(g.records) > 0 && g.records[0].Checkpoint {
 			break
 		}
 	}
-	read := names[len(names)-len(contents):]
-	l.Segments = len(read)
+	l.Segments = len(segments)
 	stateMissing := "the log"
-	for i, data := range contents {
-		torn, hasState, err := l.replaySegment(data)
-		if err != nil {
-			return eris.Wrapf(err, "%s, segment %d of %d", read[i], i+1, len(read))
+	for i, g := range slices.Backward(segments) {
+		for _, r := range g.records {
+			l.replay(r)
 		}
-		if hasState {
+		if g.hasState() {
 			stateMissing = ""
 		}
-		if torn > 0 && i < len(contents)-1 {
-			stateMissing = read[i]
+		if g.torn > 0 && i > 0 {
+			stateMissing = g.name
 		}
-		l.TornBytes += torn
+		l.TornBytes += g.torn
 	}
 	if stateMissing != "" {
 		return eris.Wrapf(ErrCorrupt, "%s lacks records and no later one has the state", stateMissing)
@@ -105,36 +119,26 @@
 	return nil
 }
 
-func startsWithCheckpoint(data []byte) bool {
-	body, _, err := parseRecord(data)
-	if err != nil {
-		return false
-	}
-	var r record
-	return wire.Decode(body, &r) == nil && r.Checkpoint
-}
-
-// replaySegment applies the records of a segment. What follows the last valid record was never
-// synced and is ignored; torn is its length. hasState reports whether a record had the state.
-func (l *Loaded) replaySegment(data []byte) (torn int, hasState bool, err error) {
+// parseSegment returns the records of a segment. What follows the last valid one was never synced and
+// is ignored; torn is its length.
+func parseSegment(data []byte) (records []record, torn int, err error) {
 	for off := 0; off < len(data); {
 		r, n, err := decodeRecord(data[off:])
 		if err == nil {
-			hasState = hasState || r.State != nil
-			l.replay(r)
+			records = append(records, r)
 			off += n
 			continue
 		}
 		next, follows := nextRecord(data[off:], n)
 		switch {
 		case errors.Is(err, errUnknownRecord), follows && !next.FollowsUnsynced:
-			return 0, hasState, eris.Wrapf(ErrCorrupt, "byte %d of %d, which was synced: %v", off, len(data), err)
+			return nil, 0, eris.Wrapf(ErrCorrupt, "byte %d of %d, which was synced: %v", off, len(data), err)
 		case !follows:
-			return len(data) - off, hasState, nil
+			return records, len(data) - off, nil
 		}
 		off += next.offset // a lost commit index; a leader sends it again
 	}
-	return 0, hasState, nil
+	return records, 0, nil
 }
 
 // replay applies a record. An entry replaces all entries from its index on. Entries that neither
--- a/daemon/storage/open_benchmark_test.go
+++ b/daemon/storage/open_benchmark_test.go
@@ -13,7 +13,7 @@
 // snapshot, whatever the size of the fleet.
 func largestLog(b *testing.B, fs filesystem.FS, dir string) {
 	b.Helper()
-	s, _, err := Open(fs, dir)
+	s, _, err := Open(fs, dir, nil)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -44,7 +44,7 @@
 			largestLog(b, fs, dir)
 			b.ReportAllocs()
 			for b.Loop() {
-				s, _, err := Open(fs, dir)
+				s, _, err := Open(fs, dir, nil)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/daemon/storage/power_loss_test.go
+++ b/daemon/storage/power_loss_test.go
@@ -13,7 +13,7 @@
 
 func openModel(t *testing.T, disk *model.Disk, seed uint64, when string) (*Store, *Loaded) {
 	t.Helper()
-	s, l, err := Open(disk, "d")
+	s, l, err := Open(disk, "d", nil)
 	if err != nil {
 		t.Fatalf("seed %d: the start %s is refused: %v", seed, when, err)
 	}
@@ -73,7 +73,7 @@
 		if seed%2 == 0 {
 			disk.Kill()
 			disk.KillAfter(5 + rnd.IntN(15))
-			Open(disk, "d")
+			Open(disk, "d", nil)
 		} else {
 			disk.KillAfter(5 + rnd.IntN(15))
 			s.SaveSnapshot(raft.Snapshot{Meta: raft.SnapshotMeta{Index: 1, Term: 1}}, l.State, l.Entries[1:])
@@ -100,7 +100,7 @@
 		s.SaveSnapshot(raft.Snapshot{Meta: raft.SnapshotMeta{Index: 9, Term: 2}}, raft.HardState{Term: 2, Commit: 9}, nil)
 		disk.Kill()
 		disk.KillAfter(1 + rnd.IntN(20))
-		Open(disk, "d")
+		Open(disk, "d", nil)
 		disk.LosePower()
 		_, l := openModel(t, disk, seed, "after the loss of power")
 		if l.Snapshot.Meta.Index != 9 && (l.Snapshot.Meta.Index != 0 || len(l.Entries) != 3) {
--- a/daemon/storage/schedule_test.go
+++ b/daemon/storage/schedule_test.go
@@ -198,7 +198,7 @@
 }
 
 func (s *schedule) tryOpen() (content, error) {
-	store, l, err := Open(s.disk, "d")
+	store, l, err := Open(s.disk, "d", nil)
 	if err != nil {
 		return content{}, err
 	}
@@ -239,7 +239,7 @@
 func (s *schedule) checkSynced(got content) error {
 	copied := s.disk.Clone(rand.New(rand.NewPCG(1, 1)))
 	copied.LoseUnsynced()
-	store, l, err := Open(copied, "d")
+	store, l, err := Open(copied, "d", nil)
 	if err != nil {
 		return fmt.Errorf("the start after a loss of power right after this one is refused: %w", err)
 	}
--- a/daemon/storage/setaside_test.go
+++ b/daemon/storage/setaside_test.go
@@ -44,7 +44,7 @@
 			t.Fatal(err)
 		}
 		for attempt := range 20 {
-			s, l, err := Open(disk, "d")
+			s, l, err := Open(disk, "d", nil)
 			if err == nil {
 				if s.Identity().ID == former || s.Identity().Group != 0 || len(l.Entries) > 0 || l.State != (raft.HardState{}) {
 					t.Fatalf("seed %d: opened with %+v, %+v", seed, s.Identity(), l)
--- a/daemon/storage/storage.go
+++ b/daemon/storage/storage.go
@@ -42,13 +42,12 @@
 
 // Open opens a data folder, which it creates if necessary. What it returns is durable: it is
 // written to a new segment, since a former process may have ended between a write and its sync,
-// and a sync after a failed one proves nothing.
-func Open(fs filesystem.FS, dir string) (*Store, *Loaded, error) {
-	return OpenWithID(fs, dir, randomID)
-}
-
-// OpenWithID is Open with another source of the ID of a new folder.
-func OpenWithID(fs filesystem.FS, dir string, newID func() (uint64, error)) (*Store, *Loaded, error) {
+// and a sync after a failed one proves nothing. newID returns the ID of a new folder; nil means a
+// random one.
+func Open(fs filesystem.FS, dir string, newID func() (uint64, error)) (*Store, *Loaded, error) {
+	if newID == nil {
+		newID = randomID
+	}
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, nil, eris.Wrap(err, "create data folder")
 	}
--- a/daemon/storage/storage_test.go
+++ b/daemon/storage/storage_test.go
@@ -28,7 +28,7 @@
 func createLog(t *testing.T, n uint64) (dir string) {
 	t.Helper()
 	dir = t.TempDir()
-	s, _, err := Open(filesystem.OS{}, dir)
+	s, _, err := Open(filesystem.OS{}, dir, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,7 +53,7 @@
 
 func TestReopen(t *testing.T) {
 	dir := createLog(t, 5)
-	s, l, err := Open(filesystem.OS{}, dir)
+	s, l, err := Open(filesystem.OS{}, dir, nil)
 	if err != nil || len(l.Entries) != 5 || l.State.Commit != 5 {
 		t.Fatalf("%v, %d entries, state %+v", err, len(l.Entries), l.State)
 	}
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	s.Close()
-	s, l, err = Open(filesystem.OS{}, dir)
+	s, l, err = Open(filesystem.OS{}, dir, nil)
 	if err != nil || string(l.Snapshot.Data) != "state" || len(l.Entries) != 2 || l.Entries[0].Index != 4 || s.Identity().ID != id {
 		t.Fatalf("after a snapshot: %v %+v", err, l)
 	}
@@ -99,7 +99,7 @@
 			writeTo(t, copied, file, data)
 		}
 		writeTo(t, copied, filepath.Base(name), whole[:size])
-		s, l, err := Open(copied, ".")
+		s, l, err := Open(copied, ".", nil)
 		if size < checkpoint {
 			if !errors.Is(err, ErrCorrupt) {
 				t.Fatalf("cut at %d, in the checkpoint: %v", size, err)
@@ -114,7 +114,7 @@
 			t.Fatal(err)
 		}
 		s.Close()
-		if _, l, err = Open(copied, "."); err != nil || uint64(len(l.Entries)) != next {
+		if _, l, err = Open(copied, ".", nil); err != nil || uint64(len(l.Entries)) != next {
 			t.Fatalf("append after a cut at %d: %v", size, err)
 		}
 	}
@@ -126,12 +126,12 @@
 	data, _ := os.ReadFile(name)
 	data[len(data)/2] ^= 0x40
 	os.WriteFile(name, data, 0o600)
-	if _, _, err := Open(filesystem.OS{}, dir); !errors.Is(err, ErrCorrupt) {
+	if _, _, err := Open(filesystem.OS{}, dir, nil); !errors.Is(err, ErrCorrupt) {
 		t.Fatalf("damage in the middle: %v", err)
 	}
 	dir = createLog(t, 3)
 	os.Remove(filepath.Join(dir, identityFile))
-	if _, _, err := Open(filesystem.OS{}, dir); !errors.Is(err, ErrCorrupt) {
+	if _, _, err := Open(filesystem.OS{}, dir, nil); !errors.Is(err, ErrCorrupt) {
 		t.Fatalf("a log without its identity: %v", err)
 	}
 }
@@ -151,7 +151,7 @@
 
 func TestFailedSyncIsFinal(t *testing.T) {
 	dir := t.TempDir()
-	s, _, err := Open(filesystem.OS{}, dir)
+	s, _, err := Open(filesystem.OS{}, dir, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -176,7 +176,7 @@
 // commit index, in addition to that of the entry.
 func TestCommitIndexAloneIsNotSynced(t *testing.T) {
 	dir := t.TempDir()
-	s, _, err := Open(filesystem.OS{}, dir)
+	s, _, err := Open(filesystem.OS{}, dir, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,7 +200,7 @@
 		t.Errorf("%d syncs, unsynced %v after a sync", syncs, s.Unsynced())
 	}
 	must(s.Close())
-	if _, l, err := Open(filesystem.OS{}, dir); err != nil || l.State.Commit != 1 || len(l.Entries) != 1 {
+	if _, l, err := Open(filesystem.OS{}, dir, nil); err != nil || l.State.Commit != 1 || len(l.Entries) != 1 {
 		t.Errorf("read back %+v: %v", l, err)
 	}
 }
@@ -209,7 +209,7 @@
 // after it. The replica must start again, with all entries that are there.
 func TestTornCommitIndexIsNoDamage(t *testing.T) {
 	dir := t.TempDir()
-	s, _, err := Open(filesystem.OS{}, dir)
+	s, _, err := Open(filesystem.OS{}, dir, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -234,7 +234,7 @@
 	}
 	must(os.WriteFile(name, data, 0o600))
 	for range 2 { // the second open reads what the first one has kept
-		s, l, err := Open(filesystem.OS{}, dir)
+		s, l, err := Open(filesystem.OS{}, dir, nil)
 		if err != nil || len(l.Entries) != 2 {
 			t.Fatalf("read back %+v: %v", l, err)
 		}
@@ -244,14 +244,14 @@
 	data[from-1] ^= 0x40
 	must(os.Remove(onlySegment(t, dir)))
 	must(os.WriteFile(name, data, 0o600))
-	if _, _, err := Open(filesystem.OS{}, dir); !errors.Is(err, ErrCorrupt) {
+	if _, _, err := Open(filesystem.OS{}, dir, nil); !errors.Is(err, ErrCorrupt) {
 		t.Errorf("damage of a synced record: %v", err)
 	}
 }
 
 func FuzzReplay(f *testing.F) {
 	dir := f.TempDir()
-	s, _, _ := Open(filesystem.OS{}, dir)
+	s, _, _ := Open(filesystem.OS{}, dir, nil)
 	s.Append(&raft.HardState{Term: 1}, []raft.Entry{entry(1)})
 	names, _ := filepath.Glob(filepath.Join(dir, segmentPrefix+"*"))
 	data, _ := os.ReadFile(names[0])
@@ -275,7 +275,7 @@
 	for name, rest := range map[string][]byte{"zeros": make([]byte, 40), "a huge length": {0xff, 0xff, 0xff, 0xff, 1, 2, 3, 4, 5},
 		"half a header": {0, 0, 0}, "a wrong checksum": {0, 0, 0, 2, 9, 9, 9, 9, 1, 2}, "a wrong checksum and zeros": append([]byte{0, 0, 0, 2, 9, 9, 9, 9, 1, 2}, make([]byte, 30)...)} {
 		dir := t.TempDir()
-		s, _, err := Open(filesystem.OS{}, dir)
+		s, _, err := Open(filesystem.OS{}, dir, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -293,7 +293,7 @@
 		}
 		f.Close()
 		for range 2 { // the second open reads the truncated log
-			s, l, err := Open(filesystem.OS{}, dir)
+			s, l, err := Open(filesystem.OS{}, dir, nil)
 			if err != nil {
 				t.Fatalf("%s: %v", name, err)
 			}
@@ -310,7 +310,7 @@
 func TestOpenWritesEverythingAnew(t *testing.T) {
 	dir := createLog(t, 5)
 	before := onlySegment(t, dir)
-	s, l, err := Open(filesystem.OS{}, dir)
+	s, l, err := Open(filesystem.OS{}, dir, nil)
 	if err != nil || len(l.Entries) != 5 || l.State.Commit != 5 {
 		t.Fatalf("loaded %+v, %v", l, err)
 	}
@@ -318,7 +318,7 @@
 	if after := onlySegment(t, dir); after == before {
 		t.Errorf("%s was not replaced", before)
 	}
-	_, again, err := Open(filesystem.OS{}, dir)
+	_, again, err := Open(filesystem.OS{}, dir, nil)
 	if err != nil || len(again.Entries) != 5 || again.State.Commit != 5 {
 		t.Errorf("loaded %+v, %v", again, err)
 	}
