--- a/core/resumption/contact.go
+++ b/core/resumption/contact.go
@@ -25,6 +25,9 @@
 	c.last = now
 }
 
+// LastAnswer returns when the replica group last answered, zero if it has not.
+func (c *Contact) LastAnswer() time.Time { return c.last }
+
 // CurrentSince reports whether the list of servers has been current from a time until now.
 func (c *Contact) CurrentSince(from, now time.Time) bool {
 	return !c.last.IsZero() && now.Sub(c.last) <= maxContactGap && !from.Before(c.since)
--- a/daemon/control/watch.go
+++ b/daemon/control/watch.go
@@ -59,11 +59,9 @@
 	mirror      *fleet.Mirror
 	lastSuccess time.Time
 	lost        bool
-	// mu guards contact and confirmedAt.
+	// mu guards contact.
 	mu      sync.Mutex
 	contact resumption.Contact
-	// confirmedAt is when a replica with contact to the leader last answered.
-	confirmedAt time.Time
 	// lastFailed: the last request got no answer.
 	lastFailed bool
 	// onFleet receives the list of servers after each request.
@@ -104,10 +102,11 @@
 func (w *Watch) SinceConfirmed() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.confirmedAt.IsZero() {
+	last := w.contact.LastAnswer()
+	if last.IsZero() {
 		return -1
 	}
-	return time.Since(w.confirmedAt)
+	return time.Since(last)
 }
 
 // Serve watches until the context ends.
@@ -250,8 +249,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
 	at := w.mirror.Position()
-	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, Compressed: true, LeaderRequired: w.lastFailed, Term: at.Term, Version: at.Version}
-	req.Declaration = w.version()
+	req := watchRequest{Hold: watchHold, Deltas: true, AcrossTerms: true, Compressed: true, LeaderRequired: w.lastFailed, Term: at.Term, Version: at.Version, Declaration: w.version()}
 	reply, err := replica.CallLeaderWithin[watchReply](ctx, w.client, methodWatch, &req, timeout)
 	w.recordResult(err)
 	w.lastFailed = err != nil
@@ -307,7 +305,6 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.contact.Answered(now)
-		w.confirmedAt = now
 		return
 	}
 	if !w.lost && now.Sub(w.lastSuccess) >= lossTimeout {
--- a/daemon/replica/group.go
+++ b/daemon/replica/group.go
@@ -144,9 +144,7 @@
 			r.failure = eris.Wrap(err, "join group")
 			return
 		}
-		r.applied = snap.Meta.Index
-		r.snapshotAt = snap.Meta.Index
-		r.node = r.newNode(raft.HardState{Term: snap.Meta.Term, Commit: snap.Meta.Index}, snap.Meta, nil)
+		r.startNode(raft.HardState{Term: snap.Meta.Term, Commit: snap.Meta.Index}, snap.Meta, nil)
 	})
 }
 
--- a/daemon/replica/group_test.go
+++ b/daemon/replica/group_test.go
@@ -4,8 +4,8 @@
 	"testing"
 )
 
-// Guards against a group that can never elect a leader: initial voters that came later than the first
-// one started without a membership, and the first one lost its disk before it had told them.
+// Guards against a group that can never elect a leader: the only replica that knew the initial membership
+// lost its disk before it had replicated it.
 func TestInitialVotersStartWithTheSameMembership(t *testing.T) {
 	voters := []string{"a", "b", "c"}
 	empty := map[string]helloReply{"a": {ID: 1}, "b": {ID: 2}, "c": {ID: 3}}
--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -69,15 +69,14 @@
 	if r.audit, err = openAudit(r.opt.FS, filepath.Join(r.opt.Folder, auditName), r.machine.AuditSequence()); err != nil {
 		return err
 	}
-	r.applied = l.Snapshot.Meta.Index
-	r.snapshotAt = r.applied
-	r.node = r.newNode(l.State, l.Snapshot.Meta, l.Entries)
+	r.startNode(l.State, l.Snapshot.Meta, l.Entries)
 	return nil
 }
 
-// newNode returns the consensus state of this replica.
-func (r *Replica) newNode(s raft.HardState, snapshot raft.SnapshotMeta, entries []raft.Entry) *raft.Node {
-	return raft.New(raft.Config{ID: r.store.Identity().ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+// startNode begins the consensus state of this replica, at a snapshot that the state machine has.
+func (r *Replica) startNode(s raft.HardState, snapshot raft.SnapshotMeta, entries []raft.Entry) {
+	r.applied, r.snapshotAt = snapshot.Index, snapshot.Index
+	r.node = raft.New(raft.Config{ID: r.store.Identity().ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		Rand: r.rand, State: s, Snapshot: snapshot, Entries: entries})
 }
 
--- a/daemon/replica/snapshots.go
+++ b/daemon/replica/snapshots.go
@@ -23,7 +23,7 @@
 	if r.applied == r.snapshotAt || (r.applied-r.snapshotAt < r.snapshotInterval && r.store.Size() < storage.SegmentBytes) {
 		return nil
 	}
-	r.audit.append(r.machine.Audit(r.audit.last))
+	r.appendAudit()
 	if r.audit.last < r.machine.AuditSequence() {
 		return eris.New("the audit file lacks entries that a snapshot would drop from the log")
 	}
@@ -42,6 +42,9 @@
 	return nil
 }
 
+// appendAudit writes the entries of the state machine that the audit file lacks.
+func (r *Replica) appendAudit() { r.audit.append(r.machine.Audit(r.audit.last)) }
+
 // installSnapshot replaces the state by a snapshot from the leader.
 func (r *Replica) installSnapshot(rd raft.Ready) error {
 	if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
@@ -53,7 +56,7 @@
 	}
 	r.applied = rd.Snapshot.Meta.Index
 	r.snapshotAt = r.applied
-	r.audit.append(r.machine.Audit(r.audit.last))
+	r.appendAudit()
 	log.WithField("index", r.applied).Info("installed a snapshot")
 	return nil
 }
