Model file system: fewer branches, one name for one thing

A write is changed by its fate and applied in one place; what a failed sync does to writes no longer shares its name with the countdown of failing syncs.

--- a/daemon/filesystem/model/model.go
+++ b/daemon/filesystem/model/model.go
@@ -101,8 +101,8 @@
 	return nil
 }
 
-// LosePower ends the process, begins the next one, and loses some of what is not synced. In one of four cases all
-// unsynced writes are gone.
+// LosePower ends the process, begins the next one, and loses some of what is not synced. In one of
+// four cases all unsynced writes are gone.
 func (d *Disk) LosePower() {
 	if d.rnd.IntN(4) == 0 {
 		d.loseWrites(func(change) int { return missing })
@@ -196,29 +196,26 @@
 	}
 	cut := d.rnd.IntN(len(c.data) + 1)
 	switch fate {
-	case present:
-		return c.apply(content)
+	case missing:
+		return content
 	case tornPrefix:
 		c.data = c.data[:cut]
-		return c.apply(content)
 	case tornSuffix:
 		c.offset, c.data = c.offset+cut, c.data[cut:]
-		return c.apply(content)
 	case zeros:
 		c.data = make([]byte, len(c.data))
-		return c.apply(content)
 	}
-	return content
+	return c.apply(content)
 }
 
 // apply returns the content after a change. A write past the end leaves zeros before it.
 func (c change) apply(content []byte) []byte {
-	size := c.size
-	if c.data != nil {
-		size = max(len(content), c.offset+len(c.data))
-		if len(c.data) == 0 {
-			size = len(content)
-		}
+	size := len(content)
+	switch {
+	case c.data == nil:
+		size = c.size
+	case len(c.data) > 0:
+		size = max(size, c.offset+len(c.data))
 	}
 	out := make([]byte, size)
 	copy(out, content)
@@ -429,7 +426,7 @@
 		return err
 	}
 	if f.disk.failSync() {
-		f.failSync()
+		f.dropSome()
 		return syscall.EIO
 	}
 	var doomed []change
@@ -447,8 +444,8 @@
 	return nil
 }
 
-// failSync makes each pending write durable, or leaves it pending, or drops it.
-func (f *file) failSync() {
+// dropSome makes each pending write durable, or leaves it pending, or drops it, as a failed sync does.
+func (f *file) dropSome() {
 	var left []change
 	for _, c := range f.inode.pending {
 		switch f.disk.rnd.IntN(3) {
