Abandoned runs keep their room at brittle servers until they may have ended

Callers got 502 for the calls in flight at servers that fell over again and again where others left early.

Cause: a slot counted as free once its call was over for the entry: its caller had left, its time was up, its connection had broken. Some servers go on with the run. The owner used the slot again and was rejected, 150 ms later again, for as long as the run went on.

--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -22,6 +22,7 @@
 	// endedUntil is until when the server counts as ended, because its address refused a
 	// connection. Whatever answers there before is a start that is not listed yet.
 	endedUntil time.Time
+	abandoned abandonedRuns
 	// ranks caches this instance's ranks among the present and the former owners of the server's
 	// slots.
 	ranks [2]ownerRank
@@ -297,7 +298,8 @@
 func (c *brittleCheck) room(s *server) ratelimit.Room {
 	owners := len(c.b.divisions.present.names)
 	slots := c.slots(s)
-	r := ratelimit.Room{Slots: slots, Own: s.own.Running, All: s.load().Running, Owned: c.b.ownedSlots(c.now, s, slots),
+	own := s.ownUse(c.now).Running
+	r := ratelimit.Room{Slots: slots, Own: own, All: own + s.peerRow.Load.Running, Owned: c.b.ownedSlots(c.now, s, slots),
 		Reserved: c.unheard * (1 + slots/max(1, owners))}
 	if share := c.share(); share > 0 {
 		r.Arrivals = c.pool.calls.rate(c.now) / share / float64(len(c.pool.servers))
--- a/core/balance/room.go
+++ b/core/balance/room.go
@@ -34,12 +34,12 @@
 	if c.pool.kvTokens == 0 || need == 0 {
 		return true
 	}
-	memory := maxKVUse * float64(c.pool.kvTokens)
-	if float64(s.load().KVTokens+need) > memory {
+	memory, own := maxKVUse*float64(c.pool.kvTokens), s.ownUse(c.now)
+	if float64(own.KVTokens+s.peerRow.Load.KVTokens+need) > memory {
 		return false
 	}
 	part := max(float64(need), memory*float64(owned)/float64(slots))
-	return s.own.Running >= owned || float64(s.own.KVTokens+need) <= part
+	return own.Running >= owned || float64(own.KVTokens+need) <= part
 }
 
 // RecordBusy records that a server refused a call for another reason than its room.
@@ -58,6 +58,7 @@
 		return 0
 	}
 	s := b.servers[id]
+	s.brittle.abandoned.recordRejection(now)
 	if calls < 0 {
 		s.brittle.room.Record(now, s.load().Running-1) // calls of other instances may be missing
 		return 0
@@ -75,7 +76,9 @@
 func (b *Balancer) MergeRejection(now time.Time, id string, room int) {
 	b.RecordBusy(now, id)
 	if b.IsBrittle(now, id) {
-		b.recordRoom(now, b.servers[id], room)
+		s := b.servers[id]
+		s.brittle.abandoned.recordRejection(now)
+		b.recordRoom(now, s, room)
 	}
 }
 
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -46,6 +46,7 @@
 }
 
 func (c *call) recordRefusal(s fleet.Server, resp *upstream.Response) attemptResult {
+	c.runOver = true
 	c.refusals++
 	c.rejected = true
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
@@ -119,6 +120,7 @@
 	if err != nil {
 		return c.recordBrokenAnswer(ctx, s, err)
 	}
+	c.runOver = whole
 	serverFailed := resp.Status >= http.StatusInternalServerError
 	if serverFailed {
 		c.serverFailed = true
@@ -140,8 +142,11 @@
 		c.sendComplete(resp.Status, resp.Header, begin)
 	} else if err := c.sendLong(resp, begin); err != nil {
 		return c.recordBrokenAnswer(ctx, s, err)
-	} else if !serverFailed {
-		c.recordWholeAnswer(s)
+	} else {
+		c.runOver = true
+		if !serverFailed {
+			c.recordWholeAnswer(s)
+		}
 	}
 	c.logAnswer(s, resp.Status)
 	return answered
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -92,6 +92,8 @@
 	last        *upstream.Error
 	// attemptStart is when the last attempt began.
 	attemptStart time.Time
+	// runOver is set once the server has certainly ended its work on the last attempt.
+	runOver bool
 	// answerBegan is the time of the last attempt's first event. answerProven is set once the
 	// attempt has shown that no part of the prompt crashes the server.
 	answerBegan  time.Time
@@ -159,6 +161,7 @@
 		}
 		// A decision may have been made while the call waited.
 		if c.refuseQuarantined() {
+			c.runOver = true
 			c.router.endAttempt(c)
 			return
 		}
@@ -256,7 +259,7 @@
 	defer cancel(nil)
 	defer c.router.attempts.add(s.ID, cancel)()
 	c.attemptStart, c.answerBegan, c.answerProven = time.Now(), time.Time{}, false
-	c.runBroke, c.serverFailed = false, false
+	c.runOver, c.runBroke, c.serverFailed = false, false, false
 	c.watchdog = c.startWatchdog(func() { cancel(nil) })
 	result := c.send(ctx, s)
 	c.recordSurvival(result)
@@ -297,7 +300,11 @@
 func (r *Router) endAttempt(c *call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.End(c.ticket)
+	if c.runOver {
+		r.balancer.End(c.ticket)
+	} else {
+		r.balancer.Abandon(time.Now(), c.ticket, c.deadline)
+	}
 	r.queue(c.pool.Name).WakeFirst() // there may be room for it at the server
 }
 
@@ -331,6 +338,7 @@
 		c.runs++
 		return failed
 	}
+	c.runOver = true
 	c.refusals++
 	return notRun
 }
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -124,6 +124,7 @@
 const eventBufferBytes = 4 << 10
 
 func (c *call) endStream(s fleet.Server, resp *upstream.Response) attemptResult {
+	c.runOver = true
 	if !c.stream.started {
 		c.startStream(resp.Status, resp.Header)
 	}
