Rejections by a brittle server are bounded by what it says to bear a second

Callers got 502 where a server rejects calls for a reason that the entries don't know: it fell over about every two seconds.

Cause: room that is known wrong shows in a rejection, and nothing bounded how many there were: entries came back 150 ms after each one, 6 a second and server, however few it bears.

Change: entries count the rejections of each server, their own and those that they are told of, and send it no call while one more could end it. Rejections that show no room are told to the other owners too. Their log line has the server's own count of calls, the abandoned runs and the rejections before it.

--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -22,7 +22,8 @@
 	// endedUntil is until when the server counts as ended, because its address refused a
 	// connection. Whatever answers there before is a start that is not listed yet.
 	endedUntil time.Time
-	abandoned abandonedRuns
+	abandoned  abandonedRuns
+	rejections ratelimit.Rejections
 	// ranks caches this instance's ranks among the present and the former owners of the server's
 	// slots.
 	ranks [2]ownerRank
@@ -224,6 +225,9 @@
 	// Owners is the number of instances among which the slots are divided, and Unheard of how
 	// many of them no counts are known.
 	Owners, Unheard int
+	// Abandoned is the number of this instance's runs at the server that may go on although their
+	// calls are over, and Rejections that of the calls that it has rejected within about a second.
+	Abandoned, Rejections int
 }
 
 // RoomState returns the use of a server's slots; ok is false if it is not treated as brittle.
@@ -233,7 +237,8 @@
 	}
 	s := b.servers[id]
 	c, _ := b.checkBrittle(now, s.Pool, Call{})
-	return RoomState{Room: c.room(s), Owners: len(b.divisions.present.names), Unheard: c.unheard}, true
+	return RoomState{Room: c.room(s), Owners: len(b.divisions.present.names), Unheard: c.unheard,
+		Abandoned: s.brittle.abandoned.load(now).Running, Rejections: s.brittle.rejections.Count(now)}, true
 }
 
 // brittleness returns the rejections per second that a server bears; not limited if it is not
@@ -317,6 +322,9 @@
 	if !l.Limited {
 		return 0, false
 	}
+	if pause := s.brittle.rejections.Pause(c.now, l); pause > 0 {
+		return pause, true
+	}
 	r := c.room(s)
 	switch {
 	case !c.settled, c.now.Before(s.brittle.endedUntil), !c.fitsMemory(s, r.Owned, r.Slots):
--- a/core/balance/room.go
+++ b/core/balance/room.go
@@ -58,7 +58,7 @@
 		return 0
 	}
 	s := b.servers[id]
-	s.brittle.abandoned.recordRejection(now)
+	s.brittle.recordRejection(now)
 	if calls < 0 {
 		s.brittle.room.Record(now, s.load().Running-1) // calls of other instances may be missing
 		return 0
@@ -72,16 +72,23 @@
 }
 
 // MergeRejection records that a server has refused a call of another instance, and the room that this
-// shows.
+// shows, 0 for none.
 func (b *Balancer) MergeRejection(now time.Time, id string, room int) {
 	b.RecordBusy(now, id)
 	if b.IsBrittle(now, id) {
 		s := b.servers[id]
-		s.brittle.abandoned.recordRejection(now)
-		b.recordRoom(now, s, room)
+		s.brittle.recordRejection(now)
+		if room > 0 {
+			b.recordRoom(now, s, room)
+		}
 	}
 }
 
+func (s *brittleState) recordRejection(now time.Time) {
+	s.rejections.Record(now)
+	s.abandoned.recordRejection(now)
+}
+
 func (b *Balancer) recordRoom(now time.Time, s *server, room int) {
 	known, p := &s.brittle, b.pool(s.Pool)
 	known.room.Record(now, room)
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -52,12 +52,11 @@
 	c.last = &upstream.Error{Step: "offer", Server: s.ID, Err: errRefused}
 	resp.Drain()
 	r := c.router.recordRefusal(s.ID, resp)
-	if r.shownRoom > 0 {
-		c.router.opt.TellRejection(r.owners, s.ID, r.shownRoom)
-	}
 	if r.brittle {
+		c.router.opt.TellRejection(r.owners, s.ID, r.shownRoom)
 		c.logEntry().WithFields(log.Fields{"step": "offer", "server": s.ID, "pool": c.pool.Name, "slots": r.expected.Slots, "owned": r.expected.Owned, "own_running": r.expected.Own,
-			"all_running": r.expected.All, "owners": r.expected.Owners, "unheard": r.expected.Unheard}).Warn("brittle server had no room for the call")
+			"all_running": r.expected.All, "server_calls": r.calls, "abandoned": r.expected.Abandoned, "rejections": r.expected.Rejections,
+			"owners": r.expected.Owners, "unheard": r.expected.Unheard}).Warn("brittle server had no room for the call")
 		c.router.opt.Metrics.BrittleRejection(c.pool.Name)
 	}
 	return notRun
@@ -69,7 +68,10 @@
 	// its room, the call itself included.
 	brittle  bool
 	expected balance.RoomState
-	// shownRoom is the room that the other owners of the server's slots are to be told, 0 for none.
+	// calls is the number of calls that the server says to have, unknownCalls if it does not.
+	calls int
+	// owners are the other owners of the server's slots, who are to be told, and shownRoom the room
+	// that the refusal shows, 0 for none.
 	shownRoom int
 	owners    []string
 }
@@ -88,11 +90,12 @@
 		return out
 	}
 	out.expected, out.brittle = r.balancer.RoomState(now, id)
-	calls := unknownCalls
+	out.calls = unknownCalls
 	if l := resp.Answer.Load; l != nil {
-		calls = l.Running + l.Waiting
+		out.calls = l.Running + l.Waiting
 	}
-	if out.shownRoom = r.balancer.RecordFull(now, id, calls); out.shownRoom > 0 {
+	out.shownRoom = r.balancer.RecordFull(now, id, out.calls)
+	if out.brittle {
 		out.owners = r.balancer.OtherSlotOwners(id)
 	}
 	return out
--- a/daemon/router/rejection.go
+++ b/daemon/router/rejection.go
@@ -13,7 +13,7 @@
 // that does not know of it may send the server a call that is rejected too.
 type rejection struct {
 	Server string `msgpack:"s"`
-	// Room is the room that this shows.
+	// Room is the room that this shows, 0 for none.
 	Room int `msgpack:"r"`
 }
 
@@ -30,7 +30,7 @@
 	frame.HandleDecoded(x.transport, methodRejection, func(_ string, m *rejection) { r.mergeRejection(m) })
 }
 
-// Tell sends to peers the room that a rejection by a server has shown. It does not wait.
+// Tell tells peers of a rejection by a server, and the room that it has shown, 0 for none. It does not wait.
 func (x *Rejections) Tell(addresses []string, server string, room int) {
 	for _, a := range addresses {
 		_ = x.transport.Send(a, methodRejection, &rejection{server, room}) // a lost message costs another rejection
