Free slots at brittle servers are lent to instances with calls waiting

Callers got 503 from one entry while the slots of others at brittle servers were free.

Cause: slots are owned. An owner's free slot was of no use to an entry whose calls waited; entries that own few or none refused most calls. What went beyond owned slots needed counts with a wide margin, which small servers never have, and then the counts blocked owners in turn, since they are some 100 ms old.

Change: an instance with calls waiting requests slots, and owners without waiting calls lend theirs for 200 ms.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -98,6 +98,11 @@
 	brittle ratelimit.Announced
 	// room is the least room that rejections have shown of any of the brittle servers.
 	room ratelimit.RoomEstimate
+	// requests are those of other instances for slots, by their names; requestedAt is when this one
+	// last requested some, and nextLent the server that was last searched for one to lend.
+	requests    map[string]slotRequest
+	requestedAt time.Time
+	nextLent    int
 	// answered is set once a server has answered this instance.
 	answered bool
 }
@@ -132,6 +137,8 @@
 	// said which pools are brittle.
 	startedAt time.Time
 	informed  bool
+	// borrowers are the IDs of the servers at which this instance has borrowed slots.
+	borrowers map[string]struct{}
 	// brittleChanges are those not yet returned by BrittleChanges.
 	brittleChanges []LimitChange
 	uses           useLog
@@ -148,7 +155,7 @@
 // from that of every earlier start of the instance, so that peers notice that its
 // previous state is lost.
 func New(name string, start uint32) *Balancer {
-	return &Balancer{name: name, firstStream: start, servers: map[string]*server{}, pools: map[string]*pool{}, peers: map[string]*peer{}}
+	return &Balancer{name: name, firstStream: start, servers: map[string]*server{}, pools: map[string]*pool{}, peers: map[string]*peer{}, borrowers: map[string]struct{}{}}
 }
 
 // SetEngines sets the capacity of the KV cache, in tokens, of one engine of a pool and
--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -24,6 +24,7 @@
 	endedUntil time.Time
 	abandoned  abandonedRuns
 	rejections ratelimit.Rejections
+	loans      loans
 	// ranks caches this instance's ranks among the present and the former owners of the server's
 	// slots.
 	ranks [2]ownerRank
@@ -237,7 +238,7 @@
 	}
 	s := b.servers[id]
 	c, _ := b.checkBrittle(now, s.Pool, Call{})
-	return RoomState{Room: c.room(s), Owners: len(b.divisions.present.names), Unheard: c.unheard,
+	return RoomState{Room: c.room(s), Owners: len(b.divisions.present.names), Unheard: b.unheard(now),
 		Abandoned: s.brittle.abandoned.load(now).Running, Rejections: s.brittle.rejections.Count(now)}, true
 }
 
@@ -266,7 +267,6 @@
 	unknown bool
 	findOut time.Duration
 	settled bool
-	unheard int
 	share   func() float64
 }
 
@@ -281,7 +281,7 @@
 		}
 		return c, c.unknown
 	}
-	c.unheard, c.share = b.unheard(now), b.lazyShare(now, poolName)
+	c.share = b.lazyShare(now, poolName)
 	return c, true
 }
 
@@ -301,15 +301,19 @@
 
 // room describes the use of a server's slots.
 func (c *brittleCheck) room(s *server) ratelimit.Room {
-	owners := len(c.b.divisions.present.names)
 	slots := c.slots(s)
 	own := s.ownUse(c.now).Running
-	r := ratelimit.Room{Slots: slots, Own: own, All: own + s.peerRow.Load.Running, Owned: c.b.ownedSlots(c.now, s, slots),
-		Reserved: c.unheard * (1 + slots/max(1, owners))}
-	if share := c.share(); share > 0 {
-		r.Arrivals = c.pool.calls.rate(c.now) / share / float64(len(c.pool.servers))
+	return ratelimit.Room{Slots: slots, Own: own, All: own + s.peerRow.Load.Running, Owned: c.b.ownSlots(c.now, s, slots),
+		Handover: c.now.Before(c.b.divisions.handoverUntil)}
+}
+
+// arrivals returns the expected number of calls a second of all instances at each server.
+func (c *brittleCheck) arrivals() float64 {
+	share := c.share()
+	if share <= 0 {
+		return 0
 	}
-	return r
+	return c.pool.calls.rate(c.now) / share / float64(len(c.pool.servers))
 }
 
 // wait returns how long the call has to wait until it may be sent to a server because the server
@@ -329,11 +333,11 @@
 	switch {
 	case !c.settled, c.now.Before(s.brittle.endedUntil), !c.fitsMemory(s, r.Owned, r.Slots):
 		return brittlePoll, true
-	case l.Bears(r.Arrivals):
+	case l.Bears(c.arrivals()):
 		return 0, true
 	case c.now.Before(s.fullUntil):
 		return s.fullUntil.Sub(c.now), true
-	case r.Certain(), r.Likely():
+	case r.Certain():
 		return 0, true
 	}
 	return brittlePoll, true
--- a/core/balance/brittle_fleet_test.go
+++ b/core/balance/brittle_fleet_test.go
@@ -172,6 +172,41 @@
 	return ok
 }
 
+// share lets an instance request slots for its waiting calls, or return and lend those that it does
+// not need. Messages arrive at once.
+func (f *brittleFleet) share(now time.Time, m *fleetMember, at time.Duration) {
+	waiting := len(m.waiting) > 0
+	for _, l := range m.ReturnSlots(now, "p", waiting) {
+		if owner := f.reached(m, l.Instance, at); owner != nil {
+			l.Instance = m.name
+			owner.TakeBack(now, l)
+		}
+	}
+	if !waiting {
+		for _, l := range m.LendSlots(now, "p") {
+			if borrower := f.reached(m, l.Instance, at); borrower != nil {
+				l.Instance = m.name
+				borrower.BorrowSlots(now, l)
+			}
+		}
+		return
+	}
+	for _, name := range m.SlotOwnersToAsk(now, "p", f.rnd.Float64) {
+		if owner := f.reached(m, name, at); owner != nil {
+			owner.RequestSlots(now, m.name, "p", len(m.waiting))
+		}
+	}
+}
+
+// reached returns the named instance, nil if it is beyond the cut from another one.
+func (f *brittleFleet) reached(from *fleetMember, name string, at time.Duration) *fleetMember {
+	i, j := slices.Index(f.members, from), slices.IndexFunc(f.members, func(m *fleetMember) bool { return m.name == name })
+	if j < 0 || f.cut.contains(at) && i%2 != j%2 {
+		return nil
+	}
+	return f.members[j]
+}
+
 // send sends a call to a server.
 func (f *brittleFleet) send(now time.Time, m *fleetMember, s *brittleServer, at time.Duration) {
 	if at < s.awayUntil {
@@ -334,6 +369,9 @@
 				f.placeWaiting(now, m, at)
 			}
 		}
+		for _, m := range f.members {
+			f.share(now, m, at)
+		}
 		for range perStep {
 			f.arrive(now, f.members[f.rnd.IntN(len(f.members))], at)
 		}
--- a/core/ratelimit/brittle.go
+++ b/core/ratelimit/brittle.go
@@ -1,23 +1,14 @@
 package ratelimit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Brittle servers end when they have to reject more requests in a second, for lack of room,
 // than they announce. The announcement has the shape of a Limit: rejections per second from
 // all instances together. At hundreds of instances, one rejection for each would be too many.
-// Therefore a request is sent only if it finds room for certain, since the instances divide the
-// slots among them, or in all likelihood by the counts that they exchange.
+// Therefore the instances divide the slots among them, and a request is sent only on a slot that no
+// other instance uses.
 
 const (
-	// unseenTime covers the age of the counts of other instances: requests that have arrived
-	// within it may be missing in them.
-	unseenTime = 300 * time.Millisecond
-	// unseenDeviations is the number of standard deviations that are added to the expected
-	// number of such requests.
-	unseenDeviations = 2
 	// bornFactor covers seconds with more requests than on average.
 	bornFactor = 3
 	// minArrivals is the least number of requests per second that is expected at a server: an
@@ -31,21 +22,14 @@
 	// the part of them that only this instance uses.
 	Slots, Owned int
 	// Own and All are the running requests of this instance and of all whose counts are known.
-	// Reserved are the slots of the others.
-	Own, All, Reserved int
-	// Arrivals is the expected number of requests per second of all instances at the server.
-	Arrivals float64
+	Own, All int
+	// Handover is set while the slots are divided anew: others may still use more than theirs.
+	Handover bool
 }
 
 // Certain reports whether a further request finds room as long as each instance keeps to its own
-// slots. While the slots are divided anew, others may still use more than theirs.
-func (r Room) Certain() bool { return r.Own < r.Owned && r.All < r.Slots }
-
-// Likely reports whether a further request finds room by the counts of all instances.
-func (r Room) Likely() bool {
-	unseen := max(minArrivals, r.Arrivals) * unseenTime.Seconds()
-	return float64(r.All+r.Reserved+1)+unseen+unseenDeviations*math.Sqrt(unseen) <= float64(r.Slots)
-}
+// slots.
+func (r Room) Certain() bool { return r.Own < r.Owned && (!r.Handover || r.All < r.Slots) }
 
 // OwnedSlots returns the slots that an instance has for itself, if the instances share a
 // server's slots evenly and the rest goes to the first in rank. rank is the instance's rank for
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -174,6 +174,7 @@
 	r := d.settings.Routing
 	tuned := d.settings.Tuning()
 	rejections := router.NewRejections(d.transport)
+	slots := router.NewSlots(d.settings.Instance.Name, d.transport, d.peerAddresses)
 	d.router = router.New(router.Options{Protocol: a, Name: d.settings.Instance.Name,
 		Table:   func() *routing.Table { return d.watch.Table() },
 		Entries: func() int { return len(d.gossip.Entries()) }, ShareHolders: func() int { return len(d.gossip.ShareHolders()) },
@@ -183,9 +184,11 @@
 		TellRejection: func(names []string, server string, room int) {
 			rejections.Tell(d.peerAddresses(names), server, room)
 		},
-		Zone: d.settings.Instance.AvailabilityZone, SlotOwners: d.slotOwners, Relays: relay.NewClient(d.transport), Peers: d.relayPeers, Records: d.records, OnlySoftware: resumption.NewHistory(client.OnlySoftware).OnlySoftware, OnPartition: d.setPartitioned,
+		Slots: slots,
+		Zone:  d.settings.Instance.AvailabilityZone, SlotOwners: d.slotOwners, Relays: relay.NewClient(d.transport), Peers: d.relayPeers, Records: d.records, OnlySoftware: resumption.NewHistory(client.OnlySoftware).OnlySoftware, OnPartition: d.setPartitioned,
 		ListIsCurrent: func() bool { return d.watch.ListIsCurrent() }})
 	rejections.Receive(d.router)
+	slots.Receive(d.router)
 	d.relays = relay.NewServer(d.transport, d.router)
 	// The watch has its own client: the shared one remembers the leader that other calls
 	// found, and would always send the watch there.
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -299,13 +299,13 @@
 
 func (r *Router) endAttempt(c *call) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if c.runOver {
 		r.balancer.End(c.ticket)
 	} else {
 		r.balancer.Abandon(time.Now(), c.ticket, c.deadline)
 	}
-	r.queue(c.pool.Name).WakeFirst() // there may be room for it at the server
+	r.mu.Unlock()
+	r.shareSlots(c.pool.Name)
 }
 
 // recordFirstEvent notifies the balancer that the server has read the call's prompt.
--- a/daemon/router/exchange.go
+++ b/daemon/router/exchange.go
@@ -48,6 +48,7 @@
 		x.router.logBoundaryMoves()
 		x.router.logLimits()
 		x.router.logBrittle()
+		x.router.returnExpiredSlots()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/daemon/router/limit.go
+++ b/daemon/router/limit.go
@@ -119,6 +119,9 @@
 			c.giveUp("servers take no more requests")
 			return balance.Choice{}, false
 		}
+		if c.waitsForRoom {
+			c.router.requestSlots(c.pool.Name)
+		}
 		select {
 		case <-time.After(min(wait, maxPollInterval)):
 		case <-c.woken:
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -66,6 +66,8 @@
 	// TellRejection tells other instances, given by their names, that a brittle server has rejected
 	// a call, and the room that this shows. It must not wait; nil for a single instance.
 	TellRejection func(names []string, server string, room int)
+	// Slots sends messages about loans of slots at brittle servers; nil for a single instance.
+	Slots SlotMessages
 	// Zone is this instance's availability zone.
 	Zone string
 	// Relays passes calls to peers while this instance can't reach the servers; nil for
@@ -163,6 +165,9 @@
 	if o.TellRejection == nil {
 		o.TellRejection = func([]string, string, int) {}
 	}
+	if o.Slots == nil {
+		o.Slots = noSlotMessages{}
+	}
 	if o.OnPartition == nil {
 		o.OnPartition = func(bool) {}
 	}
