Tests of answers that stop in their head: no byte of them passes for a whole answer

Report of another operator: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. The parser demands the empty line that ends a head; tests hold it now.

--- /dev/null
+++ b/daemon/backend/cut_head_test.go
@@ -0,0 +1,60 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Guards against an answer that stops in its head and passes for a whole one, with an empty or short body.
+func TestAnswerThatStopsInItsHeadIsAnError(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"
+	forms := []string{head, strings.Replace(head, "Content-Length: 0\r\n", "", 1), strings.ReplaceAll(head, "\r\n", "\n"),
+		strings.Replace(head, "Content-Length: 0", "Transfer-Encoding: chunked", 1), "HTTP/1.1 103 Early Hints\r\n\r\n" + head}
+	for _, whole := range forms {
+		for cut := range len(whole) + 1 {
+			target := cutServer(t, whole[:cut])
+			_, callErr := Call(context.Background(), target, http.MethodPost, "/x", "", "", []byte("body"))
+			_, streamErr := Open(context.Background(), target, []byte("{}"))
+			if cut < len(whole) && (callErr == nil || streamErr == nil) {
+				t.Errorf("%q passes for a whole head: %v, %v", whole[:cut], callErr, streamErr)
+			}
+			if cut == len(whole) && streamErr != nil {
+				t.Errorf("%q is refused: %v", whole, streamErr)
+			}
+		}
+	}
+}
+
+// cutServer answers each request with some bytes and closes the connection.
+func cutServer(t *testing.T, bytes string) *Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err == nil {
+					_, _ = io.WriteString(conn, bytes) // the caller may have left
+				}
+			}()
+		}
+	}()
+	return &Target{Server: "s", Address: l.Addr().String(), RequestID: "r"}
+}
