Starts fill brittle servers of unknown room step by step; loans end with a rejection

Callers got 502 where all entries started again while servers had less room than slots: each start used all of its slots at once, 1.5 s after it, and up to as many calls were rejected in a millisecond.

Cause: what rejections had shown is forgotten when all instances start again, and a start took its slots for room.

Change: for 4 s after its start an instance fills servers only as far as one of the pool's servers has run calls, which instances tell each other with the counts; the first server alone takes more, in steps of what it bears. After a rejection a server gets one call at a time, since runs of former starts may go on there. A rejection ends what is borrowed at its server: the owner may have lost the slot. A probe that finds no further room pauses nothing. One server that goes on with abandoned runs stands for its pool.

--- a/core/balance/abandoned.go
+++ b/core/balance/abandoned.go
@@ -9,8 +9,8 @@
 	// holdTime is how long the room of an abandoned run stays taken after a rejection has shown
 	// that the server may go on with it. It bounds what holding costs where the run has ended.
 	holdTime = time.Second
-	// runsOnTime is how long a server is expected to go on with abandoned runs after such a
-	// rejection.
+	// runsOnTime is how long the servers of a pool are expected to go on with abandoned runs after such
+	// a rejection by one of them.
 	runsOnTime = 30 * time.Second
 	// maxAbandoned bounds the abandoned runs that are kept of a server.
 	maxAbandoned = 256
@@ -20,18 +20,17 @@
 // time was over, or its connection broke. Some servers go on with it.
 type abandonedRun struct {
 	load Load
-	at   time.Time
-	// until is when the server stops at the latest, by the time limit that it was sent.
-	until time.Time
+	// free is when its room counts as free again if no rejection shows otherwise, and until when the
+	// server stops at the latest, by the time limit that it was sent.
+	free, until time.Time
 }
 
 // abandonedRuns are those at one server. Their room counts as taken for as long as the server may go
 // on with them.
 type abandonedRuns struct {
 	list []abandonedRun
-	// heldUntil is until when all of them count, and runsOnUntil until when the server is expected to
-	// go on with new ones.
-	heldUntil, runsOnUntil time.Time
+	// heldUntil is until when all of them count.
+	heldUntil time.Time
 }
 
 func (a *abandonedRuns) add(r abandonedRun) {
@@ -48,7 +47,7 @@
 			continue
 		}
 		kept = append(kept, r)
-		if now.Before(a.heldUntil) || now.Before(r.at.Add(a.holdTime(r))) {
+		if now.Before(a.heldUntil) || now.Before(r.free) {
 			sum.Add(r.load)
 		}
 	}
@@ -56,28 +55,33 @@
 	return sum
 }
 
-// holdTime returns for how long a run counts after it was abandoned.
-func (a *abandonedRuns) holdTime(r abandonedRun) time.Duration {
-	if r.at.Before(a.runsOnUntil) {
-		return holdTime
-	}
-	return dropTime
-}
-
-// recordRejection records that the server had no room for a call.
-func (a *abandonedRuns) recordRejection(now time.Time) {
+// recordRejection records that the server had no room for a call, and reports whether it may have gone on
+// with abandoned runs.
+func (a *abandonedRuns) recordRejection(now time.Time) (runsOn bool) {
 	a.load(now) // drops those that are over
-	if len(a.list) > 0 {
-		a.heldUntil, a.runsOnUntil = now.Add(holdTime), now.Add(runsOnTime)
+	if len(a.list) == 0 {
+		return false
 	}
+	a.heldUntil = now.Add(holdTime)
+	return true
 }
 
 // Abandon records the end of a call on a server which may go on with it until a time.
 func (b *Balancer) Abandon(now time.Time, t Ticket, until time.Time) {
 	b.End(t)
-	if s := b.servers[t.server]; s != nil && b.pool(s.Pool).brittle.Limited && now.Before(until) {
-		s.brittle.abandoned.add(abandonedRun{load: t.load, at: now, until: until})
+	s := b.servers[t.server]
+	if s == nil || !now.Before(until) {
+		return
+	}
+	p := b.pool(s.Pool)
+	if !p.brittle.Limited {
+		return
+	}
+	r := abandonedRun{load: t.load, free: now.Add(dropTime), until: until}
+	if now.Before(p.runsOnUntil) {
+		r.free = now.Add(holdTime)
 	}
+	s.brittle.abandoned.add(r)
 }
 
 // ownUse returns this instance's use of a server, with its abandoned runs.
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -98,6 +98,10 @@
 	brittle ratelimit.Announced
 	// room is the least room that rejections have shown of any of the brittle servers.
 	room ratelimit.RoomEstimate
+	// proven is the highest number of calls that any of the brittle servers has run.
+	proven int
+	// runsOnUntil is until when the servers are expected to go on with abandoned runs.
+	runsOnUntil time.Time
 	// requests are those of other instances for slots, by their names; requestedAt is when this one
 	// last requested some, and nextLent the server that was last searched for one to lend.
 	requests    map[string]slotRequest
--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -63,6 +63,9 @@
 	// endedTime is how long a server counts as ended without another sign: a new start is listed
 	// sooner.
 	endedTime = 4 * time.Second
+	// slowStartTime is the time after its start in which an instance fills servers, whose room it does
+	// not know, step by step.
+	slowStartTime = 4 * time.Second
 	// askTime is the time after its start in which an instance waits for another one to say
 	// which pools are brittle. After it, single calls find out.
 	askTime = 300 * time.Millisecond
@@ -162,6 +165,7 @@
 			if p.room.Known() {
 				x.SetRoom(p.room.Latest(now))
 			}
+			x.SetProven(p.proven)
 			list = append(list, x)
 		}
 	}
@@ -177,6 +181,7 @@
 		if p := b.pool(x.Pool); p.brittle.Limited {
 			room, age := x.LatestRoom()
 			p.room.Merge(now, room, age, p.brittle.Limit)
+			p.proven = max(p.proven, x.ProvenCalls())
 		} else {
 			p.forgetRoom()
 		}
@@ -268,6 +273,8 @@
 	findOut time.Duration
 	settled bool
 	share   func() float64
+	// prober caches the result of probed.
+	prober *server
 }
 
 // checkBrittle returns the check for a call on a pool; ok is false if no server is brittle.
--- a/core/balance/loans.go
+++ b/core/balance/loans.go
@@ -269,6 +269,14 @@
 	return out
 }
 
+// expire ends the use of borrowed slots: their owners may have lost them with the room that a rejection
+// has shown.
+func (l *loans) expire(now time.Time) {
+	for _, x := range l.borrowed {
+		x.until = now
+	}
+}
+
 // TakeBack records slots that another instance has returned, or still uses, and returns the pool they
 // are of, "" if their server is not known.
 func (b *Balancer) TakeBack(now time.Time, loan SlotLoan) (poolName string) {
@@ -288,7 +296,7 @@
 
 // roomSlots returns how many calls may run at a brittle server.
 func (b *Balancer) roomSlots(now time.Time, s *server) int {
-	c := brittleCheck{now: now, pool: b.pool(s.Pool)}
+	c := brittleCheck{b: b, now: now, pool: b.pool(s.Pool)}
 	return c.slots(s)
 }
 
--- a/core/balance/room.go
+++ b/core/balance/room.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/ratelimit"
 	"cardamomwick.example/core/rendezvous"
 )
@@ -14,6 +15,10 @@
 func (c *brittleCheck) slots(s *server) int {
 	slots, known := max(1, s.Slots), &s.brittle
 	bears := brittleness(c.now, c.pool, s)
+	starting := c.b.starting(c.now, slowStartTime)
+	if starting && known.rejections.Count(c.now) > 0 {
+		return 1 // runs of former starts may have taken the others
+	}
 	if known.room.Known() {
 		return min(slots, known.room.Slots(c.now, bears))
 	}
@@ -23,9 +28,41 @@
 	if c.pool.room.Known() {
 		return min(slots, max(known.proven, c.pool.room.Slots(c.now, bears)))
 	}
+	if starting {
+		return min(slots, c.firstSlots(s, bears))
+	}
 	return slots
 }
 
+// firstSlots returns how many calls may run at a server while nothing is known of the room of its pool:
+// as many as one of the pool's servers has run. Only the first server takes more, so that it alone is
+// put at risk.
+func (c *brittleCheck) firstSlots(s *server, bears ratelimit.Limit) int {
+	proven := max(1, c.pool.proven)
+	if s != c.probed() {
+		return max(proven, s.brittle.proven)
+	}
+	return proven + max(1, int(min(bears.PerSecond, float64(proven))), proven/firstStepShare)
+}
+
+// firstStepShare is the part of the calls that a server has run by which the next step of a start is
+// larger: in steps of what the server bears alone, a server of many slots would take long.
+const firstStepShare = 4
+
+// probed returns the first of the pool's servers that takes calls, the same for all instances that
+// agree on which do.
+func (c *brittleCheck) probed() *server {
+	if c.prober == nil {
+		for _, s := range c.pool.servers {
+			if s.Phase == fleet.Ready && !s.Overdue && !s.health.avoided(c.now) && !c.now.Before(s.brittle.endedUntil) {
+				c.prober = s
+				break
+			}
+		}
+	}
+	return c.prober
+}
+
 // fitsMemory reports whether the call's tokens fit into the KV cache of a server beside those of
 // the running calls. Prompts may fill it before all slots are used. Of what all instances may use,
 // this one uses in its own slots as much as they are of all slots.
@@ -53,12 +90,15 @@
 // the server says to have, negative if it is unknown. RecordFull returns the room of a brittle server
 // that the rejection shows, for OtherSlotOwners, or 0 if it shows nothing.
 func (b *Balancer) RecordFull(now time.Time, id string, calls int) (room int) {
-	b.RecordBusy(now, id)
 	if !b.IsBrittle(now, id) {
+		b.RecordBusy(now, id)
 		return 0
 	}
 	s := b.servers[id]
-	s.brittle.recordRejection(now)
+	b.recordRejection(now, s)
+	if !s.brittle.room.FailedProbe(now, calls) {
+		b.RecordBusy(now, id)
+	}
 	if calls < 0 {
 		s.brittle.room.Record(now, s.load().Running-1) // calls of other instances may be missing
 		return 0
@@ -74,19 +114,26 @@
 // MergeRejection records that a server has refused a call of another instance, and the room that this
 // shows, 0 for none.
 func (b *Balancer) MergeRejection(now time.Time, id string, room int) {
-	b.RecordBusy(now, id)
-	if b.IsBrittle(now, id) {
-		s := b.servers[id]
-		s.brittle.recordRejection(now)
-		if room > 0 {
-			b.recordRoom(now, s, room)
-		}
+	if !b.IsBrittle(now, id) {
+		b.RecordBusy(now, id)
+		return
+	}
+	s := b.servers[id]
+	b.recordRejection(now, s)
+	if !s.brittle.room.FailedProbe(now, room) {
+		b.RecordBusy(now, id)
+	}
+	if room > 0 {
+		b.recordRoom(now, s, room)
 	}
 }
 
-func (s *brittleState) recordRejection(now time.Time) {
-	s.rejections.Record(now)
-	s.abandoned.recordRejection(now)
+func (b *Balancer) recordRejection(now time.Time, s *server) {
+	s.brittle.rejections.Record(now)
+	if s.brittle.abandoned.recordRejection(now) {
+		b.pool(s.Pool).runsOnUntil = now.Add(runsOnTime)
+	}
+	s.brittle.loans.expire(now)
 }
 
 func (b *Balancer) recordRoom(now time.Time, s *server, room int) {
@@ -100,18 +147,22 @@
 
 // RecordCalls records the number of calls that a server says to have with one that it has taken.
 func (b *Balancer) RecordCalls(id string, calls int) {
-	if s := b.servers[id]; s != nil && b.pool(s.Pool).brittle.Limited {
-		s.brittle.tellsLoad = true
-		s.brittle.proven = max(s.brittle.proven, calls)
+	s := b.servers[id]
+	if s == nil || !b.pool(s.Pool).brittle.Limited {
+		return
 	}
+	p := b.pool(s.Pool)
+	s.brittle.tellsLoad = true
+	s.brittle.proven = max(s.brittle.proven, calls)
+	p.proven = max(p.proven, min(calls, s.Slots))
 }
 
 // forgetRoom forgets what rejections have shown, since the servers are no longer brittle.
 func (p *pool) forgetRoom() {
-	if !p.room.Known() {
+	if !p.room.Known() && p.proven == 0 {
 		return
 	}
-	p.room = ratelimit.RoomEstimate{}
+	p.room, p.proven = ratelimit.RoomEstimate{}, 0
 	for _, s := range p.servers {
 		s.brittle.room, s.brittle.proven = ratelimit.RoomEstimate{}, 0
 	}
--- a/core/counts/message.go
+++ b/core/counts/message.go
@@ -202,6 +202,9 @@
 	// for none, and RoomAgeMillis how long ago that was, an hour at most.
 	Room          uint32 `msgpack:"r,omitempty"`
 	RoomAgeMillis uint32 `msgpack:"o,omitempty"`
+	// Proven is the highest number of calls that one of the servers has run without a rejection, 0
+	// for none.
+	Proven uint32 `msgpack:"v,omitempty"`
 }
 
 // NewBrittle returns an announcement of the given age for a message.
@@ -220,6 +223,12 @@
 	b.Room, b.RoomAgeMillis = uint32(max(0, room)), uint32(min(max(0, age), maxLimitAge).Milliseconds())
 }
 
+// SetProven adds the highest number of calls that a server has run.
+func (b *Brittle) SetProven(calls int) { b.Proven = uint32(max(0, calls)) }
+
+// ProvenCalls returns the highest number of calls that a server has run, 0 for none.
+func (b *Brittle) ProvenCalls() int { return int(min(b.Proven, maxCount)) }
+
 // LatestRoom returns the room that a rejection has shown, 0 for none, and its age.
 func (b *Brittle) LatestRoom() (room int, age time.Duration) {
 	return int(min(b.Room, maxCount)), time.Duration(b.RoomAgeMillis) * time.Millisecond
--- a/core/ratelimit/room.go
+++ b/core/ratelimit/room.go
@@ -56,6 +56,12 @@
 	return int(now.Sub(e.rejected) / (probeTime << e.failedProbes))
 }
 
+// FailedProbe reports whether a rejection by a server that runs a number of calls only says that a probe
+// has found no further room.
+func (e *RoomEstimate) FailedProbe(now time.Time, running int) bool {
+	return e.Known() && e.probes(now) == 1 && running == e.room
+}
+
 // Slots returns how many calls may run at the server, which bears this number of rejections per
 // second.
 func (e *RoomEstimate) Slots(now time.Time, bears Limit) int {
