replica: a start does not wait for a hanging disk

An instance whose disk hung at its start served nobody: neither its control address nor its directory listened until the disk did, and nothing limited that wait.

Cause: New opened the data folder before anything else was built. Full and failing disks were waited for in Serve, a hanging one was not.

Change: New waits a second for the folder; then the replica is out of service, as on a full disk, until it is open.

Measured: TestStartDoesNotWaitForAHangingDisk, red before (New did not return within 4 s), green now; daemon/replica green with the race detector.

--- a/daemon/replica/reopen.go
+++ b/daemon/replica/reopen.go
@@ -21,6 +21,8 @@
 	reopenPause = 500 * time.Millisecond
 	// damagedPause is the same for a damaged one, between two questions to the group.
 	damagedPause = 5 * time.Second
+	// openTimeout is how long a start waits for the data folder. The disk may hang.
+	openTimeout = time.Second
 )
 
 // errUnavailable is the reply to other instances while the data folder is not available.
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -73,6 +73,8 @@
 	// snapshotInterval is the number of applied entries between two snapshots, keptEntries the
 	// number kept in the log after one, for followers that lag.
 	snapshotInterval, keptEntries uint64
+	// opening gets the result of a start that still opens the data folder; nil if none does.
+	opening <-chan error
 	// available is set while the data folder is open.
 	available atomic.Bool
 	// The following fields, up to leaderless, are accessed by the run loop only.
@@ -127,20 +129,47 @@
 }
 
 // New opens the data folder and registers the frame handlers. If the folder can't be opened for now,
-// as on a full disk, the replica is out of service and Serve tries again. The error is
-// ErrUnusableFolder.
+// as on a full or hanging disk, the replica is out of service and Serve waits for it or tries again. The
+// error is ErrUnusableFolder.
 func New(opt Options) (*Replica, error) {
 	r := newReplica(opt)
-	if err := r.openFolder(); err != nil {
+	opening := make(chan error, 1)
+	go func() { opening <- r.openFolder() }()
+	select {
+	case err := <-opening:
 		if isUnusable(err) {
 			return nil, eris.Wrap(ErrUnusableFolder, err.Error())
 		}
-		r.logUnavailable(err)
+		if err != nil {
+			r.logUnavailable(err)
+		}
+	case <-time.After(openTimeout):
+		log.WithField("step", "open storage").Warn("the disk does not respond; the replica is out of service until it does")
+		r.opening = opening
 	}
 	r.register()
 	return r, nil
 }
 
+// awaitFolder waits until the data folder that New has begun to open is open, or opens it again after a
+// failure.
+func (r *Replica) awaitFolder(ctx context.Context) error {
+	if r.opening != nil {
+		select {
+		case err := <-r.opening:
+			if err != nil {
+				r.logUnavailable(err)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if r.Available() {
+		return nil
+	}
+	return r.reopen(ctx)
+}
+
 // newReplica returns a replica whose data folder is not open.
 func newReplica(opt Options) *Replica {
 	if opt.FS == nil {
@@ -161,10 +190,8 @@
 func (r *Replica) Serve(ctx context.Context) error {
 	defer close(r.stopped)
 	go r.findGroup(ctx)
-	if !r.Available() {
-		if err := r.reopen(ctx); err != nil {
-			return err
-		}
+	if err := r.awaitFolder(ctx); err != nil {
+		return err
 	}
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
--- a/daemon/replica/unavailable_test.go
+++ b/daemon/replica/unavailable_test.go
@@ -74,6 +74,51 @@
 	awaitAvailable(t, r, 10*reopenPause)
 }
 
+// hangingFS is the operating system's file system on a disk that responds to nothing until it is released.
+type hangingFS struct {
+	filesystem.OS
+	released chan struct{}
+}
+
+func (f *hangingFS) Create(path string) (filesystem.File, error) {
+	<-f.released
+	return f.OS.Create(path)
+}
+
+// Guards against instances that serve nobody because their disk hangs at the start: all of their parts
+// waited for it.
+func TestStartDoesNotWaitForAHangingDisk(t *testing.T) {
+	fs := &hangingFS{released: make(chan struct{})}
+	folder := t.TempDir()
+	created := make(chan *Replica, 1)
+	go func() {
+		r, err := New(testOptions(fs, folder))
+		if err != nil {
+			t.Errorf("the process would end: %v", err)
+		}
+		created <- r
+	}()
+	var r *Replica
+	select {
+	case r = <-created:
+	case <-time.After(4 * openTimeout):
+		close(fs.released)
+		<-created
+		t.Fatal("the start waits for the disk")
+	}
+	ended := serve(t, r)
+	if _, err := r.handleHello(context.Background(), "", nil); err != errUnavailable {
+		t.Errorf("a peer gets %v, it should learn at once that the replica is not available", err)
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the replica ended: %v", err)
+	case <-time.After(2 * reopenPause):
+	}
+	close(fs.released)
+	awaitAvailable(t, r, 10*reopenPause)
+}
+
 // Guards against processes that end and are started again and again because their folder is damaged:
 // no start can succeed until somebody moves it away.
 func TestDamagedFolderIsNoCrashLoop(t *testing.T) {
