After an unexpected rejection a brittle server gets one call at a time

Callers got 502 beside a busy machine, where entries learn late of each other's rejections: servers that bear 2 a second fell over up to 7 times while callers move.

Cause: the pause after a rejection ends for all owners at the same time, and they sent a call each.

What a report of a borrower said twice is gone, and requests for unknown pools are ignored.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -141,8 +141,8 @@
 	// said which pools are brittle.
 	startedAt time.Time
 	informed  bool
-	// borrowers are the IDs of the servers at which this instance has borrowed slots.
-	borrowers map[string]struct{}
+	// borrowedAt holds the IDs of the servers at which this instance has borrowed slots.
+	borrowedAt map[string]struct{}
 	// brittleChanges are those not yet returned by BrittleChanges.
 	brittleChanges []LimitChange
 	uses           useLog
@@ -159,7 +159,7 @@
 // from that of every earlier start of the instance, so that peers notice that its
 // previous state is lost.
 func New(name string, start uint32) *Balancer {
-	return &Balancer{name: name, firstStream: start, servers: map[string]*server{}, pools: map[string]*pool{}, peers: map[string]*peer{}, borrowers: map[string]struct{}{}}
+	return &Balancer{name: name, firstStream: start, servers: map[string]*server{}, pools: map[string]*pool{}, peers: map[string]*peer{}, borrowedAt: map[string]struct{}{}}
 }
 
 // SetEngines sets the capacity of the KV cache, in tokens, of one engine of a pool and
--- a/core/balance/loans.go
+++ b/core/balance/loans.go
@@ -40,9 +40,8 @@
 	// Instance is the name of the other instance.
 	Instance string
 	Server   string
-	Slots    int
-	// Used is the number of borrowed slots that the borrower still has, in what it reports.
-	Used int
+	// Slots is 0 in a report of a borrower that it still uses slots of the server.
+	Slots int
 }
 
 // lentSlots are slots that another instance has borrowed.
@@ -145,7 +144,10 @@
 
 // RequestSlots records that another instance has calls waiting for so many slots of a pool.
 func (b *Balancer) RequestSlots(now time.Time, from, poolName string, slots int) {
-	p := b.pool(poolName)
+	p := b.pools[poolName]
+	if p == nil {
+		return
+	}
 	if p.requests == nil {
 		p.requests = map[string]slotRequest{}
 	}
@@ -225,17 +227,17 @@
 	}
 	x.slots += loan.Slots
 	x.until, x.reported = now.Add(loanTime), now
-	b.borrowers[s.ID] = struct{}{}
+	b.borrowedAt[s.ID] = struct{}{}
 	return s.Pool
 }
 
 // ReturnSlots returns the borrowed slots of a pool that this instance no longer needs, and the reports
 // that are due on others. waiting is set if calls of this instance wait for slots.
 func (b *Balancer) ReturnSlots(now time.Time, poolName string, waiting bool) (out []SlotLoan) {
-	for id := range b.borrowers {
+	for id := range b.borrowedAt {
 		s := b.servers[id]
 		if s == nil {
-			delete(b.borrowers, id)
+			delete(b.borrowedAt, id)
 			continue
 		}
 		if s.Pool != poolName {
@@ -243,7 +245,7 @@
 		}
 		out = append(out, b.returnServerSlots(now, s, waiting)...)
 		if len(s.brittle.loans.borrowed) == 0 {
-			delete(b.borrowers, id)
+			delete(b.borrowedAt, id)
 		}
 	}
 	return out
@@ -259,7 +261,7 @@
 		}
 		needed -= kept
 		if kept < x.slots || now.Sub(x.reported) >= renewalInterval {
-			out = append(out, SlotLoan{Instance: name, Server: s.ID, Slots: x.slots - kept, Used: kept})
+			out = append(out, SlotLoan{Instance: name, Server: s.ID, Slots: x.slots - kept})
 			x.slots, x.reported = kept, now
 		}
 		if x.slots == 0 {
@@ -304,7 +306,7 @@
 func (b *Balancer) BorrowedPools() []string {
 	var out []string
 	seen := map[string]bool{}
-	for id := range b.borrowers {
+	for id := range b.borrowedAt {
 		if s := b.servers[id]; s != nil && !seen[s.Pool] {
 			seen[s.Pool] = true
 			out = append(out, s.Pool)
--- a/core/balance/room.go
+++ b/core/balance/room.go
@@ -16,8 +16,8 @@
 	slots, known := max(1, s.Slots), &s.brittle
 	bears := brittleness(c.now, c.pool, s)
 	starting := c.b.starting(c.now, slowStartTime)
-	if starting && known.rejections.Count(c.now) > 0 {
-		return 1 // runs of former starts may have taken the others
+	if known.rejections.Doubtful(c.now, bears) {
+		return 1 // less room than is known
 	}
 	if known.room.Known() {
 		return min(slots, known.room.Slots(c.now, bears))
@@ -95,10 +95,7 @@
 		return 0
 	}
 	s := b.servers[id]
-	b.recordRejection(now, s)
-	if !s.brittle.room.FailedProbe(now, calls) {
-		b.RecordBusy(now, id)
-	}
+	b.recordRejection(now, s, calls)
 	if calls < 0 {
 		s.brittle.room.Record(now, s.load().Running-1) // calls of other instances may be missing
 		return 0
@@ -119,17 +116,19 @@
 		return
 	}
 	s := b.servers[id]
-	b.recordRejection(now, s)
-	if !s.brittle.room.FailedProbe(now, room) {
-		b.RecordBusy(now, id)
-	}
+	b.recordRejection(now, s, room)
 	if room > 0 {
 		b.recordRoom(now, s, room)
 	}
 }
 
-func (b *Balancer) recordRejection(now time.Time, s *server) {
-	s.brittle.rejections.Record(now)
+// recordRejection records a rejection by a server with a number of calls, negative if it is unknown.
+func (b *Balancer) recordRejection(now time.Time, s *server, calls int) {
+	probe := s.brittle.room.FailedProbe(now, calls)
+	s.brittle.rejections.Record(now, probe)
+	if !probe {
+		b.RecordBusy(now, s.ID)
+	}
 	if s.brittle.abandoned.recordRejection(now) {
 		b.pool(s.Pool).runsOnUntil = now.Add(runsOnTime)
 	}
--- a/core/ratelimit/rejections.go
+++ b/core/ratelimit/rejections.go
@@ -15,10 +15,15 @@
 type Rejections struct {
 	// times are in order.
 	times []time.Time
+	// surprise is the time of the latest one that was not expected.
+	surprise time.Time
 }
 
-// Record records a rejection.
-func (r *Rejections) Record(now time.Time) {
+// Record records a rejection. expected is set if a probe has found no further room.
+func (r *Rejections) Record(now time.Time, expected bool) {
+	if !expected {
+		r.surprise = now
+	}
 	if len(r.times) == maxRejections {
 		r.times = r.times[:copy(r.times, r.times[1:])]
 	}
@@ -34,6 +39,12 @@
 	return max(0, r.times[len(r.times)-most].Add(rejectionSpan).Sub(now))
 }
 
+// Doubtful reports whether the server has rejected a call although it seemed to have room, and so many
+// in all that two instances that send one at the same time could end it.
+func (r *Rejections) Doubtful(now time.Time, bears Limit) bool {
+	return !r.surprise.IsZero() && now.Sub(r.surprise) < rejectionSpan && float64(2*r.Count(now)) >= bears.PerSecond
+}
+
 // Count returns the number of rejections that count together with one now.
 func (r *Rejections) Count(now time.Time) (n int) {
 	for _, at := range r.times {
--- a/daemon/router/slots.go
+++ b/daemon/router/slots.go
@@ -40,9 +40,8 @@
 type slotLoan struct {
 	From   string `msgpack:"f"`
 	Server string `msgpack:"s"`
-	Slots  int    `msgpack:"n"`
-	// Used is the number of borrowed slots that the sender of a return still has.
-	Used int `msgpack:"u"`
+	// Slots is 0 if the sender only reports that it still uses slots of the server.
+	Slots int `msgpack:"n"`
 }
 
 // Slots sends and receives messages about loans. It implements SlotMessages.
@@ -66,7 +65,7 @@
 }
 
 func (m *slotLoan) loan() balance.SlotLoan {
-	return balance.SlotLoan{Instance: m.From, Server: m.Server, Slots: m.Slots, Used: m.Used}
+	return balance.SlotLoan{Instance: m.From, Server: m.Server, Slots: m.Slots}
 }
 
 // Request implements SlotMessages.
@@ -76,12 +75,12 @@
 
 // Lend implements SlotMessages.
 func (x *Slots) Lend(l balance.SlotLoan) {
-	x.send(l.Instance, methodSlotLoan, &slotLoan{x.name, l.Server, l.Slots, 0})
+	x.send(l.Instance, methodSlotLoan, &slotLoan{x.name, l.Server, l.Slots})
 }
 
 // Return implements SlotMessages.
 func (x *Slots) Return(l balance.SlotLoan) {
-	x.send(l.Instance, methodSlotReturn, &slotLoan{x.name, l.Server, l.Slots, l.Used})
+	x.send(l.Instance, methodSlotReturn, &slotLoan{x.name, l.Server, l.Slots})
 }
 
 func (x *Slots) send(to, method string, m any) {
