--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -70,7 +70,7 @@
 	expected balance.RoomState
 	// calls is the number of calls that the server says to have, unknownCalls if it does not.
 	calls int
-	// owners are the other owners of the server's slots, who are to be told, and shownRoom the room
+	// owners are the other owners of the server's slots, which get a message, and shownRoom the room
 	// that the refusal shows, 0 for none.
 	shownRoom int
 	owners    []string
