--- a/core/balance/room.go
+++ b/core/balance/room.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/ratelimit"
 	"cardamomwick.example/core/rendezvous"
 )
@@ -15,7 +14,6 @@
 func (c *brittleCheck) slots(s *server) int {
 	slots, known := max(1, s.Slots), &s.brittle
 	bears := brittleness(c.now, c.pool, s)
-	starting := c.b.starting(c.now, slowStartTime)
 	if known.rejections.Doubtful(c.now, bears) {
 		return 1 // less room than is known
 	}
@@ -28,7 +26,7 @@
 	if c.pool.room.Known() {
 		return min(slots, max(known.proven, c.pool.room.Slots(c.now, bears)))
 	}
-	if starting {
+	if c.b.starting(c.now, slowStartTime) {
 		return min(slots, c.firstSlots(s, bears))
 	}
 	return slots
@@ -54,7 +52,7 @@
 func (c *brittleCheck) probed() *server {
 	if c.prober == nil {
 		for _, s := range c.pool.servers {
-			if s.Phase == fleet.Ready && !s.Overdue && !s.health.avoided(c.now) && !c.now.Before(s.brittle.endedUntil) {
+			if !s.down(c.now) && !c.now.Before(s.brittle.endedUntil) {
 				c.prober = s
 				break
 			}
--- a/daemon/backend/cut_head_test.go
+++ b/daemon/backend/cut_head_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"cardamomwick.example/daemon/internal/testserver"
 )
 
 // Guards against an answer that stops in its head and passes for a whole one, with an empty or short body.
@@ -33,28 +35,14 @@
 // cutServer answers each request with some bytes and closes the connection.
 func cutServer(t *testing.T, bytes string) *Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, req.Body); err == nil {
-					_, _ = io.WriteString(conn, bytes) // the caller may have left
-				}
-			}()
+	address := testserver.Start(t, func(conn net.Conn, requests *bufio.Reader) {
+		req, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+			_, _ = io.WriteString(conn, bytes) // the caller may have left
 		}
-	}()
-	return &Target{Server: "s", Address: l.Addr().String(), RequestID: "r"}
+	})
+	return &Target{Server: "s", Address: address, RequestID: "r"}
 }
--- a/daemon/replica/unavailable_test.go
+++ b/daemon/replica/unavailable_test.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// expectUnavailable checks that a replica refuses its peers at once and runs on.
+func expectUnavailable(t *testing.T, r *Replica, ended <-chan error) {
+	t.Helper()
+	if _, err := r.handleHello(context.Background(), "", nil); err != errUnavailable {
+		t.Errorf("a peer gets %v, it should learn at once that the replica is not available", err)
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the replica ended: %v", err)
+	case <-time.After(2 * reopenPause):
+	}
+}
+
 // Guards against processes that end and are started again and again while a disk is full.
 func TestStartOnFullDiskWaitsForRoom(t *testing.T) {
 	fs := &fullFS{}
@@ -62,14 +75,7 @@
 		t.Fatalf("the process would end: %v", err)
 	}
 	ended := serve(t, r)
-	if _, err := r.handleHello(context.Background(), "", nil); err != errUnavailable {
-		t.Errorf("a peer gets %v, it should learn at once that the replica is not available", err)
-	}
-	select {
-	case err := <-ended:
-		t.Fatalf("the replica ended: %v", err)
-	case <-time.After(2 * reopenPause):
-	}
+	expectUnavailable(t, r, ended)
 	fs.full.Store(false)
 	awaitAvailable(t, r, 10*reopenPause)
 }
@@ -107,14 +113,7 @@
 		t.Fatal("the start waits for the disk")
 	}
 	ended := serve(t, r)
-	if _, err := r.handleHello(context.Background(), "", nil); err != errUnavailable {
-		t.Errorf("a peer gets %v, it should learn at once that the replica is not available", err)
-	}
-	select {
-	case err := <-ended:
-		t.Fatalf("the replica ended: %v", err)
-	case <-time.After(2 * reopenPause):
-	}
+	expectUnavailable(t, r, ended)
 	close(fs.released)
 	awaitAvailable(t, r, 10*reopenPause)
 }
--- a/daemon/router/cut_head_test.go
+++ b/daemon/router/cut_head_test.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/daemon/internal/testserver"
 )
 
 // cutServer answers each call with the first bytes of an answer and closes the connection.
 type cutServer struct {
-	listener net.Listener
 	// answer returns the whole answer to a call, and cut how many bytes of it are sent.
 	answer func(call string) string
 	cut    int
@@ -22,28 +22,8 @@
 	pause time.Duration
 }
 
-func startCutServer(t *testing.T, s *cutServer) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.listener = l
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-}
-
-func (s *cutServer) serve(conn net.Conn) {
-	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
+func (s *cutServer) serve(conn net.Conn, requests *bufio.Reader) {
+	req, err := http.ReadRequest(requests)
 	if err != nil {
 		return
 	}
@@ -59,9 +39,8 @@
 
 // call sends a call through a router that has this server alone.
 func (s *cutServer) call(t *testing.T, path string) reply {
-	startCutServer(t, s)
 	w := newHarness(t)
-	w.fleet = []fleet.Server{{ID: "s0", Pool: "p", Address: s.listener.Addr().String(), Slots: 6, Software: "v1"}}
+	w.fleet = []fleet.Server{{ID: "s0", Pool: "p", Address: testserver.Start(t, s.serve), Slots: 6, Software: "v1"}}
 	w.router.SetFleet(w.fleet)
 	return w.call(path, "Call", "c")
 }
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"cardamomwick.example/daemon/internal/testport"
+	"cardamomwick.example/daemon/internal/testserver"
 )
 
 // plainProtocol carries the call ID in one header.
@@ -34,24 +35,7 @@
 
 func serve(t *testing.T, s script) Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				s(conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return Target{ID: "s", Address: l.Addr().String()}
+	return Target{ID: "s", Address: testserver.Start(t, s)}
 }
 
 // readCall reads one request and returns its call ID, or "" when the connection ends.
