--- a/review/cmd/reclaimed/main.go
+++ b/review/cmd/reclaimed/main.go
@@ -23,8 +23,8 @@
 	// Long prompts, as those of the digests on the sheet: 5,382 shared and 6,610 other tokens.
 	firstPart, secondPart, ownPart = 512, 4870, 6610
 	outputTokens                   = 96
-	// perSecond is the rate of the long prompts, as on the sheets: 12 to 20 a second. It is four fifths
-	// of what the engines can read.
+	// perSecond is the rate of the long prompts; on the sheets it is 12 to 20. Their own tokens are four
+	// fifths of what the engines can read.
 	perSecond = 20
 	// prefillPerMS is the prefill speed of an engine in tokens, as on the sheet of the loan requests.
 	prefillPerMS = 41.4
