--- a/Makefile
+++ b/Makefile
@@ -25,11 +25,21 @@
 # Some tests run the programs: a kept result holds only for the same ones.
 PROGRAMS = CARDAMOMWICK_PROGRAMS="$$(cat $(BIN)/cardamomwickd $(BIN)/cardamomctl | sha256sum)"
 
+# Tests that exhaust a process's memory and descriptors run one at a time, after all others.
+CLIENTS := ./platform/internal/clients ./ctl/internal/clients
+EXCEPT_CLIENTS = grep -v '/internal/clients$$'
+
 test: build
-	$(PROGRAMS) go test $(PASS_OVER) $(MODULES)
+	$(PROGRAMS) go test $(PASS_OVER) $$(go list $(MODULES) | $(EXCEPT_CLIENTS))
+	$(PROGRAMS) go test -p 1 $(PASS_OVER) $(CLIENTS)
 
 race: build
-	$(PROGRAMS) go test -race $(PASS_OVER) ./core/... ./daemon/... ./platform/...
+	$(PROGRAMS) go test -race $(PASS_OVER) $$(go list ./core/... ./daemon/... ./platform/... | $(EXCEPT_CLIENTS))
+
+# The tests of misbehaving clients alone, each of them also if it is known to be red.
+.PHONY: clients
+clients: build
+	$(PROGRAMS) go test -count=1 -p 1 -v $(CLIENTS)
 
 vet:
 	go vet $(MODULES)
--- a/core/procstat/procstat.go
+++ b/core/procstat/procstat.go
@@ -1,10 +1,11 @@
-// Package procstat reads the resource usage of a process from the proc file system. It is
-// for measurement tools only and not part of the daemon.
+// Package procstat reads the resource usage of processes from the proc file system, and limits their
+// descriptors. It is for tests and measurement tools only and not part of the daemon.
 package procstat
 
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"time"
@@ -69,3 +70,55 @@
 	}
 	return values[0] + values[1], values[2], nil
 }
+
+// PeakMemory returns the largest resident memory that a process has had, in bytes.
+func PeakMemory(pid int) (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(data)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(text), "kB")), 10, 64)
+			return kib << 10, err
+		}
+	}
+	return 0, fmt.Errorf("process %d has no peak memory", pid)
+}
+
+// descriptorInterval is the time between two counts of WatchDescriptors.
+const descriptorInterval = 20 * time.Millisecond
+
+// WatchDescriptors counts the open descriptors of a process again and again until the returned function
+// is called, which returns the largest number.
+func WatchDescriptors(pid int) (stop func() int) {
+	most, end, ended := 0, make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			if u, err := Read(pid); err == nil { // otherwise it has ended
+				most = max(most, u.OpenDescriptors)
+			}
+			select {
+			case <-time.After(descriptorInterval):
+			case <-end:
+				return
+			}
+		}
+	}()
+	return func() int {
+		close(end)
+		<-ended
+		return most
+	}
+}
+
+// Command returns a command whose process may have a number of descriptors, 0 for as many as this
+// process.
+func Command(maxDescriptors int, program string, args ...string) *exec.Cmd {
+	if maxDescriptors > 0 {
+		args = append([]string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxDescriptors), program}, args...)
+		program = "/bin/sh"
+	}
+	return exec.Command(program, args...)
+}
--- a/ctl/harness/harness.go
+++ b/ctl/harness/harness.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"cardamomwick.example/core/api"
+	"cardamomwick.example/core/procstat"
 	"cardamomwick.example/core/state"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
@@ -56,6 +57,8 @@
 	// Baseline is the setting experiment.baseline: the policy that replaces the
 	// dispatcher, empty for none.
 	Baseline string
+	// MaxDescriptors limits the open files of each instance; 0 for the limit of this process.
+	MaxDescriptors int
 	// AddressTTL is how long callers may cache addresses; 0 means one second.
 	AddressTTL time.Duration
 }
@@ -209,7 +212,7 @@
 
 // StartInstance starts one instance.
 func (c *Cluster) StartInstance(i *Instance) error {
-	p, err := startProcess(filepath.Join(c.WorkDir, i.Name+".log"), filepath.Join(c.BinDir, "cardamomwickd"), "--settings", i.settingsFile)
+	p, err := startProcess(filepath.Join(c.WorkDir, i.Name+".log"), procstat.Command(c.MaxDescriptors, filepath.Join(c.BinDir, "cardamomwickd"), "--settings", i.settingsFile))
 	i.process = p
 	return err
 }
@@ -261,7 +264,7 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	c.FakeServers, err = startProcess(filepath.Join(c.WorkDir, "fake.log"), filepath.Join(c.BinDir, "cardamomctl"), "fake", "--file", file)
+	c.FakeServers, err = startProcess(filepath.Join(c.WorkDir, "fake.log"), exec.Command(filepath.Join(c.BinDir, "cardamomctl"), "fake", "--file", file))
 	return err
 }
 
@@ -424,18 +427,18 @@
 	err  error
 }
 
-func startProcess(logFile, name string, args ...string) (*Process, error) {
+func startProcess(logFile string, cmd *exec.Cmd) (*Process, error) {
 	f, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	p := &Process{cmd: exec.Command(name, args...), done: make(chan struct{})}
+	p := &Process{cmd: cmd, done: make(chan struct{})}
 	p.cmd.Stderr = f
 	p.cmd.Stdout = f
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
-		return nil, eris.Wrapf(err, "start %s", name)
+		return nil, eris.Wrapf(err, "start %s", cmd.Path)
 	}
 	go func() {
 		p.err = p.cmd.Wait()
@@ -464,6 +467,9 @@
 	}
 }
 
+// PID returns the process ID of the instance's process.
+func (i *Instance) PID() int { return i.process.PID() }
+
 // PID returns the process ID of a started process.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
