Bodies at the callers' listener draw on one account of the process's memory

What callers saw: clients that send bodies of legal size, whole or just short of their end, ended an entry for its memory, with all streams in flight.

Cause: the router read a body whole before it looked at route, key and declared length, nothing bounded the sum of the bodies, and nothing ended one that stops.

Change: - core/membudget decides, without I/O, who holds what: connections and bodies draw on one budget, a quarter of the machine's memory. Where it is short, requests give way that have stopped sending, then large ones of the tenant that holds most, the last begun first, so that the others come to their end. A quarter of it is only for clients of ordinary size. What is being served is never evicted. - daemon/inbound wraps the callers' connections and reads bodies: memory is taken before a buffer grows, up to the declared length; who gives way gets 503 with Retry-After, who is late at the call's own deadline 408, both before anything ran. - The router looks at route, key and declared length before the body, and again when a newer declaration came while it arrived. - machine.memory_mb and machine.max_descriptors, passed on from the platform; without them GOMEMLIMIT or the machine's memory. Garbage is collected at once from three quarters of the memory on.

Why it works: the sum is bounded where bytes are taken, and a client that makes no progress holds nothing that an ordinary request needs.

--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -20,6 +20,9 @@
 	"cardamomwick.example/platform"
 )
 
+// heapShare is the part of the machine's memory, in percent, from which garbage is collected at once.
+const heapShare = 75
+
 // gcPercent trades processor time for memory, since instances run on small machines.
 const gcPercent = 50
 
@@ -79,6 +82,7 @@
 		return nil
 	}
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(s.Tuning().MemoryBytes / 100 * heapShare)
 	flushLog := daemon.SetUpLog(logFile(s), s.Log.Level, s.Instance.Name)
 	defer flushLog()
 	logWarnings(s, file)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"cardamomwick.example/daemon/entry"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/gossip"
+	"cardamomwick.example/daemon/inbound"
 	"cardamomwick.example/daemon/lease"
 	"cardamomwick.example/daemon/placement"
 	"cardamomwick.example/daemon/quarantine"
@@ -100,6 +101,11 @@
 	return d, err
 }
 
+// newGuard returns the account of what clients make the process hold.
+func newGuard(s *settings.Settings) *inbound.Guard {
+	return inbound.New(s.Tuning().MemoryBytes)
+}
+
 func newTransport(s *settings.Settings, keys []frame.Key) *frame.Transport {
 	t := frame.NewTransport(s.Peers.Address, keys, newPartitionFilter(s.Faults.CutFile))
 	if s.Peers.Listen != "" {
--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -13,6 +13,8 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"cardamomwick.example/daemon/inbound"
 )
 
 // callerIdleTimeout is how long a caller's idle connection stays open. It is longer than
@@ -28,8 +30,10 @@
 
 // httpListener serves HTTP at one address. It is a suture service.
 type httpListener struct {
-	name string
-	rest *rest.Server
+	name, address string
+	rest          *rest.Server
+	// guard is the account of what clients make the process hold, nil for none.
+	guard *inbound.Guard
 	// shutdownTimeout is how long requests that are in flight when the listener stops may
 	// take.
 	shutdownTimeout time.Duration
@@ -91,7 +95,7 @@
 		return nil, eris.Wrapf(err, "make HTTP server of %s", name)
 	}
 	logx.Disable()
-	return &httpListener{name: name, rest: s, shutdownTimeout: drainedShutdownTimeout, idle: idle}, nil
+	return &httpListener{name: name, address: address, rest: s, shutdownTimeout: drainedShutdownTimeout, idle: idle}, nil
 }
 
 // String names the service in the supervisor's log.
@@ -101,24 +105,51 @@
 // shutdownTimeout for requests in flight and closes what is left. Long calls have ended by
 // then, since the daemon drains first.
 func (l *httpListener) Serve(ctx context.Context) error {
-	stopped := make(chan struct{})
+	listener, err := l.listen()
+	if err != nil {
+		return err
+	}
+	defer listener.Close()
+	stopped := make(chan error, 1)
 	go func() {
-		defer close(stopped)
+		// go-zero would listen by itself, without the guard. It is served here instead, and finds its
+		// server closed afterwards.
 		l.rest.StartWithOpts(func(s *http.Server) {
-			s.ReadHeaderTimeout = headerTimeout
-			s.IdleTimeout = l.idle
-			s.MaxHeaderBytes = maxHeaderBytes
-			s.ConnState = l.limitConnections
-			l.server.Store(s)
+			l.configure(s)
+			stopped <- s.Serve(listener)
+			_ = s.Close() // nothing is open any more
 		})
 	}()
 	select {
 	case <-ctx.Done():
 		l.stop()
 		return ctx.Err()
-	case <-stopped:
-		return eris.Errorf("%s stopped", l.name)
+	case err := <-stopped:
+		return eris.Wrapf(err, "%s stopped", l.name)
+	}
+}
+
+func (l *httpListener) listen() (net.Listener, error) {
+	if l.guard != nil {
+		return l.guard.Listen(l.name, l.address)
+	}
+	listener, err := net.Listen("tcp", l.address)
+	return listener, eris.Wrapf(err, "listen for %s", l.name)
+}
+
+func (l *httpListener) configure(s *http.Server) {
+	if l.guard != nil {
+		s.Handler = l.guard.Handler(s.Handler)
+	}
+	s.ReadHeaderTimeout = headerTimeout
+	s.IdleTimeout = l.idle
+	s.MaxHeaderBytes = maxHeaderBytes
+	s.ConnContext = inbound.ConnContext
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		inbound.ConnState(c, state)
+		l.limitConnections(c, state)
 	}
+	l.server.Store(s)
 }
 
 // drainedShutdownTimeout is the shutdown timeout of the listeners of a drained instance,
--- /dev/null
+++ b/daemon/inbound/guard.go
@@ -0,0 +1,158 @@
+// Package inbound guards the listeners of a process against clients that make it hold too much: it
+// wraps their connections, and draws on one membudget.Budget for all that clients make the process
+// hold before a request is served.
+package inbound
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"cardamomwick.example/core/membudget"
+)
+
+const (
+	// connectionBytes is the cost of a connection: its goroutine, its buffers, and a head and an
+	// answer of usual size.
+	connectionBytes = 24 << 10
+	// memoryShare is the part of the machine's memory that clients may make the process hold. The rest
+	// is for the process's own state, for what waits for the garbage collector, and for requests that
+	// are being served.
+	memoryShare = 4
+)
+
+// Reason is why a client was refused or its connection closed.
+type Reason uint8
+
+// Reasons.
+const (
+	// ReasonConnections: there are too many connections.
+	ReasonConnections Reason = iota
+	// ReasonMemory: the memory for clients is used up.
+	ReasonMemory
+	// ReasonEvicted: the client gave way to another one.
+	ReasonEvicted
+	// ReasonBody: the body is too large.
+	ReasonBody
+	// ReasonSlow: the request did not arrive in time.
+	ReasonSlow
+	// Reasons is the number of reasons.
+	Reasons
+)
+
+// String returns the name used in logs and metrics.
+func (r Reason) String() string {
+	return [...]string{"connections", "memory", "evicted", "body_too_large", "slow"}[r]
+}
+
+// Guard is the account of one process and its listeners. Safe for concurrent use.
+type Guard struct {
+	mu     sync.Mutex
+	budget *membudget.Budget
+
+	refused [Reasons]atomic.Int64
+	logMu   sync.Mutex
+	logged  map[logKey]*logState
+}
+
+// New returns a guard for a process with a number of bytes.
+func New(memory int64) *Guard {
+	return &Guard{budget: membudget.New(membudget.Limits{Bytes: memory / memoryShare, Connections: math.MaxInt}), logged: map[logKey]*logState{}}
+}
+
+// Held returns the bytes that clients hold of a kind.
+func (g *Guard) Held(k membudget.Kind) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Held(k)
+}
+
+// Limits returns the limits for all clients together.
+func (g *Guard) Limits() membudget.Limits { return g.budget.Limits() }
+
+// Connections returns the number of clients' connections.
+func (g *Guard) Connections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Connections()
+}
+
+// Refusals returns how many requests were refused and connections closed for a reason.
+func (g *Guard) Refusals(r Reason) int64 { return g.refused[r].Load() }
+
+// grow gives a connection more memory, and ends the requests of those that give way.
+func (g *Guard) grow(c *Conn, k membudget.Kind, bytes int64) (ok bool) {
+	g.mu.Lock()
+	evicted, ok := g.budget.Grow(time.Now(), &c.client, k, bytes)
+	g.mu.Unlock()
+	g.evict(evicted)
+	return ok
+}
+
+func (g *Guard) open(c *Conn) (ok bool) {
+	g.mu.Lock()
+	evicted, ok := g.budget.Open(time.Now(), &c.client, connectionBytes)
+	g.mu.Unlock()
+	g.evict(evicted)
+	return ok
+}
+
+// update changes what the budget knows of a connection.
+func (g *Guard) update(change func(b *membudget.Budget)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(g.budget)
+}
+
+// setPhase changes a connection's phase; ok is false if it was evicted.
+func (g *Guard) setPhase(c *Conn, p membudget.Phase) (ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.SetPhase(time.Now(), &c.client, p)
+}
+
+func (g *Guard) evict(clients []*membudget.Client) {
+	for _, x := range clients {
+		c := x.Owner.(*Conn)
+		g.refuse(c.listener.name, ReasonEvicted)
+		c.evict()
+	}
+}
+
+// logInterval is the time between two log lines about the same reason at the same listener.
+const logInterval = time.Second
+
+type logKey struct {
+	listener string
+	reason   Reason
+}
+
+// logState is the time of the last line, and what was not logged since.
+type logState struct {
+	last    time.Time
+	skipped int
+}
+
+// refuse counts a refusal, and logs it unless another one was logged just before.
+func (g *Guard) refuse(listener string, r Reason) {
+	g.refused[r].Add(1)
+	g.logMu.Lock()
+	defer g.logMu.Unlock()
+	k := logKey{listener, r}
+	s := g.logged[k]
+	if s == nil {
+		s = &logState{}
+		g.logged[k] = s
+	}
+	now := time.Now()
+	if now.Sub(s.last) < logInterval {
+		s.skipped++
+		return
+	}
+	log.WithFields(log.Fields{"step": "guard listener", "listener": listener, "reason": r.String(), "not_logged": s.skipped,
+		"held_bytes": g.Held(membudget.Head) + g.Held(membudget.Body) + g.Held(membudget.Connection), "connections": g.Connections()}).Warn("client refused or closed")
+	s.last, s.skipped = now, 0
+}
--- /dev/null
+++ b/daemon/inbound/inbound_test.go
@@ -0,0 +1,219 @@
+package inbound
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cardamomwick.example/core/membudget"
+)
+
+const waitTimeout = 10 * time.Second
+
+// server serves a handler that answers with the length of the body.
+type server struct {
+	guard   *Guard
+	address string
+	mu      sync.Mutex
+	// bodies are the bodies that were received whole, errs the errors of the others.
+	bodies [][]byte
+	errs   []error
+}
+
+func serve(t *testing.T, memory int64, o BodyOptions) *server {
+	t.Helper()
+	s := &server{guard: New(memory)}
+	l, err := s.guard.Listen("test", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = l.Addr().String()
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		body, err := ReadBody(w, r, o)
+		s.mu.Lock()
+		if err == nil {
+			s.bodies = append(s.bodies, body)
+		} else {
+			s.errs = append(s.errs, err)
+		}
+		s.mu.Unlock()
+		if err != nil {
+			Respond(w, err)
+			return
+		}
+		fmt.Fprint(w, len(body))
+	}
+	h := &http.Server{Handler: s.guard.Handler(http.HandlerFunc(handler)), ConnContext: ConnContext, ConnState: ConnState, ReadHeaderTimeout: waitTimeout, IdleTimeout: waitTimeout}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = h.Serve(l) }()
+	t.Cleanup(func() { _ = h.Close(); <-done })
+	return s
+}
+
+func (s *server) dial(t *testing.T) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(waitTimeout)) // if this fails, so does the read
+	return &client{Conn: c, answers: bufio.NewReader(c)}
+}
+
+type client struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+func (c *client) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer returns the status of the next answer, and its Retry-After.
+func (c *client) answer(t *testing.T) (status int, retryAfter string) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+func (s *server) await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", waitTimeout, what)
+		}
+	}
+}
+
+const post = "POST / HTTP/1.1\r\nHost: x\r\n"
+
+// A body must arrive unchanged whatever its length and the size of its pieces, and its memory be
+// given back with the end of the request.
+func TestBodiesArriveUnchanged(t *testing.T) {
+	s := serve(t, 64<<20, BodyOptions{Max: 1 << 20})
+	c := s.dial(t)
+	var want [][]byte
+	for i, size := range []int{0, 1, 4095, 32 << 10, 32<<10 + 1, 100000, 1 << 20} {
+		body := bytes.Repeat([]byte{byte('a' + i)}, size)
+		want = append(want, body, body)
+		c.send(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", post, size, body))
+		c.send(t, post+"Transfer-Encoding: chunked\r\n\r\n")
+		w := httputil.NewChunkedWriter(c)
+		for part := body; len(part) > 0; {
+			n := min(len(part), 1+size/7)
+			if _, err := w.Write(part[:n]); err != nil {
+				t.Fatal(err)
+			}
+			part = part[n:]
+		}
+		c.send(t, "0\r\n\r\n")
+		for range 2 {
+			if status, _ := c.answer(t); status != http.StatusOK {
+				t.Fatalf("a body of %d bytes got status %d", size, status)
+			}
+		}
+	}
+	for i, body := range s.bodies {
+		if !bytes.Equal(body, want[i]) || cap(body) > 2*len(body)+1 {
+			t.Errorf("body %d: got %d bytes with room for %d, want %d", i, len(body), cap(body), len(want[i]))
+		}
+	}
+	s.await(t, "the memory of the bodies is free", func() bool { return s.guard.Held(membudget.Body) == 0 })
+	c.Close()
+	s.await(t, "the connection is free", func() bool { return s.guard.Connections() == 0 && s.guard.Held(membudget.Connection) == 0 })
+}
+
+// A body over the limit is refused by its declared length, or once it is longer.
+func TestBodyOverTheLimit(t *testing.T) {
+	for name, body := range map[string]string{"declared": "Content-Length: 101\r\n\r\n", "in pieces": "Transfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101)} {
+		s := serve(t, 64<<20, BodyOptions{Max: 100})
+		c := s.dial(t)
+		c.send(t, post+body)
+		if status, _ := c.answer(t); status != http.StatusRequestEntityTooLarge {
+			t.Errorf("%s: got status %d", name, status)
+		}
+	}
+}
+
+// A client that stops just short of the end of its body is told so at its deadline.
+func TestBodyThatStopsIsRefusedAtTheDeadline(t *testing.T) {
+	s := serve(t, 64<<20, BodyOptions{Max: 1 << 20, Deadline: time.Now().Add(200 * time.Millisecond)})
+	c := s.dial(t)
+	c.send(t, post+"Content-Length: 100\r\n\r\n"+strings.Repeat("x", 99))
+	if status, _ := c.answer(t); status != http.StatusRequestTimeout {
+		t.Errorf("got status %d", status)
+	}
+	if s.guard.Refusals(ReasonSlow) != 1 {
+		t.Error("the refusal is not counted")
+	}
+}
+
+// The request of a stalled client is refused with the promise that it has not run, and says when to
+// come back, as soon as another one needs its memory.
+func TestStalledBodyGivesWay(t *testing.T) {
+	const size = 1 << 20
+	s := serve(t, memoryShare*3*size, BodyOptions{Max: size})
+	var stalled []*client
+	for range 2 {
+		c := s.dial(t)
+		c.send(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", post, size, strings.Repeat("x", size-1)))
+		stalled = append(stalled, c)
+	}
+	s.await(t, "the bodies have arrived", func() bool { return s.guard.Held(membudget.Body) == 2*size })
+	time.Sleep(membudget.StallTime)
+	c := s.dial(t)
+	c.send(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", post, size, strings.Repeat("x", size)))
+	if status, _ := c.answer(t); status != http.StatusOK {
+		t.Errorf("the whole body got status %d", status)
+	}
+	s.await(t, "a stalled client gave way", func() bool { return s.guard.Refusals(ReasonEvicted) > 0 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var refused *RefusedError
+	if len(s.errs) == 0 || !errors.As(s.errs[0], &refused) || refused.Status != http.StatusServiceUnavailable || refused.RetryAfter != RetryAfter {
+		t.Errorf("errors of the stalled clients: %v", s.errs)
+	}
+}
+
+// Requests that come from elsewhere than a guarded listener are read within their limit only.
+func TestBodyWithoutGuard(t *testing.T) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/", strings.NewReader("abc"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &discardResponse{}
+	if body, err := ReadBody(w, r, BodyOptions{Max: 3}); err != nil || string(body) != "abc" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+type discardResponse struct{ header http.Header }
+
+func (w *discardResponse) Header() http.Header {
+	if w.header == nil {
+		w.header = http.Header{}
+	}
+	return w.header
+}
+func (w *discardResponse) Write(p []byte) (int, error) { return len(p), nil }
+func (w *discardResponse) WriteHeader(int)             {}
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -22,6 +22,7 @@
 	"cardamomwick.example/daemon/duties"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/gossip"
+	"cardamomwick.example/daemon/inbound"
 	"cardamomwick.example/daemon/provider"
 	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/relay"
@@ -69,6 +70,7 @@
 // whether it is an entry, a replica or both.
 type Routed struct {
 	settings   *settings.Settings
+	guard      *inbound.Guard
 	transport  *frame.Transport
 	gossip     *gossip.Service
 	replica    *replica.Replica
@@ -99,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Routed{settings: s, transport: newTransport(s, keys), metrics: telemetry.New()}
+	d := &Routed{settings: s, guard: newGuard(s), transport: newTransport(s, keys), metrics: telemetry.New()}
 	self := membership.Instance{Name: s.Instance.Name, Process: uuid.NewString()[:8], PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	seeds := s.Peers.SeedAddresses()
@@ -199,9 +201,11 @@
 		d.reporter.SetDemands(d.router.Demands)
 	}
 	d.services = append(d.services, d.watch, exchange)
-	if err := d.listen("callers' listener", d.settings.Callers.Address, d.router, callerIdleTimeout); err != nil {
+	l, err := d.addListener("callers' listener", d.settings.Callers.Address, d.router, callerIdleTimeout)
+	if err != nil {
 		return err
 	}
+	l.guard = d.guard
 	if r.ReadinessAddress == "" {
 		return nil
 	}
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -5,10 +5,15 @@
 	"io"
 	"net/http"
 	"time"
+
+	"cardamomwick.example/core/membudget"
+	"cardamomwick.example/daemon/inbound"
+	"cardamomwick.example/daemon/telemetry"
 )
 
 func (d *Routed) registerGauges() {
 	gauge := d.metrics.Gauge
+	registerGuardGauges(d.metrics, d.guard)
 	gauge("cardamomwick_instances", func() float64 { return float64(len(d.gossip.Instances())) })
 	gauge("cardamomwick_entries", func() float64 { return float64(len(d.gossip.Entries())) })
 	gauge("cardamomwick_bad_frames_total", func() float64 { return float64(d.transport.BadFrames.Load()) })
@@ -53,6 +58,18 @@
 	}
 }
 
+// registerGuardGauges registers what clients make the process hold, and what was refused.
+func registerGuardGauges(m *telemetry.Metrics, g *inbound.Guard) {
+	for k := range membudget.Kinds {
+		m.Gauge(fmt.Sprintf("cardamomwick_client_bytes{kind=%q}", k), func() float64 { return float64(g.Held(k)) })
+	}
+	m.Gauge("cardamomwick_client_bytes_limit", func() float64 { return float64(g.Limits().Bytes) })
+	m.Gauge("cardamomwick_client_connections", func() float64 { return float64(g.Connections()) })
+	for r := range inbound.Reasons {
+		m.Gauge(fmt.Sprintf("cardamomwick_client_refusals_total{reason=%q}", r), func() float64 { return float64(g.Refusals(r)) })
+	}
+}
+
 // registerDutyGauges registers a replica's gauges of the duties it holds, their terms and
 // the usage windows.
 func (d *Routed) registerDutyGauges() {
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -129,10 +129,7 @@
 )
 
 func (c *call) serve() {
-	c.deadline = c.arrived.Add(c.route.Timeout)
-	if c.info.Timeout > 0 {
-		c.deadline = minTime(c.deadline, c.arrived.Add(c.info.Timeout))
-	}
+	c.deadline = c.latestEnd()
 	ctx, cancel := context.WithDeadline(c.req.Context(), c.deadline)
 	defer cancel()
 	defer c.endRecord()
@@ -189,6 +186,15 @@
 	}
 }
 
+// latestEnd returns when the call ends at the latest, by its route and its caller.
+func (c *call) latestEnd() time.Time {
+	end := c.arrived.Add(c.route.Timeout)
+	if c.info.Timeout > 0 {
+		end = minTime(end, c.arrived.Add(c.info.Timeout))
+	}
+	return end
+}
+
 // isUnreached reports whether an attempt failed because its server could not be reached from
 // this instance.
 func (c *call) isUnreached(result attemptResult) bool {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -28,6 +27,7 @@
 	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/core/warmup"
+	"cardamomwick.example/daemon/inbound"
 	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/relay"
 	records "cardamomwick.example/daemon/resumption"
@@ -282,10 +282,15 @@
 	if c.servedFor != nil {
 		c.info.LastEventID = c.servedFor.lastEventID
 	}
-	if !c.readBody(c.router.bodyLimit()) {
+	// What is refused anyway is refused before its body is taken.
+	before := c.router.warmTable()
+	if before != nil && !c.findRoute(before) {
 		return false
 	}
-	// The declaration is looked up after the body, which can take long to arrive.
+	if !c.readBody() {
+		return false
+	}
+	// The body may have taken long to arrive: the declaration that is in force now decides.
 	table := c.awaitTable()
 	if table == nil {
 		if c.decline(core.Outdated) {
@@ -298,19 +303,9 @@
 		c.respondError(http.StatusRequestEntityTooLarge, "body is too large", 0)
 		return false
 	}
-	c.table = table
-	c.route = table.Route(hostOf(c.req), c.req.URL.EscapedPath())
-	if c.route == nil {
-		c.respondError(http.StatusNotFound, "no such route", 0)
+	if table != before && !c.findRoute(table) {
 		return false
 	}
-	if table.HasCustomers() && !c.route.Public {
-		c.customer = table.Customer(c.info.Key)
-		if c.customer == nil {
-			c.respondError(http.StatusUnauthorized, "unknown key", 0)
-			return false
-		}
-	}
 	if stopAt := c.router.shutdownDeadline(); !stopAt.IsZero() && time.Now().Add(c.route.Timeout).After(stopAt) {
 		if c.decline(core.Draining) {
 			return false
@@ -326,6 +321,25 @@
 	return true
 }
 
+// findRoute finds the call's route and customer. If there are none, it sends the final answer and
+// returns false.
+func (c *call) findRoute(t *routing.Table) bool {
+	c.table, c.customer = t, nil
+	c.route = t.Route(hostOf(c.req), c.req.URL.EscapedPath())
+	if c.route == nil {
+		c.respondError(http.StatusNotFound, "no such route", 0)
+		return false
+	}
+	if t.HasCustomers() && !c.route.Public {
+		c.customer = t.Customer(c.info.Key)
+		if c.customer == nil {
+			c.respondError(http.StatusUnauthorized, "unknown key", 0)
+			return false
+		}
+	}
+	return true
+}
+
 // shutdownRetryAfter is short because another instance can take the call immediately.
 const shutdownRetryAfter = 10 * time.Millisecond
 
@@ -340,12 +354,21 @@
 	return req.Host
 }
 
-func (c *call) readBody(limit int64) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.req.Body, limit))
-	var tooLarge *http.MaxBytesError
+// readBody reads the call's body within its deadline. If that fails, it sends the final answer and
+// returns false.
+func (c *call) readBody() bool {
+	o := inbound.BodyOptions{Max: c.router.bodyLimit()}
+	if c.customer != nil {
+		o.Tenant = c.customer.Name
+	}
+	if c.route != nil {
+		o.Deadline = c.latestEnd()
+	}
+	body, err := inbound.ReadBody(c.w, c.req, o)
+	var refused *inbound.RefusedError
 	switch {
-	case errors.As(err, &tooLarge):
-		c.respondError(http.StatusRequestEntityTooLarge, "body is too large", 0)
+	case errors.As(err, &refused):
+		c.respondError(refused.Status, refused.Error(), refused.RetryAfter)
 		return false
 	case err != nil:
 		log.WithError(err).WithFields(log.Fields{"step": "read call", "call": c.info.ID}).Debug("body could not be read")
--- a/daemon/router/warmup.go
+++ b/daemon/router/warmup.go
@@ -14,15 +14,24 @@
 	return defaultMaxBody
 }
 
+// warmTable returns the declaration in force, nil on an instance that has just started and has no
+// declaration or no servers yet.
+func (r *Router) warmTable() *routing.Table {
+	select {
+	case <-r.warmedUp:
+		return r.opt.Table()
+	default:
+		return nil
+	}
+}
+
 // awaitTable returns the declaration in force. On an instance that has just started it
 // waits for the first declaration and the servers. It returns nil if the call is to be
 // refused.
 func (c *call) awaitTable() *routing.Table {
 	r := c.router
-	select {
-	case <-r.warmedUp:
-		return r.opt.Table()
-	default:
+	if t := r.warmTable(); t != nil {
+		return t
 	}
 	wait, ok := r.enterWarmup(len(c.body), c.info.Timeout)
 	if !ok {
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -23,6 +23,7 @@
 // Settings holds the contents of a daemon's settings file.
 type Settings struct {
 	Instance Instance `toml:"instance"`
+	Machine  Machine  `toml:"machine"`
 	Callers  Callers  `toml:"callers"`
 	Peers    Peers    `toml:"peers"`
 	Replicas Replicas `toml:"replicas"`
@@ -51,6 +52,16 @@
 	DataFolder string `toml:"data_folder"`
 }
 
+// Machine describes what the machine gives this process.
+type Machine struct {
+	// MemoryMB is the memory in MB (2^20 bytes) beyond which the process is ended. A quarter of it is
+	// for what clients make the process hold. Default: GOMEMLIMIT, or else the machine's memory.
+	MemoryMB Text `toml:"memory_mb"`
+	// MaxDescriptors is the number of files and connections that the process may have open, of which
+	// clients' connections use up to half. Default: the process's limit on open files.
+	MaxDescriptors Text `toml:"max_descriptors"`
+}
+
 // Callers configures the HTTP listener for callers, backend servers and operators.
 type Callers struct {
 	// Address is IP:port. Required.
--- a/daemon/settings/tuning.go
+++ b/daemon/settings/tuning.go
@@ -27,9 +27,12 @@
 	RetryWindow            time.Duration
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
-	Provider     ProviderTuning
-	Usage        UsageTuning
-	Capacity     CapacityTuning
+	// MemoryBytes and MaxDescriptors are what the machine gives the process.
+	MemoryBytes    int64
+	MaxDescriptors int
+	Provider       ProviderTuning
+	Usage          UsageTuning
+	Capacity       CapacityTuning
 }
 
 // Bounds of the tuning settings.
@@ -54,6 +57,7 @@
 	t.RetrySlack = p.number("routing.retry_slack", s.Routing.RetrySlack, DefaultRetrySlack, maxRetrySlack)
 	t.RetryWindow = p.time("routing.retry_window", s.Routing.RetryWindow, DefaultRetryWindow, minRetryWindow)
 	t.DrainTimeout = p.time("callers.drain_timeout", s.Callers.DrainTimeout, DefaultDrainTimeout, 0)
+	s.parseMachine(p)
 	s.parseDutyTuning(p)
 	s.warnings = p.warnings
 }
