Heads at the callers' listener draw on the account, and keep to the declared limits

What callers saw: clients with heads of legal size in very many short lines, or with heads that do not end, ended an entry for its memory.

Cause: net/http bounds a head by its bytes, builds a header map that costs a multiple of them before a handler runs, and a handler never sees a head that does not end. The declared max_header_bytes, header_timeout_ms and idle_timeout_ms were used by no listener.

Over the declared size a head gets 431, without memory 503 with Retry-After; what is sent on is discarded for a moment, so that the answer is not lost by a reset. The declared times hold with 5 s to spare, for a process that is suspended or slow.

--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -34,6 +34,8 @@
 	rest          *rest.Server
 	// guard is the account of what clients make the process hold, nil for none.
 	guard *inbound.Guard
+	// limits returns the limits on clients in force; nil for headerTimeout, maxHeaderBytes and idle.
+	limits func() inbound.HeadLimits
 	// shutdownTimeout is how long requests that are in flight when the listener stops may
 	// take.
 	shutdownTimeout time.Duration
@@ -131,7 +133,7 @@
 
 func (l *httpListener) listen() (net.Listener, error) {
 	if l.guard != nil {
-		return l.guard.Listen(l.name, l.address)
+		return l.guard.Listen(l.name, l.address, l.limits)
 	}
 	listener, err := net.Listen("tcp", l.address)
 	return listener, eris.Wrapf(err, "listen for %s", l.name)
--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +14,21 @@
 	"cardamomwick.example/core/membudget"
 )
 
+const (
+	// headSlack is allowed beyond the largest head: as in net/http, since the limit is on header
+	// lines, and the request line may come on top.
+	headSlack = 4 << 10
+	// timeoutSlack is added to the times that clients are told to keep to, for a process that is
+	// suspended or overloaded meanwhile.
+	timeoutSlack = 5 * time.Second
+	// A refused client gets lingerTime to stop sending, of which up to lingerBytes are discarded: a
+	// connection that is closed with unread bytes is reset, and the client loses the refusal.
+	lingerTime  = 200 * time.Millisecond
+	lingerBytes = 256 << 10
+	// refusalWriteTimeout bounds the sending of a refusal.
+	refusalWriteTimeout = 100 * time.Millisecond
+)
+
 // RetryAfter is when a refused client may come back.
 const RetryAfter = time.Second
 
@@ -22,13 +39,18 @@
 	client   membudget.Client
 	closed   sync.Once
 
+	// inHead is set while a head is expected or received, idle while it has not begun after an
+	// earlier request.
+	inHead, idle bool
+	head         head
+
 	// mu guards evicted, and deadlines against an eviction.
 	mu      sync.Mutex
 	evicted bool
 }
 
 func newConn(raw net.Conn, l *Listener) *Conn {
-	c := &Conn{Conn: raw, listener: l}
+	c := &Conn{Conn: raw, listener: l, inHead: true}
 	c.client = membudget.Client{Listener: &l.count, Owner: c}
 	return c
 }
@@ -52,6 +74,7 @@
 	if !ok || s != http.StateIdle {
 		return
 	}
+	c.inHead, c.idle, c.head = true, true, head{}
 	c.listener.guard.update(func(b *membudget.Budget) { b.EndRequest(time.Now(), &c.client) })
 }
 
@@ -60,15 +83,68 @@
 	return &net.OpError{Op: "read", Net: "tcp", Err: eris.New(reason)}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It takes the memory for a head before net/http parses it.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil && c.wasEvicted() {
+		if c.inHead && c.head.begun {
+			c.sendRefusal(http.StatusServiceUnavailable)
+		}
 		return 0, closedError("evicted")
 	}
+	if !c.inHead || n == 0 {
+		return n, err
+	}
+	if refusal := c.countHead(p[:n]); refusal != nil {
+		return 0, refusal
+	}
 	return n, err
 }
 
+// countHead counts received bytes of a head. An error means that the client was refused.
+func (c *Conn) countHead(p []byte) error {
+	c.head.add(p)
+	if c.idle {
+		c.idle = false
+		if !c.head.complete && !c.listener.guard.setPhase(c, membudget.Receiving) {
+			return closedError("evicted")
+		}
+	}
+	if limit := c.listener.limits().MaxBytes; limit > 0 && c.head.bytes > limit+headSlack {
+		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, ReasonHead)
+	}
+	if missing := c.head.missing(); missing > 0 {
+		if !c.listener.guard.grow(c, membudget.Head, missing) {
+			return c.refuse(http.StatusServiceUnavailable, ReasonMemory)
+		}
+		c.head.taken += missing
+	}
+	return nil
+}
+
+// refuse answers a head that is not received to its end, and returns the error that closes the
+// connection.
+func (c *Conn) refuse(status int, r Reason) error {
+	c.listener.guard.refuse(c.listener.name, r)
+	c.sendRefusal(status)
+	if err := c.CloseWrite(); err == nil {
+		// An error ends the discarding, as does the deadline.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return closedError(r.String())
+}
+
+// sendRefusal sends an answer without a body. Its loss is no harm: the connection is closed.
+func (c *Conn) sendRefusal(status int) {
+	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", status, http.StatusText(status))
+	if status == http.StatusServiceUnavailable {
+		answer += fmt.Sprintf("Retry-After: %d\r\n", int(RetryAfter.Seconds()))
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_, _ = io.WriteString(c.Conn, answer+"\r\n")
+}
+
 // evict ends the reading of a request. The goroutine that reads it then refuses it and closes the
 // connection.
 func (c *Conn) evict() {
@@ -84,13 +160,23 @@
 	return c.evicted
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. The limits of the listener make it earlier.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.evicted {
 		return nil // the one that evict has set holds
 	}
+	if c.inHead && !t.IsZero() {
+		limits := c.listener.limits()
+		timeout := limits.Timeout
+		if c.idle {
+			timeout = limits.IdleTimeout
+		}
+		if latest := time.Now().Add(timeout + timeoutSlack); timeout > 0 && latest.Before(t) {
+			t = latest
+		}
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/daemon/inbound/guard.go
+++ b/daemon/inbound/guard.go
@@ -35,6 +35,8 @@
 	ReasonMemory
 	// ReasonEvicted: the client gave way to another one.
 	ReasonEvicted
+	// ReasonHead: the head is too large.
+	ReasonHead
 	// ReasonBody: the body is too large.
 	ReasonBody
 	// ReasonSlow: the request did not arrive in time.
@@ -45,7 +47,7 @@
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"connections", "memory", "evicted", "body_too_large", "slow"}[r]
+	return [...]string{"connections", "memory", "evicted", "head_too_large", "body_too_large", "slow"}[r]
 }
 
 // Guard is the account of one process and its listeners. Safe for concurrent use.
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -30,10 +30,10 @@
 	errs   []error
 }
 
-func serve(t *testing.T, memory int64, o BodyOptions) *server {
+func serve(t *testing.T, memory int64, limits HeadLimits, o BodyOptions) *server {
 	t.Helper()
 	s := &server{guard: New(memory)}
-	l, err := s.guard.Listen("test", "127.0.0.1:0")
+	l, err := s.guard.Listen("test", "127.0.0.1:0", func() HeadLimits { return limits })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,7 +110,7 @@
 // A body must arrive unchanged whatever its length and the size of its pieces, and its memory be
 // given back with the end of the request.
 func TestBodiesArriveUnchanged(t *testing.T) {
-	s := serve(t, 64<<20, BodyOptions{Max: 1 << 20})
+	s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 1 << 20})
 	c := s.dial(t)
 	var want [][]byte
 	for i, size := range []int{0, 1, 4095, 32 << 10, 32<<10 + 1, 100000, 1 << 20} {
@@ -146,7 +146,7 @@
 // A body over the limit is refused by its declared length, or once it is longer.
 func TestBodyOverTheLimit(t *testing.T) {
 	for name, body := range map[string]string{"declared": "Content-Length: 101\r\n\r\n", "in pieces": "Transfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101)} {
-		s := serve(t, 64<<20, BodyOptions{Max: 100})
+		s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 100})
 		c := s.dial(t)
 		c.send(t, post+body)
 		if status, _ := c.answer(t); status != http.StatusRequestEntityTooLarge {
@@ -157,7 +157,7 @@
 
 // A client that stops just short of the end of its body is told so at its deadline.
 func TestBodyThatStopsIsRefusedAtTheDeadline(t *testing.T) {
-	s := serve(t, 64<<20, BodyOptions{Max: 1 << 20, Deadline: time.Now().Add(200 * time.Millisecond)})
+	s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 1 << 20, Deadline: time.Now().Add(200 * time.Millisecond)})
 	c := s.dial(t)
 	c.send(t, post+"Content-Length: 100\r\n\r\n"+strings.Repeat("x", 99))
 	if status, _ := c.answer(t); status != http.StatusRequestTimeout {
@@ -172,7 +172,7 @@
 // come back, as soon as another one needs its memory.
 func TestStalledBodyGivesWay(t *testing.T) {
 	const size = 1 << 20
-	s := serve(t, memoryShare*3*size, BodyOptions{Max: size})
+	s := serve(t, memoryShare*3*size, HeadLimits{}, BodyOptions{Max: size})
 	var stalled []*client
 	for range 2 {
 		c := s.dial(t)
@@ -195,6 +195,67 @@
 	}
 }
 
+// Heads over the limit get a final answer, also if they come in one line that does not end.
+func TestHeadOverTheLimit(t *testing.T) {
+	const limit = 16 << 10
+	s := serve(t, 64<<20, HeadLimits{MaxBytes: limit}, BodyOptions{Max: 100})
+	for name, head := range map[string]string{
+		"one line":    "X-Long: " + strings.Repeat("x", limit+headSlack),
+		"short lines": strings.Repeat("a:\n", (limit+headSlack)/3),
+	} {
+		c := s.dial(t)
+		c.send(t, post+head)
+		if status, _ := c.answer(t); status != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("%s: got status %d", name, status)
+		}
+	}
+	c := s.dial(t)
+	c.send(t, post+strings.Repeat("a:\n", (limit-len(post))/3)+"\r\n")
+	if status, _ := c.answer(t); status != http.StatusOK {
+		t.Errorf("a head of the largest size got status %d", status)
+	}
+}
+
+// Empty lines before a request close the connection; net/http does not take them for a request.
+func TestEmptyLinesCloseTheConnection(t *testing.T) {
+	s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 100})
+	c := s.dial(t)
+	_, _ = io.WriteString(c, strings.Repeat("\r\n", 32<<10)) // the connection may be closed meanwhile
+	_, _ = io.Copy(io.Discard, c)                            // until it is closed or reset
+	s.await(t, "the connection is free", func() bool { return s.guard.Connections() == 0 })
+}
+
+// The memory for a head is taken before it is parsed, and given back with the end of its request.
+func TestHeadsDrawOnTheBudget(t *testing.T) {
+	const heads = 20
+	s := serve(t, memoryShare*6<<20, HeadLimits{}, BodyOptions{Max: 100})
+	var clients []*client
+	for range heads {
+		c := s.dial(t)
+		_, _ = io.WriteString(c, post+strings.Repeat("a:\n", 5000)) // the client may be refused meanwhile
+		clients = append(clients, c)
+	}
+	s.await(t, "heads are refused for lack of memory", func() bool { return s.guard.Refusals(ReasonMemory)+s.guard.Refusals(ReasonEvicted) > 0 })
+	if held, most := s.guard.Held(membudget.Head), s.guard.Limits().Bytes; held == 0 || held > most {
+		t.Errorf("heads hold %d of %d bytes", held, most)
+	}
+	for _, c := range clients {
+		c.Close()
+	}
+	s.await(t, "the memory of the heads is free", func() bool { return s.guard.Held(membudget.Head) == 0 })
+}
+
+// Idle connections of callers are closed soon after the declared time.
+func TestIdleTimeoutOfTheLimits(t *testing.T) {
+	s := serve(t, 64<<20, HeadLimits{IdleTimeout: 10 * time.Millisecond, Timeout: time.Hour}, BodyOptions{Max: 100})
+	c := s.dial(t)
+	c.send(t, post+"Content-Length: 0\r\n\r\n")
+	c.answer(t)
+	if _, err := c.answers.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+}
+
 // Requests that come from elsewhere than a guarded listener are read within their limit only.
 func TestBodyWithoutGuard(t *testing.T) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/", strings.NewReader("abc"))
@@ -217,3 +278,19 @@
 }
 func (w *discardResponse) Write(p []byte) (int, error) { return len(p), nil }
 func (w *discardResponse) WriteHeader(int)             {}
+
+// The end of a head is found wherever reads cut it.
+func TestHeadIsCountedAcrossReads(t *testing.T) {
+	const text = "\r\nGET / HTTP/1.1\r\nHost: x\r\na:\n\r\nbody\n\n"
+	for step := 1; step <= len(text); step++ {
+		var h head
+		for rest := text; rest != ""; {
+			n := min(step, len(rest))
+			h.add([]byte(rest[:n]))
+			rest = rest[n:]
+		}
+		if want := strings.Index(text, "body"); !h.complete || h.bytes != want || h.lines != 5 {
+			t.Errorf("reads of %d bytes: %+v, want %d bytes", step, h, want)
+		}
+	}
+}
--- a/daemon/inbound/listener.go
+++ b/daemon/inbound/listener.go
@@ -2,27 +2,43 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/membudget"
 )
 
+// HeadLimits bound the heads of requests and how long clients may take. A zero value sets no bound.
+type HeadLimits struct {
+	// MaxBytes bounds the request line and the header lines.
+	MaxBytes int
+	// Timeout is the time from the first byte of a head to its last.
+	Timeout time.Duration
+	// IdleTimeout is how long a connection stays open between two requests.
+	IdleTimeout time.Duration
+}
+
 // Listener accepts the connections of clients at one address.
 type Listener struct {
 	net.Listener
 	guard *Guard
 	name  string
-	count membudget.Listener
+	// limits returns the limits in force.
+	limits func() HeadLimits
+	count  membudget.Listener
 }
 
-// Listen opens a listener.
-func (g *Guard) Listen(name, address string) (*Listener, error) {
+// Listen opens a listener. limits, which may be nil, returns the limits on heads.
+func (g *Guard) Listen(name, address string, limits func() HeadLimits) (*Listener, error) {
+	if limits == nil {
+		limits = func() HeadLimits { return HeadLimits{} }
+	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s", name)
 	}
-	return &Listener{Listener: l, guard: g, name: name}, nil
+	return &Listener{Listener: l, guard: g, name: name, limits: limits}, nil
 }
 
 // Accept returns the next connection for which there is room, as a *Conn. Others are closed.
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -205,13 +205,23 @@
 	if err != nil {
 		return err
 	}
-	l.guard = d.guard
+	l.guard, l.limits = d.guard, d.callerLimits
 	if r.ReadinessAddress == "" {
 		return nil
 	}
 	return d.listen("readiness", r.ReadinessAddress, a.Readiness(d.ready), shortIdleTimeout)
 }
 
+// callerLimits returns the declared limits on callers, none before the first declaration.
+func (d *Routed) callerLimits() inbound.HeadLimits {
+	t := d.watch.Table()
+	if t == nil {
+		return inbound.HeadLimits{}
+	}
+	l := t.Limits()
+	return inbound.HeadLimits{MaxBytes: l.MaxHeaderBytes, Timeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
 // applyTable puts a new declaration in force at this instance.
 func (d *Routed) applyTable(t *routing.Table) {
 	d.router.SetTable(t)
