Connections that are held open leave descriptors for the others

What callers saw: as many connections as the process has descriptors, open and silent, and nobody else gets one; the entry reaches neither servers nor peers.

Cause: nothing bounded the callers' connections, and accepting failed for lack of descriptors until some of them closed.

Change: clients' connections may use half of the process's descriptors.

Why it works: a caller sends its head with or right after its connection; what is silent for longer is not needed by anybody, and accepting never needs the last descriptor.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,7 +103,8 @@
 
 // newGuard returns the account of what clients make the process hold.
 func newGuard(s *settings.Settings) *inbound.Guard {
-	return inbound.New(s.Tuning().MemoryBytes)
+	t := s.Tuning()
+	return inbound.New(t.MemoryBytes, t.MaxDescriptors)
 }
 
 func newTransport(s *settings.Settings, keys []frame.Key) *frame.Transport {
--- a/daemon/inbound/guard.go
+++ b/daemon/inbound/guard.go
@@ -4,7 +4,6 @@
 package inbound
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +21,9 @@
 	// is for the process's own state, for what waits for the garbage collector, and for requests that
 	// are being served.
 	memoryShare = 4
+	// descriptorShare is the part of the process's descriptors that clients' connections may use.
+	// The rest is for connections to servers and other instances, and for files.
+	descriptorShare = 2
 )
 
 // Reason is why a client was refused or its connection closed.
@@ -60,9 +62,9 @@
 	logged  map[logKey]*logState
 }
 
-// New returns a guard for a process with a number of bytes.
-func New(memory int64) *Guard {
-	return &Guard{budget: membudget.New(membudget.Limits{Bytes: memory / memoryShare, Connections: math.MaxInt}), logged: map[logKey]*logState{}}
+// New returns a guard for a process with a number of bytes and descriptors.
+func New(memory int64, descriptors int) *Guard {
+	return &Guard{budget: membudget.New(membudget.Limits{Bytes: memory / memoryShare, Connections: descriptors / descriptorShare}), logged: map[logKey]*logState{}}
 }
 
 // Held returns the bytes that clients hold of a kind.
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -30,9 +30,9 @@
 	errs   []error
 }
 
-func serve(t *testing.T, memory int64, limits HeadLimits, o BodyOptions) *server {
+func serve(t *testing.T, memory int64, descriptors int, limits HeadLimits, o BodyOptions) *server {
 	t.Helper()
-	s := &server{guard: New(memory)}
+	s := &server{guard: New(memory, descriptors)}
 	l, err := s.guard.Listen("test", "127.0.0.1:0", func() HeadLimits { return limits })
 	if err != nil {
 		t.Fatal(err)
@@ -110,7 +110,7 @@
 // A body must arrive unchanged whatever its length and the size of its pieces, and its memory be
 // given back with the end of the request.
 func TestBodiesArriveUnchanged(t *testing.T) {
-	s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 1 << 20})
+	s := serve(t, 64<<20, 1000, HeadLimits{}, BodyOptions{Max: 1 << 20})
 	c := s.dial(t)
 	var want [][]byte
 	for i, size := range []int{0, 1, 4095, 32 << 10, 32<<10 + 1, 100000, 1 << 20} {
@@ -146,7 +146,7 @@
 // A body over the limit is refused by its declared length, or once it is longer.
 func TestBodyOverTheLimit(t *testing.T) {
 	for name, body := range map[string]string{"declared": "Content-Length: 101\r\n\r\n", "in pieces": "Transfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101)} {
-		s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 100})
+		s := serve(t, 64<<20, 1000, HeadLimits{}, BodyOptions{Max: 100})
 		c := s.dial(t)
 		c.send(t, post+body)
 		if status, _ := c.answer(t); status != http.StatusRequestEntityTooLarge {
@@ -157,7 +157,7 @@
 
 // A client that stops just short of the end of its body is told so at its deadline.
 func TestBodyThatStopsIsRefusedAtTheDeadline(t *testing.T) {
-	s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 1 << 20, Deadline: time.Now().Add(200 * time.Millisecond)})
+	s := serve(t, 64<<20, 1000, HeadLimits{}, BodyOptions{Max: 1 << 20, Deadline: time.Now().Add(200 * time.Millisecond)})
 	c := s.dial(t)
 	c.send(t, post+"Content-Length: 100\r\n\r\n"+strings.Repeat("x", 99))
 	if status, _ := c.answer(t); status != http.StatusRequestTimeout {
@@ -172,7 +172,7 @@
 // come back, as soon as another one needs its memory.
 func TestStalledBodyGivesWay(t *testing.T) {
 	const size = 1 << 20
-	s := serve(t, memoryShare*3*size, HeadLimits{}, BodyOptions{Max: size})
+	s := serve(t, memoryShare*3*size, 1000, HeadLimits{}, BodyOptions{Max: size})
 	var stalled []*client
 	for range 2 {
 		c := s.dial(t)
@@ -198,7 +198,7 @@
 // Heads over the limit get a final answer, also if they come in one line that does not end.
 func TestHeadOverTheLimit(t *testing.T) {
 	const limit = 16 << 10
-	s := serve(t, 64<<20, HeadLimits{MaxBytes: limit}, BodyOptions{Max: 100})
+	s := serve(t, 64<<20, 1000, HeadLimits{MaxBytes: limit}, BodyOptions{Max: 100})
 	for name, head := range map[string]string{
 		"one line":    "X-Long: " + strings.Repeat("x", limit+headSlack),
 		"short lines": strings.Repeat("a:\n", (limit+headSlack)/3),
@@ -218,7 +218,7 @@
 
 // Empty lines before a request close the connection; net/http does not take them for a request.
 func TestEmptyLinesCloseTheConnection(t *testing.T) {
-	s := serve(t, 64<<20, HeadLimits{}, BodyOptions{Max: 100})
+	s := serve(t, 64<<20, 1000, HeadLimits{}, BodyOptions{Max: 100})
 	c := s.dial(t)
 	_, _ = io.WriteString(c, strings.Repeat("\r\n", 32<<10)) // the connection may be closed meanwhile
 	_, _ = io.Copy(io.Discard, c)                            // until it is closed or reset
@@ -228,7 +228,7 @@
 // The memory for a head is taken before it is parsed, and given back with the end of its request.
 func TestHeadsDrawOnTheBudget(t *testing.T) {
 	const heads = 20
-	s := serve(t, memoryShare*6<<20, HeadLimits{}, BodyOptions{Max: 100})
+	s := serve(t, memoryShare*6<<20, 1000, HeadLimits{}, BodyOptions{Max: 100})
 	var clients []*client
 	for range heads {
 		c := s.dial(t)
@@ -247,7 +247,7 @@
 
 // Idle connections of callers are closed soon after the declared time.
 func TestIdleTimeoutOfTheLimits(t *testing.T) {
-	s := serve(t, 64<<20, HeadLimits{IdleTimeout: 10 * time.Millisecond, Timeout: time.Hour}, BodyOptions{Max: 100})
+	s := serve(t, 64<<20, 1000, HeadLimits{IdleTimeout: 10 * time.Millisecond, Timeout: time.Hour}, BodyOptions{Max: 100})
 	c := s.dial(t)
 	c.send(t, post+"Content-Length: 0\r\n\r\n")
 	c.answer(t)
@@ -256,6 +256,24 @@
 	}
 }
 
+// A crowd of silent connections must not keep others out.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	const descriptors = 80
+	s := serve(t, 64<<20, descriptors, HeadLimits{}, BodyOptions{Max: 100})
+	for range 2 * descriptors {
+		s.dial(t)
+	}
+	time.Sleep(membudget.HeadStallTime)
+	c := s.dial(t)
+	c.send(t, post+"Content-Length: 3\r\n\r\nabc")
+	if status, _ := c.answer(t); status != http.StatusOK {
+		t.Errorf("got status %d", status)
+	}
+	if n := s.guard.Connections(); n > descriptors/descriptorShare {
+		t.Errorf("%d connections are open", n)
+	}
+}
+
 // Requests that come from elsewhere than a guarded listener are read within their limit only.
 func TestBodyWithoutGuard(t *testing.T) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/", strings.NewReader("abc"))
--- a/daemon/inbound/listener.go
+++ b/daemon/inbound/listener.go
@@ -1,9 +1,12 @@
 package inbound
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"cardamomwick.example/core/membudget"
@@ -41,10 +44,18 @@
 	return &Listener{Listener: l, guard: g, name: name, limits: limits}, nil
 }
 
+// acceptPause is the wait after connections could not be accepted for lack of descriptors.
+const acceptPause = 20 * time.Millisecond
+
 // Accept returns the next connection for which there is room, as a *Conn. Others are closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
+		if isTemporary(err) {
+			log.WithError(err).WithFields(log.Fields{"step": "accept", "listener": l.name}).Warn("connection not accepted")
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -56,3 +67,13 @@
 		_ = raw.Close() // the client has no answer, and nothing was read from it
 	}
 }
+
+// isTemporary reports whether accepting failed for a reason that passes.
+func isTemporary(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -65,6 +65,7 @@
 	}
 	m.Gauge("cardamomwick_client_bytes_limit", func() float64 { return float64(g.Limits().Bytes) })
 	m.Gauge("cardamomwick_client_connections", func() float64 { return float64(g.Connections()) })
+	m.Gauge("cardamomwick_client_connections_limit", func() float64 { return float64(g.Limits().Connections) })
 	for r := range inbound.Reasons {
 		m.Gauge(fmt.Sprintf("cardamomwick_client_refusals_total{reason=%q}", r), func() float64 { return float64(g.Refusals(r)) })
 	}
