Directory, readiness, control and metrics draw on the account too

What clients saw: the same heads and held connections at the listeners beside the callers' one ended an entry or a replica for its memory, or left it without descriptors; directory and metrics of a replica answered nothing for 30 s.

Cause: only the callers' listener was guarded; the others had net/http's bound on a head and, but for control, no bound on connections.

Change: all listeners of declared instances draw on the one account.

--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -147,6 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.guard = d.guard
 	d.services = append(d.services, l)
 	return l, nil
 }
@@ -205,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	l.guard, l.limits = d.guard, d.callerLimits
+	l.limits = d.callerLimits
 	if r.ReadinessAddress == "" {
 		return nil
 	}
