--- a/core/membudget/membudget.go
+++ b/core/membudget/membudget.go
@@ -62,6 +62,9 @@
 	Connections int
 }
 
+// LargestRequest returns the memory that a single client can have.
+func (l Limits) LargestRequest() int64 { return l.Bytes - l.Bytes/reservedShare }
+
 const (
 	// OrdinaryBytes is what an ordinary client holds at most. A usual request has 24 KB, few have more
 	// than 140 KB.
@@ -141,9 +144,6 @@
 // Limits returns the limits.
 func (b *Budget) Limits() Limits { return b.limits }
 
-// LargestRequest returns the memory that a single client can have.
-func (b *Budget) LargestRequest() int64 { return b.limits.Bytes - b.limits.Bytes/reservedShare }
-
 // Open adds a connection that holds a number of bytes. Without room, even after the returned clients
 // were evicted, ok is false and the connection must be closed.
 func (b *Budget) Open(now time.Time, c *Client, bytes int64) (evicted []*Client, ok bool) {
@@ -283,7 +283,7 @@
 func (b *Budget) makeRoom(now time.Time, c *Client, bytes int64) (evicted []*Client, ok bool) {
 	limit, p := b.limits.Bytes, forOrdinary
 	if c.total+bytes > OrdinaryBytes {
-		limit, p = b.LargestRequest(), forLarge
+		limit, p = b.limits.LargestRequest(), forLarge
 	}
 	if b.total+bytes <= limit {
 		return nil, true
--- a/daemon/inbound/body.go
+++ b/daemon/inbound/body.go
@@ -138,9 +138,11 @@
 	}
 }
 
-// exceedsMemory reports whether there can never be memory for the declared length.
+// exceedsMemory reports whether there can never be memory for the declared length, and for the buffer
+// of half the size before it.
 func (b *bodyReader) exceedsMemory() bool {
-	return b.conn != nil && b.request.ContentLength > b.conn.listener.guard.budget.LargestRequest()
+	n := b.request.ContentLength
+	return b.conn != nil && n+n/2 > b.conn.listener.guard.Limits().LargestRequest()
 }
 
 // grow makes the buffer larger, up to the declared length or one byte beyond the limit.
@@ -153,10 +155,13 @@
 	if size <= int64(cap(b.data)) { // the body has its declared length; only its end is missing
 		size++
 	}
-	if b.conn != nil && !b.conn.listener.guard.grow(b.conn, membudget.Body, size-int64(cap(b.data))) {
+	if b.conn != nil && !b.conn.listener.guard.grow(b.conn, membudget.Body, size) {
 		return b.refuse(http.StatusServiceUnavailable, ReasonMemory)
 	}
 	b.data = append(make([]byte, 0, size), b.data...)
+	if b.conn != nil { // the former buffer is free
+		b.conn.listener.guard.update(func(x *membudget.Budget) { x.Set(&b.conn.client, membudget.Body, size) })
+	}
 	return nil
 }
 
