The peers' port draws on the account until a peer has proved its key

What was seen: connections that are held open at an instance's port for its peers used its descriptors; out of them, its listener ended, and was started again only after all its connections had ended.

Cause: connections were accepted without a bound and kept for the handshake's 3 s, an error of accepting ended the service, and each failed handshake wrote a log line.

Change: a connection draws on the account until its handshake is done; then it belongs to the system and leaves it. Lack of descriptors only delays accepting. Failed handshakes are logged once a second, with their number.

Why it works: those who can't prove a key are clients like all others.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, metrics: telemetry.New()}
-	d.transport = newTransport(s, keys)
+	d.transport = newTransport(s, keys, newGuard(s))
 	self := membership.Instance{Name: s.Instance.Name, Process: process, PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	d.gossip = gossip.New(d.transport, self, s.Peers.Seeds)
@@ -107,8 +107,9 @@
 	return inbound.New(t.MemoryBytes, t.MaxDescriptors)
 }
 
-func newTransport(s *settings.Settings, keys []frame.Key) *frame.Transport {
+func newTransport(s *settings.Settings, keys []frame.Key, g *inbound.Guard) *frame.Transport {
 	t := frame.NewTransport(s.Peers.Address, keys, newPartitionFilter(s.Faults.CutFile))
+	t.SetListener(g.ListenForPeers)
 	if s.Peers.Listen != "" {
 		t.SetListen(s.Peers.Listen)
 	}
--- a/daemon/frame/transport.go
+++ b/daemon/frame/transport.go
@@ -19,6 +19,8 @@
 
 // Parameters of a Transport.
 const (
+	// refusalLogInterval is the time between two log lines about refused connections.
+	refusalLogInterval = time.Second
 	// dialTimeout is longer than any round trip between instances. A dial to one that does
 	// not respond must end soon, since the instance may be back meanwhile.
 	dialTimeout = 250 * time.Millisecond
@@ -83,6 +85,7 @@
 type Transport struct {
 	self     string
 	listen   string
+	listener func(address string) (net.Listener, error)
 	keys     atomic.Pointer[[]Key]
 	filter   Filter
 	requests map[string]RequestHandler
@@ -97,6 +100,8 @@
 	closed bool
 	// BadFrames counts connections closed because of a protocol violation.
 	BadFrames atomic.Int64
+	// lastRefusal is when a refused connection was last logged, in nanoseconds since 1970.
+	lastRefusal atomic.Int64
 	// Panics counts messages whose handlers panicked.
 	Panics atomic.Int64
 	// Silent counts outgoing connections closed because the peer did not answer a probe.
@@ -112,7 +117,8 @@
 		filter = func(string, bool) bool { return false }
 	}
 	peerFilter := func(peer string, incoming bool) bool { return peer != self && filter(peer, incoming) }
-	t := &Transport{self: self, listen: self, idle: idleTimeout, filter: peerFilter, links: map[string]*link{},
+	listener := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	t := &Transport{self: self, listen: self, listener: listener, idle: idleTimeout, filter: peerFilter, links: map[string]*link{},
 		requests: map[string]RequestHandler{}, oneWays: map[string]OneWayHandler{}, streams: map[string]StreamHandler{}}
 	t.SetKeys(keys)
 	t.HandleRequest(methodProbe, func(context.Context, string, []byte) (any, error) { return nil, nil })
@@ -145,6 +151,12 @@
 // forwarded to another one. It must be called before Serve.
 func (t *Transport) SetListen(address string) { t.listen = address }
 
+// SetListener replaces the function that listens for connections. It must be called before Serve.
+// A connection with a method Authenticated gets a call of it after the handshake.
+func (t *Transport) SetListener(listen func(address string) (net.Listener, error)) {
+	t.listener = listen
+}
+
 // OnDown registers a function to call when an outgoing connection failed or broke.
 func (t *Transport) OnDown(f func(address string)) { t.onDown = append(t.onDown, f) }
 
@@ -157,7 +169,7 @@
 
 // Serve accepts connections until the context ends.
 func (t *Transport) Serve(ctx context.Context) error {
-	l, err := net.Listen("tcp", t.listen)
+	l, err := t.listener(t.listen)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", t.listen)
 	}
@@ -193,10 +205,13 @@
 	c, err := Accept(raw, t.self, *t.keys.Load())
 	if err != nil {
 		t.BadFrames.Add(1)
-		log.WithError(err).WithField("step", "accept peer").WithField("peer", raw.RemoteAddr().String()).Warn("connection refused")
+		t.logRefusal(err, raw.RemoteAddr().String())
 		return
 	}
 	defer c.Close()
+	if client, ok := raw.(interface{ Authenticated() }); ok {
+		client.Authenticated()
+	}
 	out := make(chan *Message, maxQueuedResponses)
 	done := make(chan struct{})
 	go t.writeLoop(c, out, done)
@@ -231,6 +246,16 @@
 	}
 }
 
+// logRefusal logs a connection whose handshake failed, unless another one was logged just before:
+// anyone can open connections.
+func (t *Transport) logRefusal(err error, peer string) {
+	now := time.Now().UnixNano()
+	if last := t.lastRefusal.Load(); now-last < int64(refusalLogInterval) || !t.lastRefusal.CompareAndSwap(last, now) {
+		return
+	}
+	log.WithError(err).WithFields(log.Fields{"step": "accept peer", "peer": peer, "bad_frames": t.BadFrames.Load()}).Warn("connection refused")
+}
+
 // recordReadError counts and logs protocol violations; a connection that just ended is none.
 func (t *Transport) recordReadError(err error, peer string) {
 	if errors.Is(err, ErrMAC) || errors.Is(err, ErrTooLarge) {
--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -50,7 +50,7 @@
 }
 
 func newConn(raw net.Conn, l *Listener) *Conn {
-	c := &Conn{Conn: raw, listener: l, inHead: true}
+	c := &Conn{Conn: raw, listener: l, inHead: l.http}
 	c.client = membudget.Client{Listener: &l.count, Owner: c}
 	return c
 }
@@ -78,6 +78,11 @@
 	c.listener.guard.update(func(b *membudget.Budget) { b.EndRequest(time.Now(), &c.client) })
 }
 
+// Authenticated takes a connection out of the account: its client belongs to the system.
+func (c *Conn) Authenticated() {
+	c.listener.guard.update(func(b *membudget.Budget) { b.Close(&c.client) })
+}
+
 // closedError ends the connection without an answer of net/http.
 func closedError(reason string) error {
 	return &net.OpError{Op: "read", Net: "tcp", Err: eris.New(reason)}
--- a/daemon/inbound/listener.go
+++ b/daemon/inbound/listener.go
@@ -29,19 +29,36 @@
 	name  string
 	// limits returns the limits in force.
 	limits func() HeadLimits
-	count  membudget.Listener
+	// http is set if the clients send HTTP requests.
+	http  bool
+	count membudget.Listener
 }
 
-// Listen opens a listener. limits, which may be nil, returns the limits on heads.
+// Listen opens a listener for HTTP. limits, which may be nil, returns the limits on heads.
 func (g *Guard) Listen(name, address string, limits func() HeadLimits) (*Listener, error) {
 	if limits == nil {
 		limits = func() HeadLimits { return HeadLimits{} }
 	}
+	l, err := g.listen(name, address)
+	if err != nil {
+		return nil, err
+	}
+	l.http, l.limits = true, limits
+	return l, nil
+}
+
+// ListenForPeers opens a listener for another protocol, whose clients are taken out of the account by
+// Conn.Authenticated.
+func (g *Guard) ListenForPeers(address string) (net.Listener, error) {
+	return g.listen("peers", address)
+}
+
+func (g *Guard) listen(name, address string) (*Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s", name)
 	}
-	return &Listener{Listener: l, guard: g, name: name, limits: limits}, nil
+	return &Listener{Listener: l, guard: g, name: name}, nil
 }
 
 // acceptPause is the wait after connections could not be accepted for lack of descriptors.
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -101,7 +101,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Routed{settings: s, guard: newGuard(s), transport: newTransport(s, keys), metrics: telemetry.New()}
+	guard := newGuard(s)
+	d := &Routed{settings: s, guard: guard, transport: newTransport(s, keys, guard), metrics: telemetry.New()}
 	self := membership.Instance{Name: s.Instance.Name, Process: uuid.NewString()[:8], PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	seeds := s.Peers.SeedAddresses()
