The own interface draws on the account: chats, services, orders, announcements

What callers saw: the same crowds at an instance with signed bundles ended it for its memory, or used all its descriptors.

Cause: as at the declared routes; chats were read whole before their class was known, orders and announcements before their signature and token.

Change: its listener draws on the account, and its bodies are read like the others; refusals have the interface's own form with outcome not_run.

--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -19,6 +19,7 @@
 	"cardamomwick.example/daemon/dispatcher"
 	"cardamomwick.example/daemon/frame"
 	"cardamomwick.example/daemon/gossip"
+	"cardamomwick.example/daemon/inbound"
 	"cardamomwick.example/daemon/lease"
 	"cardamomwick.example/daemon/replica"
 	"cardamomwick.example/daemon/settings"
@@ -28,6 +29,8 @@
 	methodInfo    = "admin.info"
 	fanOutTimeout = time.Second
 	orderTimeout  = 5 * time.Second
+	// maxOrderBytes bounds an order, whose bundle is in base64.
+	maxOrderBytes = 2 * bundle.MaxBytes
 )
 
 // Admin handles the requests of operators.
@@ -83,7 +86,12 @@
 // Order proposes a signed order to the replicas. An operator may safely send it again.
 func (a *Admin) Order(w http.ResponseWriter, r *http.Request) {
 	var o bundle.SignedOrder
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*bundle.MaxBytes)).Decode(&o); err != nil {
+	body, err := inbound.ReadBody(w, r, inbound.BodyOptions{Max: maxOrderBytes})
+	if err != nil {
+		inbound.Respond(w, err)
+		return
+	}
+	if err := json.Unmarshal(body, &o); err != nil {
 		writeJSON(w, http.StatusBadRequest, api.AdminError{Error: "the order is not readable: " + err.Error()})
 		return
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,6 +55,7 @@
 	admin      *admin.Admin
 	placement  *placement.Service
 	metrics    *telemetry.Metrics
+	guard      *inbound.Guard
 	listener   *httpListener
 }
 
@@ -66,8 +67,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, metrics: telemetry.New()}
-	d.transport = newTransport(s, keys, newGuard(s))
+	d := &Daemon{settings: s, metrics: telemetry.New(), guard: newGuard(s)}
+	d.transport = newTransport(s, keys, d.guard)
 	self := membership.Instance{Name: s.Instance.Name, Process: process, PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	d.gossip = gossip.New(d.transport, self, s.Peers.Seeds)
@@ -208,6 +209,7 @@
 }
 
 func (d *Daemon) registerGauges() {
+	registerGuardGauges(d.metrics, d.guard)
 	d.metrics.Gauge("cardamomwick_generation", func() float64 { return float64(d.holder.Config().Generation) })
 	d.metrics.Gauge("cardamomwick_requests_held", func() float64 { return float64(d.quarantine.HeldRequests()) })
 	d.metrics.Gauge("cardamomwick_servers_ended_total", func() float64 { return float64(d.quarantine.Crashes()) })
--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -16,6 +16,7 @@
 	"cardamomwick.example/core/dispatch"
 	"cardamomwick.example/daemon/dispatcher"
 	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/inbound"
 )
 
 const (
@@ -43,7 +44,12 @@
 // ServeHTTP handles POST /v1/announce.
 func (a *Announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var m api.Announcement
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&m); err != nil {
+	body, err := inbound.ReadBody(w, r, inbound.BodyOptions{Max: maxAnnounceBytes})
+	if err != nil {
+		inbound.Respond(w, err)
+		return
+	}
+	if err := json.Unmarshal(body, &m); err != nil {
 		writeError(w, notRun(http.StatusBadRequest, api.ErrorInvalidRequest, "the announcement is not readable: "+err.Error()))
 		return
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -127,7 +127,7 @@
 	e.inFlight.Add(1)
 	defer e.work.Done()
 	defer e.inFlight.Add(-1)
-	c, err := e.parse(r, kind)
+	c, err := e.parse(w, r, kind)
 	out := newSink(w, c)
 	if err == nil {
 		err = e.checkServing(c)
--- a/daemon/entry/request.go
+++ b/daemon/entry/request.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +20,7 @@
 	"cardamomwick.example/core/prefix"
 	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/core/state"
+	"cardamomwick.example/daemon/inbound"
 )
 
 const (
@@ -89,7 +89,7 @@
 
 // parse reads, authenticates and validates a request. The outcome of its errors is
 // not_run.
-func (e *Entry) parse(r *http.Request, kind bundle.PoolKind) (*call, *callError) {
+func (e *Entry) parse(w http.ResponseWriter, r *http.Request, kind bundle.PoolKind) (*call, *callError) {
 	c := &call{id: newID(), kind: kind, arrived: time.Now(), method: r.Method, contentType: r.Header.Get("Content-Type")}
 	cfg := e.holder.Config()
 	if cfg.Bundle == nil {
@@ -101,7 +101,7 @@
 		return c, notRun(http.StatusUnauthorized, api.ErrorUnknownCustomer, "the bearer key belongs to no customer")
 	}
 	c.customer = customer
-	if err := e.readBody(r, c); err != nil {
+	if err := e.readBody(w, r, c); err != nil {
 		return c, err
 	}
 	if err := c.parsePool(r, cfg.Bundle); err != nil {
@@ -121,14 +121,16 @@
 
 func newID() string { return uuid.Must(uuid.NewV7()).String() }
 
-func (e *Entry) readBody(r *http.Request, c *call) *callError {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, c *call) *callError {
 	limit := e.settings.Callers.MaxBodyBytes
-	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	data, err := inbound.ReadBody(w, r, inbound.BodyOptions{Max: limit, Tenant: c.customer})
+	var refused *inbound.RefusedError
+	switch {
+	case errors.As(err, &refused) && refused.Reason == inbound.ReasonBody:
 		return notRun(http.StatusRequestEntityTooLarge, api.ErrorBodyTooLarge, fmt.Sprintf("the body is over the limit of %d bytes", limit))
-	}
-	if err != nil {
+	case errors.As(err, &refused):
+		return notRun(refused.Status, api.ErrorRefused, refused.Error()).withRetryAfter(refused.RetryAfter)
+	case err != nil:
 		return notRun(http.StatusBadRequest, api.ErrorInvalidRequest, "the body could not be read: "+err.Error())
 	}
 	c.body = data
--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -32,8 +32,7 @@
 type httpListener struct {
 	name, address string
 	rest          *rest.Server
-	// guard is the account of what clients make the process hold, nil for none.
-	guard *inbound.Guard
+	guard         *inbound.Guard
 	// limits returns the limits on clients in force; nil for headerTimeout, maxHeaderBytes and idle.
 	limits func() inbound.HeadLimits
 	// shutdownTimeout is how long requests that are in flight when the listener stops may
@@ -81,7 +80,7 @@
 
 var _ httpx.Router = singleHandler{}
 
-func newHTTPListener(name, address string, h http.Handler, idle time.Duration) (*httpListener, error) {
+func newHTTPListener(g *inbound.Guard, name, address string, h http.Handler, idle time.Duration) (*httpListener, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "parse address of %s", name)
@@ -97,7 +96,7 @@
 		return nil, eris.Wrapf(err, "make HTTP server of %s", name)
 	}
 	logx.Disable()
-	return &httpListener{name: name, address: address, rest: s, shutdownTimeout: drainedShutdownTimeout, idle: idle}, nil
+	return &httpListener{name: name, address: address, rest: s, guard: g, shutdownTimeout: drainedShutdownTimeout, idle: idle}, nil
 }
 
 // String names the service in the supervisor's log.
@@ -107,7 +106,7 @@
 // shutdownTimeout for requests in flight and closes what is left. Long calls have ended by
 // then, since the daemon drains first.
 func (l *httpListener) Serve(ctx context.Context) error {
-	listener, err := l.listen()
+	listener, err := l.guard.Listen(l.name, l.address, l.limits)
 	if err != nil {
 		return err
 	}
@@ -131,18 +130,8 @@
 	}
 }
 
-func (l *httpListener) listen() (net.Listener, error) {
-	if l.guard != nil {
-		return l.guard.Listen(l.name, l.address, l.limits)
-	}
-	listener, err := net.Listen("tcp", l.address)
-	return listener, eris.Wrapf(err, "listen for %s", l.name)
-}
-
 func (l *httpListener) configure(s *http.Server) {
-	if l.guard != nil {
-		s.Handler = l.guard.Handler(s.Handler)
-	}
+	s.Handler = l.guard.Handler(s.Handler)
 	s.ReadHeaderTimeout = headerTimeout
 	s.IdleTimeout = l.idle
 	s.MaxHeaderBytes = maxHeaderBytes
--- a/daemon/httplisten_test.go
+++ b/daemon/httplisten_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cardamomwick.example/daemon/inbound"
 	"cardamomwick.example/daemon/internal/testport"
 )
 
@@ -16,7 +17,7 @@
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	const idle = 50 * time.Millisecond
 	c := dialListener(t, func(address string) (*httpListener, error) {
-		return newHTTPListener("control", address, http.NotFoundHandler(), idle)
+		return newHTTPListener(inbound.New(1<<30, 1000), "control", address, http.NotFoundHandler(), idle)
 	})()
 	defer c.Close()
 	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
@@ -57,7 +58,7 @@
 // descriptors: connections over the limit are closed immediately, and the others are served.
 func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
 	dial := dialListener(t, func(address string) (*httpListener, error) {
-		l, err := newHTTPListener("control", address, http.NotFoundHandler(), time.Minute)
+		l, err := newHTTPListener(inbound.New(1<<30, 1000), "control", address, http.NotFoundHandler(), time.Minute)
 		if err == nil {
 			l.maxOpen = 2
 		}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -45,7 +45,7 @@
 	logx.Disable()
 	s.AddRoutes([]rest.Route{{Method: http.MethodPost, Path: api.PathChat, Handler: d.entry.Chat}}, rest.WithSSE())
 	s.AddRoutes(d.routes())
-	return &httpListener{name: "callers' listener", address: d.settings.Callers.Address, rest: s, shutdownTimeout: stopTimeout, idle: callerIdleTimeout}, nil
+	return &httpListener{name: "callers' listener", address: d.settings.Callers.Address, rest: s, guard: d.guard, shutdownTimeout: stopTimeout, idle: callerIdleTimeout}, nil
 }
 
 func (d *Daemon) routes() []rest.Route {
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -144,11 +144,10 @@
 }
 
 func (d *Routed) addListener(name, address string, h http.Handler, idle time.Duration) (*httpListener, error) {
-	l, err := newHTTPListener(name, address, h, idle)
+	l, err := newHTTPListener(d.guard, name, address, h, idle)
 	if err != nil {
 		return nil, err
 	}
-	l.guard = d.guard
 	d.services = append(d.services, l)
 	return l, nil
 }
