Callers who do not read their answer do not hold the call for ever

What was seen: an answer to a caller who does not read blocked in its write without a bound, with the call, its server's slot and its connections: nothing but the end of the process or the connection ended it.

Cause: no listener has a time for writing, since streams last as long as they like.

Change: a client has 30 s for what is sent to it at once; each write renews that, so that slow readers and long streams go on.

Not shown with real processes.

Why it works: progress is what renews the deadline, not the length of the answer.

--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -25,6 +27,11 @@
 	// connection that is closed with unread bytes is reset, and the client loses the refusal.
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 256 << 10
+	// writeTimeout is how long a client may leave unread what is sent to it, before its call and the
+	// server's slot are given up.
+	writeTimeout = 30 * time.Second
+	// writeRenewals is the number of times in writeTimeout that the deadline is renewed at most.
+	writeRenewals = 4
 	// refusalWriteTimeout bounds the sending of a refusal.
 	refusalWriteTimeout = 100 * time.Millisecond
 )
@@ -43,6 +50,10 @@
 	// earlier request.
 	inHead, idle bool
 	head         head
+	// isPeer is set if the client belongs to the system.
+	isPeer bool
+	// writeBegan is when the deadline for writing was last renewed.
+	writeBegan time.Time
 
 	// mu guards evicted, and deadlines against an eviction.
 	mu      sync.Mutex
@@ -80,6 +91,7 @@
 
 // Authenticated takes a connection out of the account: its client belongs to the system.
 func (c *Conn) Authenticated() {
+	c.isPeer = true
 	c.listener.guard.update(func(b *membudget.Budget) { b.Close(&c.client) })
 }
 
@@ -106,6 +118,25 @@
 	return n, err
 }
 
+// Write implements net.Conn. A client that does not read ends the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.isPeer {
+		return c.Conn.Write(p)
+	}
+	timeout := c.listener.writeTimeout
+	if now := time.Now(); now.Sub(c.writeBegan) > timeout/writeRenewals {
+		c.writeBegan = now
+		if err := c.Conn.SetWriteDeadline(now.Add(timeout)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.listener.guard.refuse(c.listener.name, ReasonUnread)
+	}
+	return n, err
+}
+
 // countHead counts received bytes of a head. An error means that the client was refused.
 func (c *Conn) countHead(p []byte) error {
 	c.head.add(p)
--- a/daemon/inbound/guard.go
+++ b/daemon/inbound/guard.go
@@ -43,13 +43,15 @@
 	ReasonBody
 	// ReasonSlow: the request did not arrive in time.
 	ReasonSlow
+	// ReasonUnread: the client does not read its answer.
+	ReasonUnread
 	// Reasons is the number of reasons.
 	Reasons
 )
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"connections", "memory", "evicted", "head_too_large", "body_too_large", "slow"}[r]
+	return [...]string{"connections", "memory", "evicted", "head_too_large", "body_too_large", "slow", "answer_unread"}[r]
 }
 
 // Guard is the account of one process and its listeners. Safe for concurrent use.
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -186,14 +186,18 @@
 	if status, _ := c.answer(t); status != http.StatusOK {
 		t.Errorf("the whole body got status %d", status)
 	}
+	var first error
 	s.await(t, "a stalled client gave way", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return len(s.errs) > 0
+		if len(s.errs) > 0 {
+			first = s.errs[0]
+		}
+		return first != nil
 	})
 	var refused *RefusedError
-	if !errors.As(s.errs[0], &refused) || refused.Status != http.StatusServiceUnavailable || refused.RetryAfter != RetryAfter {
-		t.Errorf("errors of the stalled clients: %v", s.errs)
+	if !errors.As(first, &refused) || refused.Status != http.StatusServiceUnavailable || refused.RetryAfter != RetryAfter {
+		t.Errorf("the stalled client got %v", first)
 	}
 }
 
@@ -276,6 +280,44 @@
 	}
 }
 
+// A client that does not read its answer must not hold the call for ever.
+func TestAnswerThatIsNotReadEnds(t *testing.T) {
+	g := New(64<<20, 1000)
+	l, err := g.Listen("test", "127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.writeTimeout = 100 * time.Millisecond
+	ended := make(chan error, 1)
+	endless := func(w http.ResponseWriter, _ *http.Request) {
+		var err error
+		for part := make([]byte, 32<<10); err == nil; {
+			_, err = w.Write(part)
+		}
+		ended <- err
+	}
+	h := &http.Server{Handler: g.Handler(http.HandlerFunc(endless)), ConnContext: ConnContext, ConnState: ConnState, ReadHeaderTimeout: waitTimeout}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = h.Serve(l) }()
+	defer func() { _ = h.Close(); <-done }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, post+"\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if g.Refusals(ReasonUnread) != 1 {
+			t.Errorf("the answer ended with %v, %d are counted as unread", err, g.Refusals(ReasonUnread))
+		}
+	case <-time.After(waitTimeout):
+		t.Error("the answer goes on")
+	}
+}
+
 // Requests that come from elsewhere than a guarded listener are read within their limit only.
 func TestBodyWithoutGuard(t *testing.T) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/", strings.NewReader("abc"))
--- a/daemon/inbound/listener.go
+++ b/daemon/inbound/listener.go
@@ -30,8 +30,9 @@
 	// limits returns the limits in force.
 	limits func() HeadLimits
 	// http is set if the clients send HTTP requests.
-	http  bool
-	count membudget.Listener
+	http         bool
+	writeTimeout time.Duration
+	count        membudget.Listener
 }
 
 // Listen opens a listener for HTTP. limits, which may be nil, returns the limits on heads.
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s", name)
 	}
-	return &Listener{Listener: l, guard: g, name: name}, nil
+	return &Listener{Listener: l, guard: g, name: name, writeTimeout: writeTimeout}, nil
 }
 
 // acceptPause is the wait after connections could not be accepted for lack of descriptors.
