Declared limits replace the built-in ones; a body of 140 KB is an ordinary one

What callers would have seen: a declared max_header_bytes above 64 KB, or a longer header_timeout_ms, was still cut at the built-in ones by net/http; and a body of 140 KB, the largest that the sites send, counted as large while its buffer grew.

A request without a body takes no step for it.

--- a/core/membudget/membudget.go
+++ b/core/membudget/membudget.go
@@ -66,9 +66,9 @@
 func (l Limits) LargestRequest() int64 { return l.Bytes - l.Bytes/reservedShare }
 
 const (
-	// OrdinaryBytes is what an ordinary client holds at most. A usual request has 24 KB, few have more
-	// than 140 KB.
-	OrdinaryBytes = 256 << 10
+	// OrdinaryBytes is what an ordinary client holds at most, with the two buffers of a body that grows.
+	// A usual body has 24 KB, the largest in use 140 KB.
+	OrdinaryBytes = 512 << 10
 	// reservedShare is the part of Limits.Bytes that only ordinary clients use.
 	reservedShare = 4
 	// slackShare is the part of Limits.Bytes that is freed beyond what is needed, if enough clients
--- a/daemon/httplisten.go
+++ b/daemon/httplisten.go
@@ -33,7 +33,8 @@
 	name, address string
 	rest          *rest.Server
 	guard         *inbound.Guard
-	// limits returns the limits on clients in force; nil for headerTimeout, maxHeaderBytes and idle.
+	// limits returns the declared limits on clients, which replace headerTimeout and maxHeaderBytes and
+	// shorten idle; nil for none.
 	limits func() inbound.HeadLimits
 	// shutdownTimeout is how long requests that are in flight when the listener stops may
 	// take.
@@ -132,9 +133,11 @@
 
 func (l *httpListener) configure(s *http.Server) {
 	s.Handler = l.guard.Handler(s.Handler)
-	s.ReadHeaderTimeout = headerTimeout
 	s.IdleTimeout = l.idle
-	s.MaxHeaderBytes = maxHeaderBytes
+	s.ReadHeaderTimeout, s.MaxHeaderBytes = headerTimeout, maxHeaderBytes
+	if l.limits != nil { // the guard applies them
+		s.ReadHeaderTimeout, s.MaxHeaderBytes = maxHeaderTimeout, maxDeclaredHeaderBytes
+	}
 	s.ConnContext = inbound.ConnContext
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		inbound.ConnState(c, state)
--- a/daemon/inbound/body.go
+++ b/daemon/inbound/body.go
@@ -82,6 +82,9 @@
 // ReadBody reads the body of a request that came in through a listener of a guard, or from elsewhere.
 // The error is a *RefusedError, whose answer closes the connection, or means that the client has left.
 func ReadBody(w http.ResponseWriter, r *http.Request, o BodyOptions) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
 	if o.Deadline.IsZero() {
 		o.Deadline = time.Now().Add(bodyTimeout)
 	}
@@ -114,9 +117,6 @@
 	if b.request.ContentLength > b.options.Max || b.exceedsMemory() {
 		return b.refuse(http.StatusRequestEntityTooLarge, ReasonBody)
 	}
-	if b.request.ContentLength == 0 {
-		return b.complete()
-	}
 	for {
 		if len(b.data) == cap(b.data) {
 			if err := b.grow(); err != nil {
--- a/daemon/inbound/guard.go
+++ b/daemon/inbound/guard.go
@@ -16,7 +16,7 @@
 const (
 	// connectionBytes is the cost of a connection: its goroutine, its buffers, and a head and an
 	// answer of usual size.
-	connectionBytes = 24 << 10
+	connectionBytes = 16 << 10
 	// memoryShare is the part of the machine's memory that clients may make the process hold. The rest
 	// is for the process's own state, for what waits for the garbage collector, and for requests that
 	// are being served.
--- a/daemon/inbound/head.go
+++ b/daemon/inbound/head.go
@@ -7,7 +7,7 @@
 	// copy that is forwarded.
 	headByteCost, headLineCost = 2, 256
 	// headAllowance is the part of a head's cost that is part of connectionBytes.
-	headAllowance = 16 << 10
+	headAllowance = 8 << 10
 	// headStep is the unit in which more memory is taken for a head.
 	headStep = 8 << 10
 )
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -23,6 +23,9 @@
 const (
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
+	// Operators may declare others, up to these.
+	maxHeaderTimeout       = 2 * time.Minute
+	maxDeclaredHeaderBytes = 1 << 20
 )
 
 // newListener returns the callers' listener with all routes. Of go-zero's middlewares only
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -213,14 +214,14 @@
 	return d.listen("readiness", r.ReadinessAddress, a.Readiness(d.ready), shortIdleTimeout)
 }
 
-// callerLimits returns the declared limits on callers, none before the first declaration.
+// callerLimits returns the limits on callers' heads and connections, the built-in ones where the
+// declaration has none.
 func (d *Routed) callerLimits() inbound.HeadLimits {
-	t := d.watch.Table()
-	if t == nil {
-		return inbound.HeadLimits{}
+	var declared routing.Limits
+	if t := d.watch.Table(); t != nil {
+		declared = t.Limits()
 	}
-	l := t.Limits()
-	return inbound.HeadLimits{MaxBytes: l.MaxHeaderBytes, Timeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return inbound.HeadLimits{MaxBytes: cmp.Or(declared.MaxHeaderBytes, maxHeaderBytes), Timeout: cmp.Or(declared.HeaderTimeout, headerTimeout), IdleTimeout: declared.IdleTimeout}
 }
 
 // applyTable puts a new declaration in force at this instance.
