--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"cardamomwick.example/core/membudget"
 )
 
@@ -95,10 +93,8 @@
 	c.listener.guard.update(func(b *membudget.Budget) { b.Close(&c.client) })
 }
 
-// closedError ends the connection without an answer of net/http.
-func closedError(reason string) error {
-	return &net.OpError{Op: "read", Net: "tcp", Err: eris.New(reason)}
-}
+// errRefused ends the connection without an answer of net/http.
+var errRefused error = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the client was refused")}
 
 // Read implements net.Conn. It takes the memory for a head before net/http parses it.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -107,7 +103,7 @@
 		if c.inHead && c.head.begun {
 			c.sendRefusal(http.StatusServiceUnavailable)
 		}
-		return 0, closedError("evicted")
+		return 0, errRefused
 	}
 	if !c.inHead || n == 0 {
 		return n, err
@@ -143,7 +139,7 @@
 	if c.idle {
 		c.idle = false
 		if !c.head.complete && !c.listener.guard.setPhase(c, membudget.Receiving) {
-			return closedError("evicted")
+			return errRefused
 		}
 	}
 	if limit := c.listener.limits().MaxBytes; limit > 0 && c.head.bytes > limit+headSlack {
@@ -158,8 +154,7 @@
 	return nil
 }
 
-// refuse answers a head that is not received to its end, and returns the error that closes the
-// connection.
+// refuse answers a head that is not received to its end, and returns errRefused.
 func (c *Conn) refuse(status int, r Reason) error {
 	c.listener.guard.refuse(c.listener.name, r)
 	c.sendRefusal(status)
@@ -168,7 +163,7 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
-	return closedError(r.String())
+	return errRefused
 }
 
 // sendRefusal sends an answer without a body. Its loss is no harm: the connection is closed.
@@ -206,7 +201,7 @@
 	if c.inHead && !t.IsZero() {
 		limits := c.listener.limits()
 		timeout := limits.Timeout
-		if c.idle {
+		if c.head.bytes == 0 {
 			timeout = limits.IdleTimeout
 		}
 		if latest := time.Now().Add(timeout + timeoutSlack); timeout > 0 && latest.Before(t) {
