Odd pieces of bodies; bodies of calls for peers follow the machine

Bodies of calls that an instance serves for partitioned peers have up to an eighth of the machine's memory instead of 32 MB on any machine.

--- a/core/crowd/scripts.go
+++ b/core/crowd/scripts.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 )
 
 // Sizes of what the scripts send.
@@ -156,6 +157,31 @@
 	return nil
 }
 
+// SendOddPieces sends bodies in pieces, in turn: pieces of one byte with long extensions, trailers
+// without end, and one byte at a time with pauses.
+func (r Request) SendOddPieces() Script {
+	const oddPieces, slowPieces, slowPause = 4096, 30, 100 * time.Millisecond
+	return func(client int, w io.Writer) error {
+		text := r.head(fmt.Sprint("odd-", client)) + "Transfer-Encoding: chunked\r\n\r\n"
+		switch client % 3 {
+		case 0:
+			text += strings.Repeat("1;x="+strings.Repeat("y", 1000)+"\r\nx\r\n", oddPieces)
+		case 1:
+			text += "1\r\nx\r\n0\r\n" + strings.Repeat("X-Trailer: y\r\n", overlongBytes/len("X-Trailer: y\r\n"))
+		}
+		if _, err := io.WriteString(w, text); err != nil || client%3 < 2 {
+			return err
+		}
+		for range slowPieces {
+			if _, err := io.WriteString(w, "1\r\nx\r\n"); err != nil {
+				return err
+			}
+			time.Sleep(slowPause)
+		}
+		return nil
+	}
+}
+
 // Hold opens a connection and keeps it open: every second client sends nothing, the others the
 // beginning of a head.
 func (r Request) Hold() Script {
--- a/daemon/inbound/body.go
+++ b/daemon/inbound/body.go
@@ -18,8 +18,9 @@
 	// bodyTimeout is the time for a body where the request names none, and for a body that nobody
 	// reads.
 	bodyTimeout = 10 * time.Second
-	// Buffers of bodies begin with at most firstBufferBytes and grow to twice their size.
-	firstBufferBytes = 32 << 10
+	// Buffers of bodies begin with up to firstBufferBytes, or firstUndeclaredBytes if the length is not
+	// declared, and grow to twice their size.
+	firstBufferBytes, firstUndeclaredBytes = 32 << 10, 4 << 10
 	// progressBytes is how much of a body must arrive within membudget.StallTime at least.
 	progressBytes = 4 << 10
 )
@@ -147,11 +148,11 @@
 
 // grow makes the buffer larger, up to the declared length or one byte beyond the limit.
 func (b *bodyReader) grow() error {
-	most := b.options.Max + 1
+	first, most := int64(firstUndeclaredBytes), b.options.Max+1
 	if b.request.ContentLength >= 0 {
-		most = b.request.ContentLength
+		first, most = firstBufferBytes, b.request.ContentLength
 	}
-	size := min(most, max(firstBufferBytes, 2*int64(cap(b.data))))
+	size := min(most, max(first, 2*int64(cap(b.data))))
 	if size <= int64(cap(b.data)) { // the body has its declared length; only its end is missing
 		size++
 	}
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -133,6 +133,11 @@
 			}
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.bodies) != len(want) {
+		t.Fatalf("%d bodies arrived; want %d", len(s.bodies), len(want))
+	}
 	for i, body := range s.bodies {
 		if !bytes.Equal(body, want[i]) || cap(body) > 2*len(body)+1 {
 			t.Errorf("body %d: got %d bytes with room for %d, want %d", i, len(body), cap(body), len(want[i]))
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -184,6 +184,15 @@
 	}
 }
 
+// A small machine serves less for its peers.
+func TestServedBytesFollowTheMachine(t *testing.T) {
+	var s Server
+	s.LimitBytes(1 << 20)
+	if !s.reserve(&Offer{BodyBytes: 1 << 20}) || s.reserve(&Offer{BodyBytes: 1}) {
+		t.Error("the bound is not that of the machine")
+	}
+}
+
 // A stream that the peer closed while it was idle must not cost a call.
 func TestRestartedPeerIsDialledAgain(t *testing.T) {
 	h := &handler{serve: func(w http.ResponseWriter, _ *http.Request) *relay.Decline {
--- a/daemon/relay/server.go
+++ b/daemon/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -33,9 +34,11 @@
 // Server accepts the calls of peers.
 type Server struct {
 	handler Handler
-	mu      sync.Mutex
-	calls   int
-	bytes   int
+	// maxBytes bounds the bodies of the calls that are served at a time, 0 for relay.MaxServedBytes.
+	maxBytes int
+	mu       sync.Mutex
+	calls    int
+	bytes    int
 }
 
 // NewServer registers the handler of streams from peers.
@@ -46,6 +49,10 @@
 	return s
 }
 
+// LimitBytes lowers the bound on the bodies of the calls that are served at a time. Call it before the
+// transport serves.
+func (s *Server) LimitBytes(bytes int64) { s.maxBytes = int(min(bytes, relay.MaxServedBytes)) }
+
 // Calls returns the number of calls that are served for peers.
 func (s *Server) Calls() int {
 	s.mu.Lock()
@@ -57,7 +64,7 @@
 func (s *Server) reserve(o *Offer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.BodyBytes < 0 || s.calls >= relay.MaxServed || s.bytes+o.BodyBytes > relay.MaxServedBytes {
+	if o.BodyBytes < 0 || s.calls >= relay.MaxServed || s.bytes+o.BodyBytes > cmp.Or(s.maxBytes, relay.MaxServedBytes) {
 		return false
 	}
 	s.calls++
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -194,6 +194,7 @@
 	rejections.Receive(d.router)
 	slots.Receive(d.router)
 	d.relays = relay.NewServer(d.transport, d.router)
+	d.relays.LimitBytes(d.settings.Tuning().MemoryBytes / relayedShare)
 	// The watch has its own client: the shared one remembers the leader that other calls
 	// found, and would always send the watch there.
 	d.watch = control.NewWatch(d.transport, replica.NewClient(d.transport, d.directory), d.applyTable, d.applyFleet)
@@ -224,6 +225,9 @@
 	return inbound.HeadLimits{MaxBytes: cmp.Or(declared.MaxHeaderBytes, maxHeaderBytes), Timeout: cmp.Or(declared.HeaderTimeout, headerTimeout), IdleTimeout: declared.IdleTimeout}
 }
 
+// relayedShare is the part of the machine's memory, as its inverse, that bodies of calls for peers take.
+const relayedShare = 8
+
 // applyTable puts a new declaration in force at this instance.
 func (d *Routed) applyTable(t *routing.Table) {
 	d.router.SetTable(t)
