--- a/daemon/inbound/body.go
+++ b/daemon/inbound/body.go
@@ -71,7 +71,7 @@
 
 // beginRequest notes that a head is complete; ok is false if the client was evicted meanwhile.
 func (c *Conn) beginRequest(r *http.Request) (ok bool) {
-	c.inHead, c.idle = false, false
+	c.headDone.Store(true)
 	if r.Body == http.NoBody {
 		return c.listener.guard.setPhase(c, membudget.Serving)
 	}
--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cardamomwick.example/core/membudget"
@@ -44,10 +45,11 @@
 	client   membudget.Client
 	closed   sync.Once
 
-	// inHead is set while a head is expected or received, idle while it has not begun after an
-	// earlier request.
-	inHead, idle bool
-	head         head
+	// headDone is set once a head is complete, until the next one is expected. While a request is served,
+	// net/http reads in a goroutine of its own, so only headDone may be used by both.
+	headDone atomic.Bool
+	// head is the head that is expected or received.
+	head head
 	// isPeer is set if the client belongs to the system.
 	isPeer bool
 	// writeBegan is when the deadline for writing was last renewed.
@@ -59,7 +61,8 @@
 }
 
 func newConn(raw net.Conn, l *Listener) *Conn {
-	c := &Conn{Conn: raw, listener: l, inHead: l.http}
+	c := &Conn{Conn: raw, listener: l}
+	c.headDone.Store(!l.http)
 	c.client = membudget.Client{Listener: &l.count, Owner: c}
 	return c
 }
@@ -83,7 +86,8 @@
 	if !ok || s != http.StateIdle {
 		return
 	}
-	c.inHead, c.idle, c.head = true, true, head{}
+	c.head = head{}
+	c.headDone.Store(false)
 	c.listener.guard.update(func(b *membudget.Budget) { b.EndRequest(time.Now(), &c.client) })
 }
 
@@ -100,12 +104,12 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil && c.wasEvicted() {
-		if c.inHead && c.head.begun {
+		if !c.headDone.Load() && c.head.begun {
 			c.sendRefusal(http.StatusServiceUnavailable)
 		}
 		return 0, errRefused
 	}
-	if !c.inHead || n == 0 {
+	if c.headDone.Load() || n == 0 {
 		return n, err
 	}
 	if refusal := c.countHead(p[:n]); refusal != nil {
@@ -135,12 +139,11 @@
 
 // countHead counts received bytes of a head. An error means that the client was refused.
 func (c *Conn) countHead(p []byte) error {
+	first := c.head.bytes == 0
 	c.head.add(p)
-	if c.idle {
-		c.idle = false
-		if !c.head.complete && !c.listener.guard.setPhase(c, membudget.Receiving) {
-			return errRefused
-		}
+	c.headDone.Store(c.head.complete)
+	if first && !c.head.complete && !c.listener.guard.setPhase(c, membudget.Receiving) {
+		return errRefused
 	}
 	if limit := c.listener.limits().MaxBytes; limit > 0 && c.head.bytes > limit+headSlack {
 		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, ReasonHead)
@@ -198,7 +201,7 @@
 	if c.evicted {
 		return nil // the one that evict has set holds
 	}
-	if c.inHead && !t.IsZero() {
+	if !c.headDone.Load() && !t.IsZero() {
 		limits := c.listener.limits()
 		timeout := limits.Timeout
 		if c.head.bytes == 0 {
