--- a/daemon/inbound/guard.go
+++ b/daemon/inbound/guard.go
@@ -70,43 +70,49 @@
 }
 
 // Held returns the bytes that clients hold of a kind.
-func (g *Guard) Held(k membudget.Kind) int64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget.Held(k)
+func (g *Guard) Held(k membudget.Kind) (bytes int64) {
+	g.update(func(b *membudget.Budget) { bytes = b.Held(k) })
+	return bytes
 }
 
 // Limits returns the limits for all clients together.
 func (g *Guard) Limits() membudget.Limits { return g.budget.Limits() }
 
 // Connections returns the number of clients' connections.
-func (g *Guard) Connections() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget.Connections()
+func (g *Guard) Connections() (n int) {
+	g.update(func(b *membudget.Budget) { n = b.Connections() })
+	return n
 }
 
 // Refusals returns how many requests were refused and connections closed for a reason.
 func (g *Guard) Refusals(r Reason) int64 { return g.refused[r].Load() }
 
-// grow gives a connection more memory, and ends the requests of those that give way.
+// grow gives a connection more memory.
 func (g *Guard) grow(c *Conn, k membudget.Kind, bytes int64) (ok bool) {
-	g.mu.Lock()
-	evicted, ok := g.budget.Grow(time.Now(), &c.client, k, bytes)
-	g.mu.Unlock()
-	g.evict(evicted)
-	return ok
+	return g.decide(func(b *membudget.Budget) ([]*membudget.Client, bool) {
+		return b.Grow(time.Now(), &c.client, k, bytes)
+	})
 }
 
 func (g *Guard) open(c *Conn) (ok bool) {
-	g.mu.Lock()
-	evicted, ok := g.budget.Open(time.Now(), &c.client, connectionBytes)
-	g.mu.Unlock()
-	g.evict(evicted)
+	return g.decide(func(b *membudget.Budget) ([]*membudget.Client, bool) {
+		return b.Open(time.Now(), &c.client, connectionBytes)
+	})
+}
+
+// decide applies a decision of the budget, and ends the requests of those that give way.
+func (g *Guard) decide(decision func(b *membudget.Budget) (evicted []*membudget.Client, ok bool)) (ok bool) {
+	var evicted []*membudget.Client
+	g.update(func(b *membudget.Budget) { evicted, ok = decision(b) })
+	for _, x := range evicted {
+		c := x.Owner.(*Conn)
+		g.refuse(c.listener.name, ReasonEvicted)
+		c.evict()
+	}
 	return ok
 }
 
-// update changes what the budget knows of a connection.
+// update reads or changes the budget.
 func (g *Guard) update(change func(b *membudget.Budget)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -115,17 +121,8 @@
 
 // setPhase changes a connection's phase; ok is false if it was evicted.
 func (g *Guard) setPhase(c *Conn, p membudget.Phase) (ok bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget.SetPhase(time.Now(), &c.client, p)
-}
-
-func (g *Guard) evict(clients []*membudget.Client) {
-	for _, x := range clients {
-		c := x.Owner.(*Conn)
-		g.refuse(c.listener.name, ReasonEvicted)
-		c.evict()
-	}
+	g.update(func(b *membudget.Budget) { ok = b.SetPhase(time.Now(), &c.client, p) })
+	return ok
 }
 
 // logInterval is the time between two log lines about the same reason at the same listener.
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -178,11 +178,9 @@
 func TestStalledBodyGivesWay(t *testing.T) {
 	const size = 1 << 20
 	s := serve(t, memoryShare*4*size, 1000, HeadLimits{}, BodyOptions{Max: size})
-	var stalled []*client
 	for i := range 2 {
 		c := s.dial(t)
 		c.send(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", post, size, strings.Repeat("x", size-1)))
-		stalled = append(stalled, c)
 		s.await(t, "the body has arrived", func() bool { return s.guard.Held(membudget.Body) == int64(i+1)*size })
 	}
 	time.Sleep(membudget.StallTime)
