--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -46,7 +46,7 @@
 	closed   sync.Once
 
 	// headDone is set once a head is complete, until the next one is expected. While a request is served,
-	// net/http reads in a goroutine of its own, so only headDone may be used by both.
+	// net/http reads in another goroutine, which uses nothing else of the state of the head.
 	headDone atomic.Bool
 	// head is the head that is expected or received.
 	head head
