Calls that are being served draw on the account

Cause: the account knew a connection's fixed cost, 16 KB, and not what serving its call takes: goroutines, a connection to a server, their buffers, 55 KB of resident memory in all with garbage (1,200 calls: 89 MB, 23 without). And the calls of one tenant could fill it to the last byte.

Change: a call takes 32 KB more once its route and key are known, before its body, and is refused with 503 where there is no room. The budget is 40% of the machine's memory instead of a quarter, since it now covers what is served. Large clients use up to five eighths of it, ordinary ones of a tenant that holds more than half seven eighths: others find room. What a refused request has taken is given back before its connection lingers.

A test of the budget for the tenants.

Why it works: what the process spends on a call is taken before it is spent.

--- a/core/crowd/scripts.go
+++ b/core/crowd/scripts.go
@@ -182,6 +182,14 @@
 	}
 }
 
+// SendCalls sends ordinary requests without a body, whose answers take long.
+func (r Request) SendCalls() Script {
+	return func(client int, w io.Writer) error {
+		_, err := io.WriteString(w, r.head(fmt.Sprint("call-of-", client))+"Content-Length: 0\r\n\r\n")
+		return err
+	}
+}
+
 // Hold opens a connection and keeps it open: every second client sends nothing, the others the
 // beginning of a head.
 func (r Request) Hold() Script {
--- a/core/membudget/membudget.go
+++ b/core/membudget/membudget.go
@@ -10,9 +10,10 @@
 //     the others come to their end;
 //  3. for an ordinary request, idle connections, the longest idle first.
 //
-// A part of the budget is only for clients that hold little, so that large requests in progress,
-// which can't be evicted, leave room for ordinary ones. An address is no identity: clients are told
-// apart by what they hold and by their tenant.
+// Requests in progress can't be evicted. Therefore large ones may use five eighths of the budget, and
+// ordinary ones of a tenant that holds more than half of it seven eighths, so that there is room for
+// ordinary requests, also of other tenants. An address is no identity: clients are told apart by what
+// they hold and by their tenant.
 //
 // The package does no I/O, the clock is passed in, and it is not safe for concurrent use.
 package membudget
@@ -34,12 +35,14 @@
 	Head
 	// Body is a request body.
 	Body
+	// Call is what serving a request takes besides.
+	Call
 	// Kinds is the number of kinds.
 	Kinds
 )
 
 // String returns the name used in metrics.
-func (k Kind) String() string { return [...]string{"connection", "head", "body"}[k] }
+func (k Kind) String() string { return [...]string{"connection", "head", "body", "call"}[k] }
 
 // Phase is the state of a client's connection.
 type Phase uint8
@@ -62,15 +65,16 @@
 	Connections int
 }
 
-// LargestRequest returns the memory that a single client can have.
-func (l Limits) LargestRequest() int64 { return l.Bytes - l.Bytes/reservedShare }
+// LargestRequest returns the memory that large clients can have, and so a single one.
+func (l Limits) LargestRequest() int64 { return l.Bytes / 8 * 5 }
+
+// dominantTenant returns the memory beyond which a tenant that holds more than half gets none.
+func (l Limits) dominantTenant() int64 { return l.Bytes / 8 * 7 }
 
 const (
 	// OrdinaryBytes is what an ordinary client holds at most, with the two buffers of a body that grows.
 	// A usual body has 24 KB, the largest in use 140 KB.
 	OrdinaryBytes = 512 << 10
-	// reservedShare is the part of Limits.Bytes that only ordinary clients use.
-	reservedShare = 4
 	// slackShare is the part of Limits.Bytes that is freed beyond what is needed, if enough clients
 	// have stopped sending, so that not each request searches all clients.
 	slackShare = 16
@@ -117,8 +121,7 @@
 	held    [Kinds]int64
 	total   int64
 	tenants map[string]int64
-	// noSearch is until when there are no clients to evict for a connection, for an ordinary request
-	// and for a large one.
+	// noSearch is until when there are no clients to evict for a purpose.
 	noSearch [purposes]time.Time
 }
 
@@ -128,6 +131,8 @@
 const (
 	forConnection purpose = iota
 	forOrdinary
+	// forDominant is an ordinary request of a tenant that holds more than half.
+	forDominant
 	forLarge
 	purposes
 )
@@ -210,6 +215,7 @@
 func (b *Budget) EndRequest(now time.Time, c *Client) {
 	b.Set(c, Head, 0)
 	b.Set(c, Body, 0)
+	b.Set(c, Call, 0)
 	b.SetTenant(c, "")
 	b.SetPhase(now, c, Idle)
 }
@@ -282,8 +288,11 @@
 // client itself gives way before those that are not evicted.
 func (b *Budget) makeRoom(now time.Time, c *Client, bytes int64) (evicted []*Client, ok bool) {
 	limit, p := b.limits.Bytes, forOrdinary
-	if c.total+bytes > OrdinaryBytes {
+	switch {
+	case c.total+bytes > OrdinaryBytes:
 		limit, p = b.limits.LargestRequest(), forLarge
+	case b.tenants[c.tenant] > b.limits.Bytes/2:
+		limit, p = b.limits.dominantTenant(), forDominant
 	}
 	if b.total+bytes <= limit {
 		return nil, true
@@ -302,7 +311,7 @@
 		b.Close(next)
 		evicted = append(evicted, next)
 	}
-	if b.total+bytes > limit && p == forOrdinary {
+	if b.total+bytes > limit && p != forLarge {
 		idle := b.find(func(x *Client) bool { return x.phase == Idle })
 		slices.SortFunc(idle, func(x, y *Client) int { return x.began.Compare(y.began) })
 		evicted = b.evictUntil(idle, limit-bytes, evicted)
--- a/core/membudget/membudget_test.go
+++ b/core/membudget/membudget_test.go
@@ -92,6 +92,28 @@
 	}
 }
 
+// The calls of one tenant, each of ordinary size, must leave room for those of others.
+func TestCallsOfOneTenantLeaveRoomForOthers(t *testing.T) {
+	b, l := New(Limits{Bytes: 64 * mb, Connections: 10000}), &Listener{}
+	call := func(tenant string) bool {
+		c := open(t, b, l, t0)
+		b.SetTenant(c, tenant)
+		_, ok := b.Grow(t0, c, Call, 32<<10)
+		if !ok {
+			b.Close(c)
+			return false
+		}
+		return b.SetPhase(t0, c, Serving)
+	}
+	for call("greedy") {
+	}
+	for i := range 100 {
+		if !call("modest") {
+			t.Fatalf("call %d of another tenant was refused", i)
+		}
+	}
+}
+
 // A crowd at one listener must not shut out the others.
 func TestEachListenerHasConnections(t *testing.T) {
 	b, crowded, quiet := New(Limits{Bytes: 64 * mb, Connections: 100}), &Listener{}, &Listener{}
--- a/daemon/entry/request.go
+++ b/daemon/entry/request.go
@@ -122,8 +122,11 @@
 func newID() string { return uuid.Must(uuid.NewV7()).String() }
 
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, c *call) *callError {
+	if !inbound.Admit(r, c.customer) {
+		return notRun(http.StatusServiceUnavailable, api.ErrorRefused, "no memory for the call").withRetryAfter(inbound.RetryAfter)
+	}
 	limit := e.settings.Callers.MaxBodyBytes
-	data, err := inbound.ReadBody(w, r, inbound.BodyOptions{Max: limit, Tenant: c.customer})
+	data, err := inbound.ReadBody(w, r, inbound.BodyOptions{Max: limit})
 	var refused *inbound.RefusedError
 	switch {
 	case errors.As(err, &refused) && refused.Reason == inbound.ReasonBody:
--- a/daemon/inbound/body.go
+++ b/daemon/inbound/body.go
@@ -52,8 +52,6 @@
 	Max int64
 	// Deadline is when the body must have arrived; zero for bodyTimeout from now.
 	Deadline time.Time
-	// Tenant is who sends the request, "" if that is not known.
-	Tenant string
 }
 
 // Handler wraps the handler of a listener of the guard.
@@ -80,6 +78,27 @@
 	return !c.wasEvicted()
 }
 
+// Admit takes the memory for serving a call of a tenant, "" for none, until its request ends. Without
+// memory ok is false, and the call must be refused. Further calls of Admit for the request only change
+// the tenant.
+func Admit(r *http.Request, tenant string) (ok bool) {
+	c := fromContext(r.Context())
+	if c == nil {
+		return true
+	}
+	c.admitted = c.listener.guard.decide(func(b *membudget.Budget) ([]*membudget.Client, bool) {
+		b.SetTenant(&c.client, tenant)
+		if c.admitted {
+			return nil, true
+		}
+		return b.Grow(time.Now(), &c.client, membudget.Call, callBytes)
+	})
+	if !c.admitted {
+		c.listener.guard.refuse(c.listener.name, ReasonMemory)
+	}
+	return c.admitted
+}
+
 // ReadBody reads the body of a request that came in through a listener of a guard, or from elsewhere.
 // The error is a *RefusedError, whose answer closes the connection, or means that the client has left.
 func ReadBody(w http.ResponseWriter, r *http.Request, o BodyOptions) ([]byte, error) {
@@ -91,7 +110,6 @@
 	}
 	b := &bodyReader{conn: fromContext(r.Context()), request: r, options: o}
 	if b.conn != nil {
-		b.conn.listener.guard.update(func(x *membudget.Budget) { x.SetTenant(&b.conn.client, o.Tenant) })
 		_ = b.conn.SetReadDeadline(o.Deadline) // fails only if the connection is closed
 	}
 	err := b.read()
@@ -100,6 +118,7 @@
 	}
 	w.Header().Set("Connection", "close")
 	if b.conn != nil {
+		b.conn.releaseRequest()
 		_ = b.conn.SetReadDeadline(time.Now()) // so that net/http does not wait for the rest
 	}
 	return nil, err
--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -50,6 +50,8 @@
 	headDone atomic.Bool
 	// head is the head that is expected or received.
 	head head
+	// admitted is set while a call is served that Admit has admitted.
+	admitted bool
 	// isPeer is set if the client belongs to the system.
 	isPeer bool
 	// writeBegan is when the deadline for writing was last renewed.
@@ -86,7 +88,7 @@
 	if !ok || s != http.StateIdle {
 		return
 	}
-	c.head = head{}
+	c.head, c.admitted = head{}, false
 	c.headDone.Store(false)
 	c.listener.guard.update(func(b *membudget.Budget) { b.EndRequest(time.Now(), &c.client) })
 }
@@ -160,7 +162,11 @@
 // refuse answers a head that is not received to its end, and returns errRefused.
 func (c *Conn) refuse(status int, r Reason) error {
 	c.listener.guard.refuse(c.listener.name, r)
+	c.releaseRequest()
 	c.sendRefusal(status)
+	if r == ReasonMemory {
+		return errRefused // a connection that lingers is memory too
+	}
 	if err := c.CloseWrite(); err == nil {
 		// An error ends the discarding, as does the deadline.
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
@@ -169,6 +175,15 @@
 	return errRefused
 }
 
+// releaseRequest gives the memory of a refused request back: net/http keeps its connection for a while.
+func (c *Conn) releaseRequest() {
+	c.listener.guard.update(func(b *membudget.Budget) {
+		for _, k := range []membudget.Kind{membudget.Head, membudget.Body, membudget.Call} {
+			b.Set(&c.client, k, 0)
+		}
+	})
+}
+
 // sendRefusal sends an answer without a body. Its loss is no harm: the connection is closed.
 func (c *Conn) sendRefusal(status int) {
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", status, http.StatusText(status))
--- a/daemon/inbound/guard.go
+++ b/daemon/inbound/guard.go
@@ -17,10 +17,12 @@
 	// connectionBytes is the cost of a connection: its goroutine, its buffers, and a head and an
 	// answer of usual size.
 	connectionBytes = 16 << 10
-	// memoryShare is the part of the machine's memory that clients may make the process hold. The rest
-	// is for the process's own state, for what waits for the garbage collector, and for requests that
-	// are being served.
-	memoryShare = 4
+	// callBytes is what serving a call takes: its goroutines, its connection to a server and their
+	// buffers.
+	callBytes = 32 << 10
+	// memoryPercent is the part of the machine's memory that clients may make the process hold. The
+	// rest is for the process's own state and for what waits for the garbage collector.
+	memoryPercent = 40
 	// descriptorShare is the part of the process's descriptors that clients' connections may use.
 	// The rest is for connections to servers and other instances, and for files.
 	descriptorShare = 2
@@ -66,7 +68,7 @@
 
 // New returns a guard for a process with a number of bytes and descriptors.
 func New(memory int64, descriptors int) *Guard {
-	return &Guard{budget: membudget.New(membudget.Limits{Bytes: memory / memoryShare, Connections: descriptors / descriptorShare}), logged: map[logKey]*logState{}}
+	return &Guard{budget: membudget.New(membudget.Limits{Bytes: memory / 100 * memoryPercent, Connections: descriptors / descriptorShare}), logged: map[logKey]*logState{}}
 }
 
 // Held returns the bytes that clients hold of a kind.
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -177,7 +177,7 @@
 // come back, as soon as another one needs its memory.
 func TestStalledBodyGivesWay(t *testing.T) {
 	const size = 1 << 20
-	s := serve(t, memoryShare*4*size, 1000, HeadLimits{}, BodyOptions{Max: size})
+	s := serve(t, 100*5*size/memoryPercent, 1000, HeadLimits{}, BodyOptions{Max: size})
 	for i := range 2 {
 		c := s.dial(t)
 		c.send(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", post, size, strings.Repeat("x", size-1)))
@@ -237,7 +237,7 @@
 // The memory for a head is taken before it is parsed, and given back with the end of its request.
 func TestHeadsDrawOnTheBudget(t *testing.T) {
 	const heads = 20
-	s := serve(t, memoryShare*6<<20, 1000, HeadLimits{}, BodyOptions{Max: 100})
+	s := serve(t, 100*6<<20/memoryPercent, 1000, HeadLimits{}, BodyOptions{Max: 100})
 	var clients []*client
 	for range heads {
 		c := s.dial(t)
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -284,7 +284,7 @@
 	}
 	// What is refused anyway is refused before its body is taken.
 	before := c.router.warmTable()
-	if before != nil && !c.findRoute(before) {
+	if before != nil && !(c.findRoute(before) && c.admitToMemory()) {
 		return false
 	}
 	if !c.readBody() {
@@ -303,7 +303,7 @@
 		c.respondError(http.StatusRequestEntityTooLarge, "body is too large", 0)
 		return false
 	}
-	if table != before && !c.findRoute(table) {
+	if table != before && !(c.findRoute(table) && c.admitToMemory()) {
 		return false
 	}
 	if stopAt := c.router.shutdownDeadline(); !stopAt.IsZero() && time.Now().Add(c.route.Timeout).After(stopAt) {
@@ -354,13 +354,25 @@
 	return req.Host
 }
 
+// admitToMemory takes the memory for serving the call. If there is none, it sends the final answer and
+// returns false.
+func (c *call) admitToMemory() bool {
+	var tenant string
+	if c.customer != nil {
+		tenant = c.customer.Name
+	}
+	if inbound.Admit(c.req, tenant) {
+		return true
+	}
+	c.w.Header().Set("Connection", "close")
+	c.respondError(http.StatusServiceUnavailable, "no memory for the call", inbound.RetryAfter)
+	return false
+}
+
 // readBody reads the call's body within its deadline. If that fails, it sends the final answer and
 // returns false.
 func (c *call) readBody() bool {
 	o := inbound.BodyOptions{Max: c.router.bodyLimit()}
-	if c.customer != nil {
-		o.Tenant = c.customer.Name
-	}
 	if c.route != nil {
 		o.Deadline = c.latestEnd()
 	}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -54,7 +54,7 @@
 
 // Machine describes what the machine gives this process.
 type Machine struct {
-	// MemoryMB is the memory in MB (2^20 bytes) beyond which the process is ended. A quarter of it is
+	// MemoryMB is the memory in MB (2^20 bytes) beyond which the process is ended. 40% of it are
 	// for what clients make the process hold. Default: GOMEMLIMIT, or else the machine's memory.
 	MemoryMB Text `toml:"memory_mb"`
 	// MaxDescriptors is the number of files and connections that the process may have open, of which
