Read once more: one release of a request's memory, one form of a refusal

Budget.EndRequest and Conn.releaseRequest listed the same kinds, the guard's handler wrote a refusal of its own beside Respond, Retry-After was formatted in three places, Listener.Open was used by nobody; comments in the field's terms. The evicted request's 503 has the same text as the others now; statuses and headers are as before. Run: vet, staticcheck, daemon/inbound and core/membudget with the race detector.

--- a/core/membudget/membudget.go
+++ b/core/membudget/membudget.go
@@ -12,8 +12,8 @@
 //
 // Requests in progress can't be evicted. Therefore large ones may use five eighths of the budget, and
 // ordinary ones of a tenant that holds more than half of it seven eighths, so that there is room for
-// ordinary requests, also of other tenants. An address is no identity: clients are told apart by what
-// they hold and by their tenant.
+// ordinary requests, also of other tenants. Clients are distinguished by what they hold
+// and by their tenant, not by their address.
 //
 // The package does no I/O, the clock is passed in, and it is not safe for concurrent use.
 package membudget
@@ -92,9 +92,6 @@
 // Listener counts the connections of one listener.
 type Listener struct{ open int }
 
-// Open returns the number of open connections.
-func (l *Listener) Open() int { return l.open }
-
 // Client is a connection of a client. Only its exported fields are set before it is passed to Open.
 type Client struct {
 	Listener *Listener
@@ -211,11 +208,16 @@
 	return true
 }
 
-// EndRequest releases what a client's request holds. The connection is idle then.
-func (b *Budget) EndRequest(now time.Time, c *Client) {
+// ReleaseRequest releases what a client's request holds.
+func (b *Budget) ReleaseRequest(c *Client) {
 	b.Set(c, Head, 0)
 	b.Set(c, Body, 0)
 	b.Set(c, Call, 0)
+}
+
+// EndRequest releases what a client's request holds. The connection is idle then.
+func (b *Budget) EndRequest(now time.Time, c *Client) {
+	b.ReleaseRequest(c)
 	b.SetTenant(c, "")
 	b.SetPhase(now, c, Idle)
 }
--- a/ctl/internal/clients/clients_test.go
+++ b/ctl/internal/clients/clients_test.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// machineMemory is the memory of the instance's machine in bytes, which the process is told
+	// machineMemory is the memory of the instance's machine in bytes, which the process gets
 	// as GOMEMLIMIT.
 	machineMemory = 96 << 20
 	// maxDescriptors is the limit on open files of the instance, of which spareDescriptors must
--- a/daemon/inbound/body.go
+++ b/daemon/inbound/body.go
@@ -58,9 +58,8 @@
 func (g *Guard) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := fromContext(r.Context()); c != nil && !c.beginRequest(r) {
-			w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter.Seconds())))
 			w.Header().Set("Connection", "close")
-			w.WriteHeader(http.StatusServiceUnavailable)
+			Respond(w, &RefusedError{Status: http.StatusServiceUnavailable, Reason: ReasonEvicted, RetryAfter: RetryAfter})
 			return
 		}
 		h.ServeHTTP(w, r)
@@ -129,7 +128,7 @@
 	request *http.Request
 	options BodyOptions
 	data    []byte
-	// sinceProgress counts the bytes since the budget was told of progress.
+	// sinceProgress counts the bytes since progress was last recorded in the budget.
 	sinceProgress int
 }
 
@@ -243,7 +242,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	if refused.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(refused.RetryAfter.Seconds())))
+		w.Header().Set("Retry-After", seconds(refused.RetryAfter))
 	}
 	http.Error(w, refused.Error(), refused.Status)
 }
+
+// seconds formats a duration for Retry-After.
+func seconds(d time.Duration) string { return strconv.Itoa(int(d.Seconds())) }
--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -19,8 +19,8 @@
 	// headSlack is allowed beyond the largest head: as in net/http, since the limit is on header
 	// lines, and the request line may come on top.
 	headSlack = 4 << 10
-	// timeoutSlack is added to the times that clients are told to keep to, for a process that is
-	// suspended or overloaded meanwhile.
+	// timeoutSlack is added to the declared timeouts, for a process that is suspended or overloaded
+	// meanwhile.
 	timeoutSlack = 5 * time.Second
 	// A refused client gets lingerTime to stop sending, of which up to lingerBytes are discarded: a
 	// connection that is closed with unread bytes is reset, and the client loses the refusal.
@@ -177,18 +177,14 @@
 
 // releaseRequest gives the memory of a refused request back: net/http keeps its connection for a while.
 func (c *Conn) releaseRequest() {
-	c.listener.guard.update(func(b *membudget.Budget) {
-		for _, k := range []membudget.Kind{membudget.Head, membudget.Body, membudget.Call} {
-			b.Set(&c.client, k, 0)
-		}
-	})
+	c.listener.guard.update(func(b *membudget.Budget) { b.ReleaseRequest(&c.client) })
 }
 
 // sendRefusal sends an answer without a body. Its loss is no harm: the connection is closed.
 func (c *Conn) sendRefusal(status int) {
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", status, http.StatusText(status))
 	if status == http.StatusServiceUnavailable {
-		answer += fmt.Sprintf("Retry-After: %d\r\n", int(RetryAfter.Seconds()))
+		answer += "Retry-After: " + seconds(RetryAfter) + "\r\n"
 	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	_, _ = io.WriteString(c.Conn, answer+"\r\n")
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// A client that stops just short of the end of its body is told so at its deadline.
+// A client that stops just short of the end of its body gets 408 at its deadline.
 func TestBodyThatStopsIsRefusedAtTheDeadline(t *testing.T) {
 	s := serve(t, 64<<20, 1000, HeadLimits{}, BodyOptions{Max: 1 << 20, Deadline: time.Now().Add(200 * time.Millisecond)})
 	c := s.dial(t)
