The time for a head begins with its first byte, on a new connection too

What was seen: an unfinished head on a new connection was closed after the idle time, or after 2 minutes where none is declared, not after the declared time for a head (before the account: 10 s), as docs/REFERENCE.md says.

Cause: net/http sets the deadline of a first head at accept, when the guard takes the connection for idle, and sets none when its bytes arrive.

Change: the guard sets it with the first byte of a head that is not whole.

The test server's own timeouts are longer now, so that only the guard's can close.

--- a/daemon/inbound/conn.go
+++ b/daemon/inbound/conn.go
@@ -144,10 +144,16 @@
 	first := c.head.bytes == 0
 	c.head.add(p)
 	c.headDone.Store(c.head.complete)
-	if first && !c.head.complete && !c.listener.guard.setPhase(c, membudget.Receiving) {
-		return errRefused
+	limits := c.listener.limits()
+	if first && !c.head.complete {
+		if !c.listener.guard.setPhase(c, membudget.Receiving) {
+			return errRefused
+		}
+		if limits.Timeout > 0 { // net/http sets no deadline between accepting and the end of the head
+			_ = c.SetReadDeadline(time.Now().Add(limits.Timeout + timeoutSlack)) // fails only if the connection is closed
+		}
 	}
-	if limit := c.listener.limits().MaxBytes; limit > 0 && c.head.bytes > limit+headSlack {
+	if limits.MaxBytes > 0 && c.head.bytes > limits.MaxBytes+headSlack {
 		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, ReasonHead)
 	}
 	if missing := c.head.missing(); missing > 0 {
--- a/daemon/inbound/inbound_test.go
+++ b/daemon/inbound/inbound_test.go
@@ -53,7 +53,7 @@
 		}
 		fmt.Fprint(w, len(body))
 	}
-	h := &http.Server{Handler: s.guard.Handler(http.HandlerFunc(handler)), ConnContext: ConnContext, ConnState: ConnState, ReadHeaderTimeout: waitTimeout, IdleTimeout: waitTimeout}
+	h := &http.Server{Handler: s.guard.Handler(http.HandlerFunc(handler)), ConnContext: ConnContext, ConnState: ConnState, ReadHeaderTimeout: 2 * waitTimeout, IdleTimeout: 2 * waitTimeout}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = h.Serve(l) }()
 	t.Cleanup(func() { _ = h.Close(); <-done })
@@ -265,6 +265,16 @@
 	}
 }
 
+// The declared time for a head begins with its first byte, on a new connection too.
+func TestHeadTimeoutOfTheLimits(t *testing.T) {
+	s := serve(t, 64<<20, 1000, HeadLimits{Timeout: 10 * time.Millisecond}, BodyOptions{Max: 100})
+	c := s.dial(t)
+	c.send(t, post)
+	if _, err := c.answers.ReadByte(); err != io.EOF {
+		t.Errorf("the connection with an unfinished head: %v", err)
+	}
+}
+
 // A crowd of silent connections must not keep others out.
 func TestSilentConnectionsGiveWay(t *testing.T) {
 	const descriptors = 80
