Tests of misbehaving clients share their bounds and their watch of a process

Both packages had the same machine, descriptors and timeouts, and each its own check of memory and descriptors. core/crowd has them once; bounds and assertions are unchanged.

--- a/ctl/internal/clients/clients_test.go
+++ b/ctl/internal/clients/clients_test.go
@@ -14,24 +14,11 @@
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/bundle"
 	"cardamomwick.example/core/crowd"
-	"cardamomwick.example/core/procstat"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/ctl/harness"
 )
 
 const (
-	// machineMemory is the memory of the instance's machine in bytes, which the process gets
-	// as GOMEMLIMIT.
-	machineMemory = 96 << 20
-	// maxDescriptors is the limit on open files of the instance, of which spareDescriptors must
-	// stay free for its own work.
-	maxDescriptors   = 400
-	spareDescriptors = 32
-	// answerTimeout only ends a test whose ordinary request is never answered, and sendTimeout the
-	// wait for clients whose connections are neither read nor closed.
-	answerTimeout = 30 * time.Second
-	sendTimeout   = 15 * time.Second
-
 	headClients = 500
 	openClients = 1000
 	// unfinishedHeadBytes is just under the largest head that is read.
@@ -52,7 +39,7 @@
 func start(t *testing.T, descriptors int) *instance {
 	t.Helper()
 	os.Getenv("CARDAMOMWICK_PROGRAMS") // makes the test cache depend on the programs
-	t.Setenv("GOMEMLIMIT", strconv.Itoa(machineMemory))
+	t.Setenv("GOMEMLIMIT", strconv.Itoa(crowd.MachineMemory))
 	bin, err := filepath.Abs("../../../bin")
 	if err != nil {
 		t.Fatal(err)
@@ -90,7 +77,7 @@
 
 func (in *instance) await(t *testing.T, what string, answered func() bool) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(in.ctx, answerTimeout)
+	ctx, cancel := context.WithTimeout(in.ctx, crowd.AnswerTimeout)
 	defer cancel()
 	if err := harness.WaitFor(ctx, what+" is answered", answered); err != nil {
 		t.Error(err)
@@ -112,24 +99,16 @@
 // meanwhile and that its process has lived within its bounds.
 func (in *instance) withstand(t *testing.T, clients int, s crowd.Script) {
 	t.Helper()
-	pid := in.Instances[0].PID()
-	descriptors := procstat.WatchDescriptors(pid)
+	watch := crowd.WatchProcess(in.Instances[0].PID(), in.MaxDescriptors)
 	c := crowd.Start(in.Instances[0].CallerAddress, clients, s)
 	defer c.Stop()
-	c.AwaitFirst(sendTimeout)
+	c.AwaitFirst(crowd.SendTimeout)
 	in.await(t, "an ordinary request", in.listsAddresses)
 	in.awaitPublished(t)
-	most := descriptors()
-	peak, err := procstat.PeakMemory(pid)
-	if err != nil {
-		t.Fatalf("the instance has ended: %v", err)
-	}
-	t.Logf("%d MB and %d descriptors at most", peak>>20, most)
-	if peak > machineMemory {
-		t.Errorf("the instance has used %d MB; its machine has %d MB", peak>>20, machineMemory>>20)
-	}
-	if in.MaxDescriptors > 0 && most > in.MaxDescriptors-spareDescriptors {
-		t.Errorf("the instance had %d of %d descriptors open", most, in.MaxDescriptors)
+	peaks, errs := watch.Check()
+	t.Log(peaks)
+	for _, err := range errs {
+		t.Error(err)
 	}
 }
 
@@ -153,7 +132,7 @@
 }
 
 func TestOwnInterfaceHeldOpen(t *testing.T) {
-	in := start(t, maxDescriptors)
+	in := start(t, crowd.MaxDescriptors)
 	in.withstand(t, openClients, chat(in).Hold())
 }
 
