An answer with an invalid status is broken

What callers saw: a server's answer with the status 000, followed by other bytes, came as a 200 with those bytes; 600 and 999 were passed on. On the own interface 000, 099 and 999 were taken as answers; an entry that passes 000 on panics in net/http and breaks its connection.

Cause: each reader had its own idea of a status, or none. The client of routed calls skipped every status below 200 as informational, also 000 to 099, and 101, after which the connection carries another protocol, and read the next bytes as the answer. net/http's client takes any three digits, "+20" among them. The head of a relayed answer was not checked at all.

Change: core/httpresponse decides what a valid head is, on the bytes as they came: version, three digits, 100 to 599 without 101, no control bytes in the reason phrase. It is applied by the client of routed calls, by the client of relayed calls, and by the default client of both programs (core/httpbound: own interface, provider, orders to engines, cardamomctl), which checks the bytes before net/http parses them. A malformed answer fails its attempt like a connection that breaks: it may have run, the same retries, health and quarantine, the connection is closed. The cause in the metrics is "malformed", a log line quotes 64 bytes. RFC 9110, 15 lets a client treat an invalid status as a server error; a failed attempt is that.

--- a/cmd/cardamomctl/main.go
+++ b/cmd/cardamomctl/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	logx.Disable()
-	httpbound.BoundHeads()
+	httpbound.BoundDefault()
 	if err := commands.New().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(commands.ExitFailed)
--- a/cmd/cardamomwickd/main.go
+++ b/cmd/cardamomwickd/main.go
@@ -33,7 +33,7 @@
 )
 
 func main() {
-	httpbound.BoundHeads()
+	httpbound.BoundDefault()
 	cmd := &cli.Command{
 		Name:  "cardamomwickd",
 		Usage: "route language-model traffic by service levels and priorities",
--- a/core/httpbound/httpbound.go
+++ b/core/httpbound/httpbound.go
@@ -1,15 +1,64 @@
-// Package httpbound bounds what net/http's default client accepts from a server in trouble.
+// Package httpbound bounds what net/http's default client accepts from a server in trouble: only
+// valid responses, with heads of a limited size.
 package httpbound
 
-import "net/http"
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
 
 // MaxHeadBytes bounds the head of an answer.
 const MaxHeadBytes = 64 << 10
 
-// BoundHeads applies MaxHeadBytes to the default transport, whose own bound is 10 MiB for each
-// answer. Call it before the first request.
-func BoundHeads() {
+// BoundDefault applies the bounds to the default transport, whose own bound on a head is 10 MiB. Call
+// it before the first request.
+func BoundDefault() {
 	if t, ok := http.DefaultTransport.(*http.Transport); ok {
-		t.MaxResponseHeaderBytes = MaxHeadBytes
+		http.DefaultTransport = NewTransport(t)
 	}
 }
+
+// Transport is an http.RoundTripper that applies the bounds. A response that is not valid fails its
+// request with an *httpresponse.Error.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a transport with the settings of another one, which it does not change.
+func NewTransport(settings *http.Transport) *Transport {
+	base := settings.Clone()
+	base.MaxResponseHeaderBytes = MaxHeadBytes
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &Transport{base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.expectHead()
+			used.Store(c)
+		}
+	}}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if c := used.Load(); c != nil && err != nil {
+		err = cmp.Or(c.invalidHead(), err)
+	}
+	return resp, err
+}
+
+// CloseIdleConnections closes the connections that carry no request; http.Client calls it.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/ctl/caller/caller.go
+++ b/ctl/caller/caller.go
@@ -27,15 +27,13 @@
 )
 
 // ConfigureTransport replaces http.DefaultTransport by one that keeps many idle
-// connections per host. Call it once, before the first call.
+// connections per host and accepts only valid responses. Call it once, before the first call.
 func ConfigureTransport() {
-	http.DefaultTransport = &http.Transport{
+	http.DefaultTransport = httpbound.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4096,
 		IdleConnTimeout:     30 * time.Second,
-
-		MaxResponseHeaderBytes: httpbound.MaxHeadBytes,
-	}
+	})
 }
 
 // NewIdempotencyKey returns a new idempotency key.
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -35,17 +35,15 @@
 )
 
 // ConfigureTransport replaces http.DefaultTransport of the process by one that keeps enough
-// idle connections per server. Call it once at start.
+// idle connections per server and accepts only valid responses. Call it once at start.
 func ConfigureTransport() {
-	http.DefaultTransport = &http.Transport{
+	http.DefaultTransport = httpbound.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: idlePerServer,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: httpbound.MaxHeadBytes,
-	}
+	})
 }
 
 // Target is one attempt of one call at one server.
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -170,15 +170,23 @@
 	if !s.claimant.Holds(boottime.Now()) {
 		return eris.New("the order lease has expired")
 	}
+	if err := deliver(req, o.Server); err != nil {
+		return err
+	}
+	s.planner.OrderSent(time.Now(), o)
+	log.WithFields(log.Fields{"step": "order engine", "peer": o.Server, "fence": o.Fence, "version": o.Version}).Info("engine ordered")
+	return nil
+}
+
+// deliver sends the request of an order to a server.
+func deliver(req *http.Request, server string) error {
 	resp, err := httpc.DoRequest(req)
 	if err != nil {
-		return eris.Wrapf(err, "order engine %s", o.Server)
+		return eris.Wrapf(err, "order engine %s", server)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("engine %s answered %d", o.Server, resp.StatusCode)
+		return eris.Errorf("engine %s answered %d", server, resp.StatusCode)
 	}
-	s.planner.OrderSent(time.Now(), o)
-	log.WithFields(log.Fields{"step": "order engine", "peer": o.Server, "fence": o.Fence, "version": o.Version}).Info("engine ordered")
 	return nil
 }
--- a/daemon/provider/provider.go
+++ b/daemon/provider/provider.go
@@ -108,6 +108,11 @@
 	if !t.BeginSend() {
 		return Unreachable
 	}
+	return deliver(req)
+}
+
+// deliver sends a call and returns its outcome.
+func deliver(req *http.Request) Outcome {
 	resp, err := httpc.DoRequest(req)
 	if err != nil {
 		var op *net.OpError
--- a/daemon/relay/client.go
+++ b/daemon/relay/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cardamomwick.example/core/httpresponse"
 	"cardamomwick.example/core/relay"
 	"cardamomwick.example/daemon/frame"
 )
@@ -177,6 +178,9 @@
 	if err := m.Decode(&h); err != nil {
 		return nil, lost(err)
 	}
+	if err := httpresponse.CheckFinal(h.Status); err != nil {
+		return nil, lost(err)
+	}
 	return &Answer{Status: h.Status, Header: h.Header, client: c, stream: s}, nil
 }
 
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -248,3 +248,16 @@
 	}
 	a.Close()
 }
+
+// Guards against a peer, of this build or another one, that passes on an invalid status.
+func TestHeadWithInvalidStatusLosesTheCall(t *testing.T) {
+	for _, status := range []int{-1, 99, 100, 101, 199, 600, 999} {
+		c, peer, _, _ := pair(t, &handler{serve: func(w http.ResponseWriter, _ *http.Request) *relay.Decline {
+			w.WriteHeader(status)
+			return nil
+		}})
+		if a, err := send(c, context.Background(), peer, "x"); !errors.Is(err, ErrLost) {
+			t.Errorf("status %d: answer %v, error %v", status, a, err)
+		}
+	}
+}
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -167,7 +167,7 @@
 		return callerGone
 	}
 	c.last = &upstream.Error{MayHaveRun: true, Reached: true, Step: "read answer", Server: s.ID, Err: err}
-	c.router.opt.Metrics.AttemptFailed(c.last.Step, c.last.Cause())
+	c.countFailure(c.last)
 	c.reportBroken(ctx, s, c.last)
 	if time.Now().Before(c.deadline) && c.req.Context().Err() == nil {
 		c.router.recordFailure(s.ID, false)
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -327,7 +327,7 @@
 		e = &upstream.Error{MayHaveRun: true, Step: "send", Server: s.ID, Err: err}
 	}
 	c.last = e
-	c.router.opt.Metrics.AttemptFailed(e.Step, e.Cause())
+	c.countFailure(e)
 	c.reportBroken(ctx, s, e)
 	callerLeft := c.req.Context().Err() != nil
 	inTime := time.Now().Before(c.deadline)
--- a/daemon/router/calllog.go
+++ b/daemon/router/calllog.go
@@ -11,6 +11,7 @@
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/telemetry"
+	"cardamomwick.example/daemon/upstream"
 )
 
 func (c *call) logFailure(status int, reason string) {
@@ -37,6 +38,14 @@
 	c.count(status, reason, 0)
 }
 
+// countFailure counts a failed attempt, and logs a malformed answer.
+func (c *call) countFailure(e *upstream.Error) {
+	c.router.opt.Metrics.AttemptFailed(e.Step, e.Cause())
+	if e.Malformed() {
+		c.logEntry().WithError(e.Err).WithFields(log.Fields{"step": e.Step, "server": e.Server}).Warn("server sent a malformed answer")
+	}
+}
+
 // logAnswer logs and counts a call that a server has answered.
 func (c *call) logAnswer(s fleet.Server, status int) {
 	first := time.Since(c.arrived)
--- /dev/null
+++ b/daemon/router/malformed_test.go
@@ -0,0 +1,144 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/daemon/internal/testserver"
+)
+
+// routeKinds are paths of all kinds of routes, with the attempts that a call may make.
+var routeKinds = map[string]int64{"/once/x": 1, "/safe/x": 3, "/stream/x": 3, "/chat/x": 1}
+
+// rawServer answers each call with given bytes and keeps its connections open.
+type rawServer struct {
+	// calls is the number of calls, reused that of those on a connection that had carried one before.
+	calls, reused atomic.Int64
+}
+
+// newRawHarness returns a router in front of servers that answer with the bytes that answer returns.
+func newRawHarness(t *testing.T, servers int, answer func(call string) string) (*harness, *rawServer) {
+	t.Helper()
+	w, s := newHarness(t), &rawServer{}
+	for i := range servers {
+		address := testserver.Start(t, func(conn net.Conn, requests *bufio.Reader) {
+			s.serve(conn, requests, answer)
+		})
+		w.fleet = append(w.fleet, fleet.Server{ID: fmt.Sprintf("s%d", i), Pool: "p", Address: address, Slots: 6, Software: "v1"})
+	}
+	w.router.SetFleet(w.fleet)
+	return w, s
+}
+
+func (s *rawServer) serve(conn net.Conn, requests *bufio.Reader, answer func(call string) string) {
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		s.calls.Add(1)
+		if n > 0 {
+			s.reused.Add(1)
+		}
+		if _, err := io.WriteString(conn, answer(req.Header.Get("Call"))); err != nil {
+			return
+		}
+	}
+}
+
+// expectBroken makes a call of each kind of route to servers with this answer. It must end like
+// one whose connection breaks, and no connection may be used again.
+func expectBroken(t *testing.T, answer func(call string) string) {
+	t.Helper()
+	for path, attempts := range routeKinds {
+		w, s := newRawHarness(t, 3, answer)
+		got := w.call(path)
+		if got.err != nil || got.status != http.StatusBadGateway || s.calls.Load() != attempts {
+			t.Errorf("%s: %q is passed on as %d %q, %v, after %d attempts; want 502 after %d", path, answer("c1"), got.status, got.body, got.err, s.calls.Load(), attempts)
+		}
+		w.call(path)
+		if n := s.reused.Load(); n > 0 {
+			t.Errorf("%s: %d connections were used again after %q", path, n, answer("c1"))
+		}
+	}
+}
+
+// answerWith returns an answer that is valid with the status line "HTTP/1.1 200 OK".
+func answerWith(statusLine string, lines ...string) func(call string) string {
+	return func(call string) string {
+		head := append([]string{statusLine, "Call: " + call, "Signature: s"}, lines...)
+		return strings.Join(append(head, "", ""), "\r\n")
+	}
+}
+
+// Guards against an answer with an invalid status that is passed on, or skipped for the bytes that
+// follow it.
+func TestAnswerWithInvalidStatusIsBroken(t *testing.T) {
+	followed := answerWith("HTTP/1.1 200 OK", "Content-Length: 2")
+	for _, line := range []string{"HTTP/1.1 000 Trouble", "HTTP/1.1 000", "HTTP/1.1 001 X", "HTTP/1.1 020 X", "HTTP/1.1 099 X", "HTTP/1.1 101 Switching Protocols",
+		"HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2x0 OK", "HTTP/2.0 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK"} {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			body := answerWith(line, "Content-Length: 2")
+			expectBroken(t, func(call string) string { return body(call) + "ok" })
+			expectBroken(t, func(call string) string { return body(call) + followed(call) + "ok" })
+			expectBroken(t, answerWith(line, "Content-Length: 0"))
+			expectBroken(t, func(call string) string { return line + "\r\n\r\n" + followed(call) + "ok" })
+		})
+	}
+}
+
+// Guards against the refusal of answers that are unusual, but valid.
+func TestUnusualAnswersArePassedOn(t *testing.T) {
+	const body = "id: 1\ndata: x\n\n"
+	length := fmt.Sprint("Content-Length: ", len(body))
+	whole := func(head func(string) string) func(string) string {
+		return func(call string) string { return head(call) + body }
+	}
+	ok := answerWith("HTTP/1.1 200 OK", length)
+	for name, answer := range map[string]func(string) string{
+		"no reason phrase":          whole(answerWith("HTTP/1.1 200 ", length)),
+		"no space after the status": whole(answerWith("HTTP/1.1 200", length)),
+		"bytes above 0x7f":          whole(answerWith("HTTP/1.1 200 \xe9\tt\xe9", length)),
+		"two spaces":                whole(answerWith("HTTP/1.1  200 OK", length)),
+		"newer minor version":       whole(answerWith("HTTP/1.2 200 OK", length)),
+		"bare newlines":             func(call string) string { return strings.ReplaceAll(ok(call), "\r\n", "\n") + body },
+		"informational answers": func(call string) string {
+			return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nLink: x\r\n\r\n" + ok(call) + body
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for path := range routeKinds {
+				w, _ := newRawHarness(t, 1, answer)
+				if got := w.call(path); got.err != nil || got.status != http.StatusOK || got.body != body {
+					t.Errorf("%s: %q is passed on as %d %q, %v", path, answer("c1"), got.status, got.body, got.err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against broken answers that operators can't tell from broken connections.
+func TestBrokenAnswerHasACauseOfItsOwn(t *testing.T) {
+	w, _ := newRawHarness(t, 1, answerWith("HTTP/1.1 000 Trouble", "Content-Length: 0"))
+	w.call("/once/x")
+	var text strings.Builder
+	w.router.opt.Metrics.Write(&text)
+	if !slices.ContainsFunc(strings.Split(text.String(), "\n"), func(line string) bool {
+		return strings.HasPrefix(line, "cardamomwick_attempt_failures_total") && strings.Contains(line, `cause="malformed"`)
+	}) {
+		t.Error("no failure with the cause malformed is counted")
+	}
+}
--- a/daemon/router/request.go
+++ b/daemon/router/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/httpresponse"
 	core "cardamomwick.example/core/quarantine"
 	"cardamomwick.example/daemon/quarantine"
 	"cardamomwick.example/daemon/upstream"
@@ -157,9 +158,13 @@
 	return held
 }
 
-// isConnectionError reports whether an attempt failed because its connection broke, and
-// not because of an unusable answer.
+// isConnectionError reports whether an attempt failed because its connection broke, or can't be used
+// any more after a malformed answer, and not because of an answer that is unusable for this call.
 func isConnectionError(err error) bool {
+	var malformed *httpresponse.Error
+	if errors.As(err, &malformed) {
+		return true
+	}
 	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, broken) {
 			return true
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -108,7 +108,7 @@
 		}
 		if err != nil {
 			c.last = &upstream.Error{MayHaveRun: true, Reached: true, Step: "read stream", Server: s.ID, Err: err}
-			c.router.opt.Metrics.AttemptFailed(c.last.Step, c.last.Cause())
+			c.countFailure(c.last)
 			c.reportBroken(ctx, s, c.last)
 			if !first && errors.Is(context.Cause(ctx), errServerRestarted) {
 				c.checkOrigin(s.Start())
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
+
+	"cardamomwick.example/core/httpresponse"
 )
 
 // Timing of connections.
@@ -56,38 +59,81 @@
 	// headBytes is how many more bytes of heads may be read; it applies while readingHead is set.
 	headBytes   int
 	readingHead bool
+	// head collects what is read while readingHead is set.
+	head []byte
+	// readErr is the error that ended reading. It is nil as long as only the bytes that were read can
+	// be the cause of a failure.
+	readErr error
 }
 
 // Read implements io.Reader for the buffered reader.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.readingHead {
-		return c.Conn.Read(p)
+		return c.readNetwork(p)
 	}
 	if c.headBytes <= 0 {
+		c.readErr = errHeadTooLong
 		return 0, errHeadTooLong
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headBytes)])
+	n, err := c.readNetwork(p[:min(len(p), c.headBytes)])
 	c.headBytes -= n
+	c.head = append(c.head, p[:n]...)
+	return n, err
+}
+
+func (c *conn) readNetwork(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readErr = err
+	}
 	return n, err
 }
 
-// readResponse reads a head. It waits for the first byte for as long as the connection is open.
+// readResponse reads a valid head. It waits for the first byte for as long as the connection is open.
 func (c *conn) readResponse(method string) (*http.Response, error) {
-	c.readingHead = true
-	defer func() { c.readingHead = false }()
+	begin, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head, c.readingHead = bytes.Clone(begin), true
+	defer func() { c.head, c.readingHead = nil, false }()
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
 	if err := c.SetReadDeadline(time.Now().Add(maxHeadTime)); err != nil {
 		return nil, err
 	}
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	resp, err := c.parseHead(method)
 	if err != nil {
 		return nil, err
 	}
 	return resp, c.SetReadDeadline(time.Time{})
 }
 
+// parseHead parses a head and checks its bytes, since http.ReadResponse accepts, repairs and drops
+// invalid ones.
+func (c *conn) parseHead(method string) (*http.Response, error) {
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.readErr != nil {
+		return nil, err
+	}
+	if _, err := httpresponse.CheckHead(c.head[:len(c.head)-c.reader.Buffered()]); err != nil {
+		return nil, err
+	}
+	if err != nil {
+		return nil, httpresponse.Unreadable(err)
+	}
+	return resp, nil
+}
+
+// bodyError returns the error for a body that could not be read, given that of its reader.
+func (c *conn) bodyError(err error) error {
+	if c.readErr != nil {
+		return err
+	}
+	return httpresponse.Unreadable(err)
+}
+
 // drain reads a body to its end. It returns an error if the body is long or does not end soon.
 func (c *conn) drain(body io.Reader) error {
 	if err := c.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
@@ -96,7 +142,7 @@
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDrainBytes+1))
 	switch {
 	case err != nil:
-		return err
+		return c.bodyError(err)
 	case n > maxDrainBytes:
 		return errBodyTooLong
 	}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"cardamomwick.example/core/httpresponse"
 )
 
 // Request is one attempt of one call.
@@ -67,11 +69,13 @@
 // Unwrap returns the wrapped error.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Cause classifies the error for metrics: timeout, refused, reset, closed, cancelled,
+// Cause classifies the error for metrics: malformed, timeout, refused, reset, closed, cancelled,
 // connections (none is free) or other.
 func (e *Error) Cause() string {
 	var timeout interface{ Timeout() bool }
 	switch {
+	case e.Malformed():
+		return "malformed"
 	case errors.Is(e.Err, ErrConnections):
 		return "connections"
 	case errors.Is(e.Err, syscall.ECONNREFUSED):
@@ -88,6 +92,12 @@
 	return "other"
 }
 
+// Malformed reports whether the server sent something that is no valid answer.
+func (e *Error) Malformed() bool {
+	var malformed *httpresponse.Error
+	return errors.As(e.Err, &malformed)
+}
+
 // Causes of an *Error.
 var (
 	// ErrConnections means that this instance's share of the server's connections is in use.
@@ -282,7 +292,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if raw.StatusCode < http.StatusOK {
+		if httpresponse.IsInformational(raw.StatusCode) {
 			continue
 		}
 		a := c.protocol.ParseAnswer(raw.StatusCode, raw.Header)
@@ -310,9 +320,12 @@
 
 func (w *eofReader) Read(p []byte) (int, error) {
 	n, err := w.r.Read(p)
-	if err != io.EOF || w.resp.complete {
+	if err == nil || w.resp.complete {
 		return n, err
 	}
+	if err != io.EOF {
+		return n, w.resp.conn.bodyError(err)
+	}
 	if w.resp.EndsWithConnection && !w.resp.client.isAlive(w.resp.target, w.resp.aliveCheckDelay()) {
 		return n, errServerEnded
 	}
