An answer whose head or trailer has an invalid field is broken

What callers saw: the name of a field held a blank, and the answer was passed on without that line. Where the line was the framing, the body was another one: "Transfer-Encoding : chunked" beside "Content-Length: 2" came as 200 "2\r"; without a length the call waited for the end of the connection until its timeout. The same in an informational head, a refusal, the head of another call's answer, a trailer, and on the own interface.

Cause: net/http's parser accepts a name with blanks and files it under that name, where nothing looks for it. It joins a line that begins with a blank to the one before, drops a length beside a transfer coding, ignores a transfer coding in HTTP/1.0, and skips a length after a status without a body, so that an informational head may hide a part of the answer. Control bytes in names and values it refuses. Relayed heads were not checked.

Change: core/httpresponse.CheckHead checks all lines of a head, and its framing; CheckFields what was decoded: trailers, and heads from peers. RFC 9112 lets a recipient repair some of these: remove a blank before the colon (5.1), join a folded line (5.2), prefer the transfer coding to a length (6.3). They are refused here, since a line that has to be repaired may be the one that frames the body; a gateway may answer 502 instead. A length given twice, bare newlines and several blanks in the status line can be read in one way only and are accepted, like all that is valid: TestUnusualAnswersArePassedOn. Chunks that can't be read count as malformed too, so that such a body ends its attempt like a broken connection.

--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,7 @@
 	go test -run '^$$' -fuzz '^FuzzConfiguration$$' -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz '^FuzzCallHeaders$$' -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz '^FuzzAnswerHeaders$$' -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz '^FuzzCheckHead$$' -fuzztime $(FUZZTIME) ./core/httpresponse
 	go test -run '^$$' -fuzz '^FuzzReport$$' -fuzztime $(FUZZTIME) ./core/balance
 	go test -run '^$$' -fuzz '^FuzzTake$$' -fuzztime $(FUZZTIME) ./core/counts
 	go test -run '^$$' -fuzz '^FuzzCommand$$' -fuzztime $(FUZZTIME) ./core/state
--- a/core/httpbound/httpbound.go
+++ b/core/httpbound/httpbound.go
@@ -5,10 +5,13 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"cardamomwick.example/core/httpresponse"
 )
 
 // MaxHeadBytes bounds the head of an answer.
@@ -57,7 +60,26 @@
 	if c := used.Load(); c != nil && err != nil {
 		err = cmp.Or(c.invalidHead(), err)
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &body{resp.Body, resp}
+	return resp, nil
+}
+
+// body checks the trailer at the end of a body.
+type body struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(httpresponse.CheckFields(b.resp.Trailer), err)
+	}
+	return n, err
 }
 
 // CloseIdleConnections closes the connections that carry no request; http.Client calls it.
--- a/core/httpbound/httpbound_test.go
+++ b/core/httpbound/httpbound_test.go
@@ -68,6 +68,14 @@
 		"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 101 Switching Protocols\r\n\r\n" + valid,
 		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 999 X\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 1\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + valid,
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n" + valid,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: z\r\n\r\n",
 	} {
 		for _, n := range []int{1, 2, 3, 7, len(text)} {
 			status, body, err := get(t, newClient(), split(text, n)...)
--- a/core/httpresponse/httpresponse.go
+++ b/core/httpresponse/httpresponse.go
@@ -44,11 +44,27 @@
 // CheckHead checks the head of an informational or final response, from its status line to its empty
 // line, and returns its status. The error is an *Error.
 func CheckHead(head []byte) (status int, err error) {
-	line, _, err := cutLine(head)
+	line, rest, err := cutLine(head)
 	if err != nil {
 		return 0, err
 	}
-	return checkStatusLine(line)
+	status, err = checkStatusLine(line)
+	if err != nil {
+		return 0, err
+	}
+	f := framing{bodiless: IsInformational(status) || status == http.StatusNoContent, oldVersion: bytes.HasPrefix(line, []byte("HTTP/1.0"))}
+	for {
+		if line, rest, err = cutLine(rest); err != nil {
+			return 0, err
+		}
+		if len(line) == 0 {
+			break
+		}
+		if err := f.addLine(line); err != nil {
+			return 0, err
+		}
+	}
+	return status, f.check()
 }
 
 // cutLine returns the first line without its end, and the bytes after it.
@@ -103,9 +119,12 @@
 }
 
 // CheckFinal checks what was decoded of the head of a final response. The error is an *Error.
-func CheckFinal(status int) error {
+func CheckFinal(status int, header http.Header) error {
 	if IsInformational(status) {
 		return malformed("no final status", fmt.Sprintf("%03d", status))
 	}
-	return checkStatus(status)
+	if err := checkStatus(status); err != nil {
+		return err
+	}
+	return CheckFields(header)
 }
--- a/daemon/placement/malformed_test.go
+++ b/daemon/placement/malformed_test.go
@@ -31,10 +31,12 @@
 func TestMalformedResponseFailsTheOrder(t *testing.T) {
 	const rest = " X\r\nContent-Length: 0\r\n\r\n"
 	for answer, ok := range map[string]bool{
-		"HTTP/1.1 200" + rest:                         true,
-		"HTTP/1.1 000" + rest:                         false,
-		"HTTP/1.1 099" + rest + "HTTP/1.1 200" + rest: false,
-		"HTTP/1.1 101" + rest + "HTTP/1.1 200" + rest: false,
+		"HTTP/1.1 200" + rest:                                   true,
+		"HTTP/1.1 000" + rest:                                   false,
+		"HTTP/1.1 099" + rest + "HTTP/1.1 200" + rest:           false,
+		"HTTP/1.1 200 X\r\nX Y: z\r\nContent-Length: 0\r\n\r\n": false,
+		"HTTP/1.1 200 X\r\nContent-Length : 0\r\n\r\n":          false,
+		"HTTP/1.1 101" + rest + "HTTP/1.1 200" + rest:           false,
 	} {
 		if err := order(t, answer); (err == nil) != ok {
 			t.Errorf("%q: %v", answer, err)
--- a/daemon/relay/client.go
+++ b/daemon/relay/client.go
@@ -178,7 +178,7 @@
 	if err := m.Decode(&h); err != nil {
 		return nil, lost(err)
 	}
-	if err := httpresponse.CheckFinal(h.Status); err != nil {
+	if err := httpresponse.CheckFinal(h.Status, h.Header); err != nil {
 		return nil, lost(err)
 	}
 	return &Answer{Status: h.Status, Header: h.Header, client: c, stream: s}, nil
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -261,3 +261,16 @@
 		}
 	}
 }
+
+// Guards against a peer that passes on fields that no head may have.
+func TestHeadWithInvalidFieldLosesTheCall(t *testing.T) {
+	for name, value := range map[string]string{"X Y": "z", "X\n": "z", "": "z", "X": "a\r\nY: z", "Y": "\x00"} {
+		c, peer, _, _ := pair(t, &handler{serve: func(w http.ResponseWriter, _ *http.Request) *relay.Decline {
+			w.Header()[name] = []string{value}
+			return nil
+		}})
+		if a, err := send(c, context.Background(), peer, "x"); !errors.Is(err, ErrLost) {
+			t.Errorf("%q: %q: answer %v, error %v", name, value, a, err)
+		}
+	}
+}
--- a/daemon/router/malformed_test.go
+++ b/daemon/router/malformed_test.go
@@ -99,6 +99,63 @@
 	}
 }
 
+// Guards against an answer without a field, or with another body than the server sent, since a line of
+// its head is not understood.
+func TestAnswerWithInvalidFieldIsBroken(t *testing.T) {
+	const ok, length, chunked = "HTTP/1.1 200 OK", "Content-Length: 2", "Transfer-Encoding: chunked"
+	answers := map[string]func(call string) string{
+		"invalid informational": func(call string) string {
+			return "HTTP/1.1 103 X\r\nX Y: z\r\n\r\n" + answerWith(ok, length)(call) + "ok"
+		},
+		"informational with a length": func(call string) string {
+			return "HTTP/1.1 103 X\r\n" + length + "\r\n\r\n" + answerWith(ok, length)(call) + "ok"
+		},
+		"invalid head of another call": func(call string) string {
+			return answerWith(ok, "X Y: z", "Content-Length: 0")("other") + answerWith(ok, length)(call) + "ok"
+		},
+		"invalid refusal":      answerWith("HTTP/1.1 503 Full", "Not-Run: full", "X Y: z", "Content-Length: 0"),
+		"HTTP/1.0 with chunks": answerWith("HTTP/1.0 200 OK", chunked),
+		"204 with a length":    answerWith("HTTP/1.1 204 No Content", length),
+	}
+	for _, line := range []string{"X Y: z", "X : z", "X\t: z", "X\x00: z", "\x1bX: z", "X\x7f: z", "X\xe9: z", ": z", "no colon", "X: a\x00b", "X: a\rb",
+		" X: z", "X: a\r\n b", "Content-Length : 2", "Content Length: 2", "Content-Length\x00: 2", "X: a\r\n Content-Length: 2",
+		"Content-Length: +2", "Content-Length: 2, 2", "Content-Length: 2\r\nContent-Length: 3", "Content-Length:"} {
+		answers[line] = func(call string) string { return answerWith(ok, line)(call) + "ok" }
+		answers[line+" among others"] = func(call string) string { return answerWith(ok, "A: b", line, length, "C: d")(call) + "ok" }
+	}
+	for _, lines := range [][]string{{"Transfer-Encoding : chunked"}, {"Transfer-Encoding\x00: chunked"}, {"X: a\r\n Transfer-Encoding: chunked"}, {chunked, length},
+		{length, "Transfer-Encoding : chunked"}, {"Transfer-Encoding: gzip, chunked"}, {chunked, chunked}} {
+		answers[fmt.Sprint(lines, " with chunks")] = func(call string) string { return answerWith(ok, lines...)(call) + "2\r\nok\r\n0\r\n\r\n" }
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectBroken(t, answer)
+		})
+	}
+}
+
+// Guards against a body that can't be read to its end, or an invalid trailer, after which the answer
+// passes for complete.
+func TestAnswerWithInvalidChunksOrTrailerIsNotComplete(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	for _, end := range []string{"0\r\nX Y: z\r\n\r\n", "0\r\nX\x00: z\r\n\r\n", "0\r\n X: z\r\n\r\n", "0\r\nno colon\r\n\r\n", "zz\r\n", "-1\r\n\r\n", "2\r\nabc\r\n"} {
+		for path := range routeKinds {
+			w, s := newRawHarness(t, 3, func(call string) string {
+				return answerWith("HTTP/1.1 200 OK", "Transfer-Encoding: chunked")(call) + chunk + end
+			})
+			if got := w.call(path); got.err == nil && got.status == http.StatusOK {
+				t.Errorf("%s: chunks that end with %q are passed on as %d %q", path, end, got.status, got.body)
+			}
+			w.call(path)
+			if n := s.reused.Load(); n > 0 {
+				t.Errorf("%s: %d connections were used again after %q", path, n, end)
+			}
+		}
+	}
+}
+
 // Guards against the refusal of answers that are unusual, but valid.
 func TestUnusualAnswersArePassedOn(t *testing.T) {
 	const body = "id: 1\ndata: x\n\n"
@@ -113,7 +170,15 @@
 		"bytes above 0x7f":          whole(answerWith("HTTP/1.1 200 \xe9\tt\xe9", length)),
 		"two spaces":                whole(answerWith("HTTP/1.1  200 OK", length)),
 		"newer minor version":       whole(answerWith("HTTP/1.2 200 OK", length)),
-		"bare newlines":             func(call string) string { return strings.ReplaceAll(ok(call), "\r\n", "\n") + body },
+		"names in lower case":       whole(answerWith("HTTP/1.1 200 OK", strings.ToLower(length), "x-a: b")),
+		"any byte of a name":        whole(answerWith("HTTP/1.1 200 OK", length, "!#$%&'*+-.^_`|~09: b")),
+		"empty values":              whole(answerWith("HTTP/1.1 200 OK", length, "X:", "Y: \t ")),
+		"high bytes in a value":     whole(answerWith("HTTP/1.1 200 OK", length, "X: caf\xe9 \xff")),
+		"a length given twice":      whole(answerWith("HTTP/1.1 200 OK", length, length)),
+		"chunks with a trailer": func(call string) string {
+			return answerWith("HTTP/1.1 200 OK", "transfer-encoding: Chunked")(call) + fmt.Sprintf("%x;a=b\r\n%s\r\n0\r\nX-Sum: 1\r\n\r\n", len(body), body)
+		},
+		"bare newlines": func(call string) string { return strings.ReplaceAll(ok(call), "\r\n", "\n") + body },
 		"informational answers": func(call string) string {
 			return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nLink: x\r\n\r\n" + ok(call) + body
 		},
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -184,7 +184,6 @@
 	target   Target
 	conn     *conn
 	close    bool
-	raw      io.Closer
 	stop     func() bool
 	written  <-chan error
 	complete bool
@@ -305,27 +304,30 @@
 		}
 		unframed := raw.ContentLength < 0 && len(raw.TransferEncoding) == 0
 		resp := &Response{Status: raw.StatusCode, Header: raw.Header, Answer: a, Length: raw.ContentLength, EndsWithConnection: unframed,
-			client: c, target: t, conn: cn, close: foreign > 0 || raw.Close || unframed, raw: raw.Body}
-		resp.Body = &eofReader{r: raw.Body, resp: resp}
+			client: c, target: t, conn: cn, close: foreign > 0 || raw.Close || unframed}
+		resp.Body = &eofReader{raw: raw, resp: resp}
 		return resp, nil
 	}
 	return nil, errForeignAnswers
 }
 
-// eofReader sets complete when the body has been read to its end.
+// eofReader sets complete when the body has been read to its end, its trailer included.
 type eofReader struct {
-	r    io.Reader
+	raw  *http.Response
 	resp *Response
 }
 
 func (w *eofReader) Read(p []byte) (int, error) {
-	n, err := w.r.Read(p)
+	n, err := w.raw.Body.Read(p)
 	if err == nil || w.resp.complete {
 		return n, err
 	}
 	if err != io.EOF {
 		return n, w.resp.conn.bodyError(err)
 	}
+	if err := httpresponse.CheckFields(w.raw.Trailer); err != nil {
+		return n, err
+	}
 	if w.resp.EndsWithConnection && !w.resp.client.isAlive(w.resp.target, w.resp.aliveCheckDelay()) {
 		return n, errServerEnded
 	}
