An answer without length is complete only if the server received the whole call

What callers saw: a server answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written. The part came as a complete answer, with 200, 404 or 500, on all kinds of routes, and on the own interface.

Cause: a socket reports a reset once. The goroutine that writes the call got it, and the one that reads the answer got an end without error, which ends an answer without length. The result of the writing only decided whether the connection is kept. Besides, a server that closes the connection between two reads of the call sends FIN first and RST for what comes later, so that an end can be read though neither side reports an error.

Change: where only the end of the connection ends an answer, that end counts once the call was written without an error and the peer has acknowledged all of it, by the kernel's state of the connection (core/tcpack, TCP_INFO, which takes no pending error). Otherwise the attempt fails like a broken connection. The wait ends with the call's time, which closes the connection. A server that answers early, reads the rest and closes stays an answer, also with a half close first. core/httpbound does the same for net/http's client, in the connection, before the end reaches net/http. The body of a refusal without length is no longer read: its connection can't be kept. core requires golang.org/x/sys, which daemon has already.

Answers with a length or chunks were not affected.

--- a/core/httpbound/httpbound.go
+++ b/core/httpbound/httpbound.go
@@ -1,5 +1,5 @@
 // Package httpbound bounds what net/http's default client accepts from a server in trouble: only
-// valid responses, with heads of a limited size.
+// valid responses, with heads of a limited size, to requests that the server has received.
 package httpbound
 
 import (
@@ -52,7 +52,7 @@
 	var used atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
-			c.expectHead()
+			c.begin(req.ContentLength)
 			used.Store(c)
 		}
 	}}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -185,7 +185,7 @@
 	conn     *conn
 	close    bool
 	stop     func() bool
-	written  <-chan error
+	upload   *upload
 	complete bool
 }
 
@@ -198,8 +198,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	sent := time.Now()
-	written := make(chan error, 1)
-	if err := c.write(cn, r, written); err != nil {
+	up := newUpload()
+	if err := c.write(cn, r, up); err != nil {
 		stop()
 		c.recordReset(cn, sent, err)
 		c.discard(t, cn)
@@ -212,7 +212,7 @@
 		c.discard(t, cn)
 		return nil, &Error{MayHaveRun: true, Reached: cn.used, Step: "await answer", Server: t.ID, Err: err}
 	}
-	resp.stop, resp.written = stop, written
+	resp.stop, resp.upload = stop, up
 	return resp, nil
 }
 
@@ -242,7 +242,7 @@
 // errNothingWritten means that no byte of the call was written to the connection.
 var errNothingWritten = errors.New("no byte was written")
 
-func (c *Client) write(cn *conn, r *Request, written chan<- error) error {
+func (c *Client) write(cn *conn, r *Request, up *upload) error {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	names := make([]string, 0, len(r.Header))
@@ -262,7 +262,7 @@
 	if len(r.Body) < asyncBodyBytes {
 		head.Write(r.Body)
 		n, err := cn.Write(head.Bytes())
-		written <- err
+		up.end(err)
 		return writeError(n, err)
 	}
 	n, err := cn.Write(head.Bytes())
@@ -271,7 +271,7 @@
 	}
 	go func() {
 		_, err := cn.Write(r.Body)
-		written <- err
+		up.end(err)
 	}()
 	return nil
 }
@@ -328,16 +328,32 @@
 	if err := httpresponse.CheckFields(w.raw.Trailer); err != nil {
 		return n, err
 	}
-	if w.resp.EndsWithConnection && !w.resp.client.isAlive(w.resp.target, w.resp.aliveCheckDelay()) {
-		return n, errServerEnded
+	if w.resp.EndsWithConnection {
+		if err := w.resp.checkEnd(); err != nil {
+			return n, err
+		}
 	}
 	w.resp.complete = true
 	return n, err
 }
 
+// checkEnd returns an error unless the end of the connection is the end of the answer.
+func (r *Response) checkEnd() error {
+	if err := r.upload.await(r.conn); err != nil {
+		return err
+	}
+	if !r.client.isAlive(r.target, r.aliveCheckDelay()) {
+		return errServerEnded
+	}
+	return nil
+}
+
 // Drain reads the rest of a body that is of no use, if it is short and arrives soon, so that Close
 // can keep the connection.
 func (r *Response) Drain() {
+	if r.EndsWithConnection {
+		return // it can't be kept
+	}
 	if err := r.conn.drain(r.Body); err != nil {
 		r.close = true
 	}
@@ -348,7 +364,7 @@
 // server's work on the call.
 func (r *Response) Close() {
 	alive := r.stop()
-	if !alive || !r.complete || r.close || r.target.CloseAfterUse || !r.bodyWritten() || r.conn.reader.Buffered() > 0 {
+	if !alive || !r.complete || r.close || r.target.CloseAfterUse || !r.upload.succeeded() || r.conn.reader.Buffered() > 0 {
 		r.client.discard(r.target, r.conn)
 		return
 	}
@@ -361,17 +377,6 @@
 	r.client.release(r.target, r.conn)
 }
 
-// bodyWritten reports whether the whole call was written. A server that answered
-// earlier still expects the rest, so that the connection can't carry another call.
-func (r *Response) bodyWritten() bool {
-	select {
-	case err := <-r.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // acquire returns the most recently used idle connection, or a new one.
 func (c *Client) acquire(ctx context.Context, t Target) (*conn, error) {
 	c.mu.Lock()
