Test: nothing else listens at the address of an ended server

Seen: TestThreeCrashesHoldARequest red once ("held false for 0s") in a run of all tests of daemon. Traced: the test closes a listener at a port of the kernel's choice and expects it to refuse; a test in another process had taken the port, so that the check of the server found "accepted".

Change: the server listens at an address of testport, which no other test gets until the test ends. The assertions are unchanged.

--- a/daemon/quarantine/manager_test.go
+++ b/daemon/quarantine/manager_test.go
@@ -12,6 +12,7 @@
 	"cardamomwick.example/core/membership"
 	"cardamomwick.example/core/quarantine"
 	"cardamomwick.example/daemon/frame"
+	"cardamomwick.example/daemon/internal/testport"
 )
 
 func request(name string) func() quarantine.Digest {
@@ -19,10 +20,10 @@
 	return r.Digest
 }
 
-// server listens until stop is called.
+// server listens until stop is called. Nothing else listens at its address then.
 func server(t *testing.T) (address string, stop func()) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.Reserve(t))
 	if err != nil {
 		t.Fatal(err)
 	}
