What the answers of all calls hold together is bounded

What callers saw elsewhere: a faulty server sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of others ended with it.

Here each call's part was bounded (64 KB of heads, 256 KB of a body or an event, 4 MB on the own interface), their number times that was not.

Change: answers hold an eighth of the machine's memory at most (membudget.Pool), beyond 8 KB a call and 12 KB of head. A body for which there is no memory is sent on part by part, as a long one is anyway; it can't be retried then. Heads (bytes and lines, like those of clients) and events fail their attempt, with the cause "memory". The pool is apart from the account of clients, so that servers in trouble can't push clients out. The parts of a long answer have 8 KB instead of 32 KB. On the own interface a call that gets no memory fails; what waits there for its client after it was read is not counted. Two gauges show the pool.

--- a/core/httpbound/conn.go
+++ b/core/httpbound/conn.go
@@ -1,7 +1,6 @@
 package httpbound
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -57,7 +56,7 @@
 	if c.requestHead != nil {
 		before := len(c.requestHead)
 		c.requestHead = append(c.requestHead, p...)
-		length := headLength(c.requestHead, before)
+		length := httpresponse.HeadLength(c.requestHead, before)
 		if length == 0 {
 			return
 		}
@@ -121,7 +120,7 @@
 	for c.inHead && len(next) > 0 {
 		before := len(c.head)
 		c.head = append(c.head, next[:min(len(next), MaxHeadBytes+1-before)]...)
-		length := headLength(c.head, before)
+		length := httpresponse.HeadLength(c.head, before)
 		if length == 0 {
 			c.inHead = len(c.head) <= MaxHeadBytes // a longer head is refused by net/http
 			return nil
@@ -135,21 +134,3 @@
 	}
 	return nil
 }
-
-// headLength returns the length of the head at the beginning of a text, 0 if it does not end there.
-// It did not end within the first before bytes.
-func headLength(text []byte, before int) int {
-	for i := max(0, before-len("\n\r")); ; {
-		n := bytes.IndexByte(text[i:], '\n')
-		if n < 0 {
-			return 0
-		}
-		i += n + 1
-		switch rest := text[i:]; {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return i + len("\n")
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return i + len("\r\n")
-		}
-	}
-}
--- a/core/httpresponse/httpresponse.go
+++ b/core/httpresponse/httpresponse.go
@@ -67,6 +67,24 @@
 	return status, f.check()
 }
 
+// HeadLength returns the length of the head at the beginning of a text, 0 if it does not end there.
+// It did not end within the first before bytes.
+func HeadLength(text []byte, before int) int {
+	for i := max(0, before-len("\n\r")); ; {
+		n := bytes.IndexByte(text[i:], '\n')
+		if n < 0 {
+			return 0
+		}
+		i += n + 1
+		switch rest := text[i:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return i + len("\n")
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return i + len("\r\n")
+		}
+	}
+}
+
 // cutLine returns the first line without its end, and the bytes after it.
 func cutLine(text []byte) (line, rest []byte, err error) {
 	line, rest, found := bytes.Cut(text, []byte("\n"))
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,7 +22,9 @@
 
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/httpbound"
+	"cardamomwick.example/core/membudget"
 	"cardamomwick.example/core/retry"
+	"cardamomwick.example/daemon/heldbody"
 )
 
 // Limits of the client.
@@ -54,6 +57,8 @@
 	Customer  string
 	Server    string
 	Address   string
+	// Memory is what the answers of all servers may hold while they are read; nil for no bound.
+	Memory *membudget.Pool
 }
 
 // CallError is a failed attempt.
@@ -162,16 +167,29 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	if err == nil && len(data) > MaxAnswerBytes {
-		err = eris.New("answer is larger than allowed")
-	}
+	data, err := t.readBody(resp)
 	if err != nil {
 		return nil, &CallError{Failure: retry.FailureUncertain, Reached: true, Step: "read answer", Peer: t.Server, Err: err}
 	}
 	return &Answer{resp.StatusCode, resp.Header.Get("Content-Type"), data}, nil
 }
 
+// readBody reads a whole body.
+func (t *Target) readBody(resp *http.Response) ([]byte, error) {
+	holding := membudget.Holding{Pool: t.Memory}
+	defer holding.Release()
+	parts, whole, err := heldbody.Read(resp.Body, resp.ContentLength, MaxAnswerBytes, &holding)
+	switch {
+	case err != nil:
+		return nil, err
+	case heldbody.Length(parts) > MaxAnswerBytes:
+		return nil, errAnswerTooLarge
+	case !whole:
+		return nil, errNoMemory
+	}
+	return slices.Concat(parts...), nil
+}
+
 // Event is one server-sent event of a model engine.
 type Event struct {
 	// Data is the JSON chunk as received.
@@ -269,9 +287,15 @@
 	}
 }
 
-var errEventTooLong = errors.New("event is larger than allowed")
+var (
+	errAnswerTooLarge = errors.New("answer is larger than allowed")
+	errEventTooLong   = errors.New("event is larger than allowed")
+	errNoMemory       = errors.New("there is no memory for the answer")
+)
 
 func (s *Stream) readLine() ([]byte, error) {
+	holding := membudget.Holding{Pool: s.target.Memory}
+	defer holding.Release()
 	var line []byte
 	for {
 		part, err := s.r.ReadSlice('\n')
@@ -279,6 +303,9 @@
 		if len(line) > maxEventBytes {
 			return nil, errEventTooLong
 		}
+		if len(line) > heldbody.FreeBytes && !holding.GrowTo(int64(cap(line))) {
+			return nil, errNoMemory
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/daemon/backend/backend_test.go
+++ b/daemon/backend/backend_test.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"cardamomwick.example/core/crashserver"
+	"cardamomwick.example/core/membudget"
 	"cardamomwick.example/core/retry"
 )
 
@@ -131,7 +133,7 @@
 		"line of an event": {"HTTP/1.1 200 OK\r\n\r\ndata: ", strings.Repeat("a", 1000)},
 	} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if err := crashserver.SendEndless(w, text.begin, text.repeated); err != nil {
+			if err := crashserver.SendEndless(w, text.begin, text.repeated, 0); err != nil {
 				panic(err)
 			}
 		}))
@@ -148,3 +150,51 @@
 		s.Close()
 	}
 }
+
+// Guards against calls that each hold a part of an answer without end, without a bound on the sum.
+func TestAnswersWithoutEndHoldTheirPoolAtMost(t *testing.T) {
+	ConfigureTransport()
+	const calls, limit = 12, 10 << 20
+	begin := "HTTP/1.1 200 OK\r\n\r\ndata: " + strings.Repeat("x", maxEventBytes-100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := crashserver.SendEndless(w, begin, "x", 50*time.Millisecond); err != nil {
+			panic(err)
+		}
+	}))
+	defer s.Close()
+	pool := membudget.NewPool(limit)
+	target := &Target{Address: strings.TrimPrefix(s.URL, "http://"), Memory: pool}
+	for name, call := range map[string]func(ctx context.Context) error{
+		"bodies": func(ctx context.Context) error {
+			_, err := Call(ctx, target, http.MethodPost, "/x", "", "", []byte("body"))
+			return err
+		},
+		"events": func(ctx context.Context) error {
+			st, err := Open(ctx, target, []byte("{}"))
+			if err != nil {
+				return err
+			}
+			defer st.Close()
+			_, err = st.Next()
+			return err
+		},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		var denied atomic.Int64
+		var all sync.WaitGroup
+		for range calls {
+			all.Go(func() {
+				if err := call(ctx); errors.Is(err, errNoMemory) {
+					denied.Add(1)
+				} else if err == nil {
+					t.Errorf("%s: a part passes for all of an answer", name)
+				}
+			})
+		}
+		all.Wait()
+		cancel()
+		if denied.Load() < calls-limit/(maxEventBytes-100) || pool.Held() != 0 {
+			t.Errorf("%s: %d of %d calls got no memory, %d bytes are held after all", name, denied.Load(), calls, pool.Held())
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"cardamomwick.example/core/api"
 	"cardamomwick.example/core/membership"
+	"cardamomwick.example/core/membudget"
 	"cardamomwick.example/daemon/admin"
 	"cardamomwick.example/daemon/backend"
 	"cardamomwick.example/daemon/baseline"
@@ -56,6 +57,7 @@
 	placement  *placement.Service
 	metrics    *telemetry.Metrics
 	guard      *inbound.Guard
+	answers    *membudget.Pool
 	listener   *httpListener
 }
 
@@ -67,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, metrics: telemetry.New(), guard: newGuard(s)}
+	d := &Daemon{settings: s, metrics: telemetry.New(), guard: newGuard(s), answers: newAnswerMemory(s)}
 	d.transport = newTransport(s, keys, d.guard)
 	self := membership.Instance{Name: s.Instance.Name, Process: process, PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
@@ -93,7 +95,7 @@
 	}
 	d.quarantine = quarantine.New(quarantine.Options{Transport: d.transport, Instances: d.gossip.Instances, Evaluators: d.gossip.Entries})
 	d.entry = entry.New(entry.Options{Settings: s, Holder: d.holder, Gossip: d.gossip, Scheduler: d.slots,
-		Replicas: d.replicas, Metrics: d.metrics, Quarantine: d.quarantine, Owner: self.Owner(), BroadcastAnnouncements: experiment, IgnoreTiers: experiment})
+		Replicas: d.replicas, Metrics: d.metrics, AnswerMemory: d.answers, Quarantine: d.quarantine, Owner: self.Owner(), BroadcastAnnouncements: experiment, IgnoreTiers: experiment})
 	d.admin = &admin.Admin{Settings: s, Holder: d.holder, Gossip: d.gossip, Replicas: d.replicas, Transport: d.transport, LocalInfo: d.info}
 	d.admin.Register()
 	d.placement = &placement.Service{Owner: self.Owner(), Gossip: d.gossip, Holder: d.holder, Replicas: d.replicas, Servers: d.admin.ServerList}
@@ -108,6 +110,14 @@
 	return inbound.New(t.MemoryBytes, t.MaxDescriptors)
 }
 
+// answerShare is the part of the machine's memory, as its inverse, that answers of servers may hold.
+const answerShare = 8
+
+// newAnswerMemory returns the memory that the answers of servers may hold together.
+func newAnswerMemory(s *settings.Settings) *membudget.Pool {
+	return membudget.NewPool(s.Tuning().MemoryBytes / answerShare)
+}
+
 func newTransport(s *settings.Settings, keys []frame.Key, g *inbound.Guard) *frame.Transport {
 	t := frame.NewTransport(s.Peers.Address, keys, newPartitionFilter(s.Faults.CutFile))
 	t.SetListener(g.ListenForPeers)
@@ -210,6 +220,7 @@
 
 func (d *Daemon) registerGauges() {
 	registerGuardGauges(d.metrics, d.guard)
+	registerAnswerGauges(d.metrics, d.answers)
 	d.metrics.Gauge("cardamomwick_generation", func() float64 { return float64(d.holder.Config().Generation) })
 	d.metrics.Gauge("cardamomwick_requests_held", func() float64 { return float64(d.quarantine.HeldRequests()) })
 	d.metrics.Gauge("cardamomwick_servers_ended_total", func() float64 { return float64(d.quarantine.Crashes()) })
--- a/daemon/entry/attempt.go
+++ b/daemon/entry/attempt.go
@@ -117,7 +117,7 @@
 }
 
 func (x *execution) target(g *dispatch.Grant, n int) *backend.Target {
-	t := &backend.Target{RequestID: x.call.id, Attempt: n, Tier: x.call.policy.Tier, Customer: x.call.customer, Server: g.Server, Address: g.Address}
+	t := &backend.Target{RequestID: x.call.id, Attempt: n, Tier: x.call.policy.Tier, Customer: x.call.customer, Server: g.Server, Address: g.Address, Memory: x.entry.answers}
 	if x.entry.ignoreTiers {
 		t.Tier = 0
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log"
 
 	"cardamomwick.example/core/bundle"
+	"cardamomwick.example/core/membudget"
 	"cardamomwick.example/core/retry"
 	"cardamomwick.example/core/state"
 	"cardamomwick.example/daemon/gossip"
@@ -46,6 +47,8 @@
 	Scheduler Slots
 	Replicas  *replica.Client
 	Metrics   *telemetry.Metrics
+	// AnswerMemory is what the answers of servers may hold together while they are read.
+	AnswerMemory *membudget.Pool
 	// Quarantine decides which requests are withheld from the servers.
 	Quarantine *quarantine.Manager
 	// BroadcastAnnouncements forwards announcements to every instance, as the
@@ -65,6 +68,7 @@
 	scheduler   Slots
 	replicas    *replica.Client
 	metrics     *telemetry.Metrics
+	answers     *membudget.Pool
 	quarantine  *quarantine.Manager
 	owner       string
 	broadcast   bool
@@ -85,7 +89,7 @@
 // New returns an entry that uses the holder's current configuration.
 func New(o Options) *Entry {
 	e := &Entry{settings: o.Settings, holder: o.Holder, gossip: o.Gossip, scheduler: o.Scheduler, replicas: o.Replicas,
-		metrics: o.Metrics, quarantine: o.Quarantine, owner: o.Owner, broadcast: o.BroadcastAnnouncements, ignoreTiers: o.IgnoreTiers, budgets: map[string]*retry.Budget{}}
+		metrics: o.Metrics, answers: o.AnswerMemory, quarantine: o.Quarantine, owner: o.Owner, broadcast: o.BroadcastAnnouncements, ignoreTiers: o.IgnoreTiers, budgets: map[string]*retry.Budget{}}
 	e.keys.Store(&map[string]string{})
 	o.Holder.OnChange(e.indexKeys)
 	return e
--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -16,6 +16,7 @@
 	"cardamomwick.example/core/collect"
 	"cardamomwick.example/core/fleet"
 	"cardamomwick.example/core/membership"
+	"cardamomwick.example/core/membudget"
 	core "cardamomwick.example/core/relay"
 	"cardamomwick.example/core/routing"
 	"cardamomwick.example/daemon/capacity"
@@ -72,6 +73,7 @@
 type Routed struct {
 	settings   *settings.Settings
 	guard      *inbound.Guard
+	answers    *membudget.Pool
 	transport  *frame.Transport
 	gossip     *gossip.Service
 	replica    *replica.Replica
@@ -103,7 +105,7 @@
 		return nil, err
 	}
 	guard := newGuard(s)
-	d := &Routed{settings: s, guard: guard, transport: newTransport(s, keys, guard), metrics: telemetry.New()}
+	d := &Routed{settings: s, guard: guard, answers: newAnswerMemory(s), transport: newTransport(s, keys, guard), metrics: telemetry.New()}
 	self := membership.Instance{Name: s.Instance.Name, Process: uuid.NewString()[:8], PeerAddress: s.Peers.Address,
 		CallerAddress: s.Callers.Address, Zone: s.Instance.AvailabilityZone}
 	seeds := s.Peers.SeedAddresses()
@@ -184,7 +186,7 @@
 		Entries: func() int { return len(d.gossip.Entries()) }, ShareHolders: func() int { return len(d.gossip.ShareHolders()) },
 		Usage: d.usage(),
 		Retry: router.RetryLimits{Span: tuned.RetryWindow, Ratio: tuned.RetryRatio, Slack: tuned.RetrySlack}, Metrics: d.metrics, Quarantine: d.quarantine,
-		Dial: newPartitionDialer(d.settings.Faults.CutFile),
+		AnswerMemory: d.answers, Dial: newPartitionDialer(d.settings.Faults.CutFile),
 		TellRejection: func(names []string, server string, room int) {
 			rejections.Tell(d.peerAddresses(names), server, room)
 		},
--- a/daemon/routed_metrics.go
+++ b/daemon/routed_metrics.go
@@ -14,6 +14,7 @@
 func (d *Routed) registerGauges() {
 	gauge := d.metrics.Gauge
 	registerGuardGauges(d.metrics, d.guard)
+	registerAnswerGauges(d.metrics, d.answers)
 	gauge("cardamomwick_instances", func() float64 { return float64(len(d.gossip.Instances())) })
 	gauge("cardamomwick_entries", func() float64 { return float64(len(d.gossip.Entries())) })
 	gauge("cardamomwick_bad_frames_total", func() float64 { return float64(d.transport.BadFrames.Load()) })
@@ -58,6 +59,12 @@
 	}
 }
 
+// registerAnswerGauges registers what the answers of servers hold.
+func registerAnswerGauges(m *telemetry.Metrics, p *membudget.Pool) {
+	m.Gauge("cardamomwick_answer_bytes", func() float64 { return float64(p.Held()) })
+	m.Gauge("cardamomwick_answer_memory_denied_total", func() float64 { return float64(p.Denied()) })
+}
+
 // registerGuardGauges registers what clients make the process hold, and what was refused.
 func registerGuardGauges(m *telemetry.Metrics, g *inbound.Guard) {
 	for k := range membudget.Kinds {
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -12,17 +12,20 @@
 
 	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/membudget"
 	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/heldbody"
 	"cardamomwick.example/daemon/upstream"
 )
 
 // Bounds on the body of an answer that is not a stream.
 const (
 	maxAnswerBytes = 8 << 20
-	// maxHeldBytes is the part of it that is held in memory: a longer answer is sent on part by part.
+	// maxHeldBytes is the part of it that is held in memory, if there is as much for answers: a longer
+	// answer is sent on part by part.
 	maxHeldBytes = 256 << 10
 	// copyBytes is the size of the parts.
-	copyBytes = 32 << 10
+	copyBytes = 8 << 10
 )
 
 var errAnswerTooLarge = errors.New("the answer is too large")
@@ -119,7 +122,9 @@
 	if c.route.Semantics != routing.Stream {
 		c.countRun(time.Since(c.attemptStart))
 	}
-	begin, whole, err := readBegin(resp)
+	holding := membudget.Holding{Pool: c.router.opt.AnswerMemory}
+	defer holding.Release()
+	begin, whole, err := readBegin(resp, &holding)
 	if err != nil {
 		return c.recordBrokenAnswer(ctx, s, err)
 	}
@@ -143,7 +148,7 @@
 	}
 	if whole {
 		c.sendComplete(resp.Status, resp.Header, begin)
-	} else if err := c.sendLong(resp, begin); err != nil {
+	} else if err := c.sendLong(resp, begin, &holding); err != nil {
 		return c.recordBrokenAnswer(ctx, s, err)
 	} else {
 		c.runOver = true
@@ -175,23 +180,24 @@
 	return failed
 }
 
-// readBegin reads up to maxHeldBytes of a body; whole is set if that is all of it.
-func readBegin(resp *upstream.Response) (begin []byte, whole bool, err error) {
+// readBegin reads as much of a body as may be held; whole is set if that is all of it.
+func readBegin(resp *upstream.Response, h *membudget.Holding) (begin [][]byte, whole bool, err error) {
 	if resp.Length > maxAnswerBytes {
 		return nil, false, errAnswerTooLarge
 	}
-	begin, err = io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
-	return begin, len(begin) <= maxHeldBytes, err
+	return heldbody.Read(resp.Body, resp.Length, maxHeldBytes, h)
 }
 
 // sendLong sends an answer to the caller that is too long to be held. On an error the caller has a
 // part of it, and the connection to the caller must be closed.
-func (c *call) sendLong(resp *upstream.Response, begin []byte) error {
+func (c *call) sendLong(resp *upstream.Response, begin [][]byte, h *membudget.Holding) error {
 	c.beginLong(resp.Status, resp.Header, resp.Length)
-	if _, err := c.w.Write(begin); err != nil {
+	if err := c.writeParts(begin); err != nil {
 		return errCallerLeft
 	}
-	rest := &io.LimitedReader{R: resp.Body, N: int64(maxAnswerBytes - len(begin) + 1)}
+	rest := &io.LimitedReader{R: resp.Body, N: int64(maxAnswerBytes - heldbody.Length(begin) + 1)}
+	begin = nil
+	h.Release()
 	part := make([]byte, copyBytes)
 	for {
 		n, err := rest.Read(part)
@@ -221,11 +227,21 @@
 }
 
 // sendComplete sends a complete answer to the caller.
-func (c *call) sendComplete(status int, header http.Header, body []byte) {
+func (c *call) sendComplete(status int, header http.Header, body [][]byte) {
 	copyHeader(c.w.Header(), header)
-	c.w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
+	c.w.Header()["Content-Length"] = []string{strconv.Itoa(heldbody.Length(body))}
 	c.w.WriteHeader(status)
-	if _, err := c.w.Write(body); err != nil {
+	if err := c.writeParts(body); err != nil {
 		c.logInfo("caller left during the answer")
 	}
 }
+
+// writeParts sends parts of a body to the caller.
+func (c *call) writeParts(parts [][]byte) error {
+	for _, p := range parts {
+		if _, err := c.w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/daemon/router/endless_test.go
+++ b/daemon/router/endless_test.go
@@ -57,7 +57,7 @@
 // is closed.
 func endless(begin, repeated string) http.HandlerFunc {
 	return func(rw http.ResponseWriter, _ *http.Request) {
-		if err := crashserver.SendEndless(rw, begin, repeated); err != nil {
+		if err := crashserver.SendEndless(rw, begin, repeated, 0); err != nil {
 			panic(err)
 		}
 	}
--- a/daemon/router/relay.go
+++ b/daemon/router/relay.go
@@ -10,8 +10,10 @@
 
 	"github.com/apex/log"
 
+	"cardamomwick.example/core/membudget"
 	core "cardamomwick.example/core/relay"
 	"cardamomwick.example/core/routing"
+	"cardamomwick.example/daemon/heldbody"
 	"cardamomwick.example/daemon/relay"
 	"cardamomwick.example/daemon/upstream"
 )
@@ -198,7 +200,9 @@
 	if !streams && c.stream != nil && c.stream.started {
 		return errNoStream
 	}
-	var held []byte
+	var held [][]byte
+	holding := membudget.Holding{Pool: c.router.opt.AnswerMemory}
+	defer holding.Release()
 	for length := 0; ; {
 		part, done, err := a.Next()
 		length += len(part)
@@ -212,24 +216,22 @@
 			c.forwardPart(a, part)
 		case length > maxAnswerBytes:
 			return errAnswerTooLarge
-		case !c.begun && length <= maxHeldBytes:
-			held = append(held, part...)
+		case !c.begun && length <= maxHeldBytes && (length <= heldbody.FreeBytes || holding.GrowTo(int64(length))):
+			held = append(held, part)
 		default:
-			c.forwardLongPart(a, held, part)
+			c.forwardLongPart(a, append(held, part))
 			held = nil
 		}
 	}
 }
 
-// forwardLongPart forwards a part of an answer that is too long to be held, after those held before.
-func (c *call) forwardLongPart(a *relay.Answer, held, part []byte) {
+// forwardLongPart forwards the next parts of an answer that is too long to be held.
+func (c *call) forwardLongPart(a *relay.Answer, parts [][]byte) {
 	if !c.begun {
 		c.beginLong(a.Status, a.Header, -1)
 	}
-	for _, p := range [][]byte{held, part} {
-		if _, err := c.w.Write(p); err != nil {
-			c.abortRelayed()
-		}
+	if err := c.writeParts(parts); err != nil {
+		c.abortRelayed()
 	}
 }
 
@@ -256,7 +258,7 @@
 }
 
 // endRelayed completes an answer and records it.
-func (c *call) endRelayed(a *relay.Answer, body []byte) {
+func (c *call) endRelayed(a *relay.Answer, body [][]byte) {
 	first := time.Since(c.arrived)
 	switch {
 	case c.stream != nil && c.stream.started:
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -20,6 +20,7 @@
 
 	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/membudget"
 	"cardamomwick.example/core/ratelimit"
 	"cardamomwick.example/core/reachability"
 	core "cardamomwick.example/core/relay"
@@ -58,6 +59,8 @@
 	// Quarantine decides which requests are withheld from the servers; nil selects a
 	// new one.
 	Quarantine *quarantine.Manager
+	// AnswerMemory is what the answers of servers may hold together; nil for no bound.
+	AnswerMemory *membudget.Pool
 	// Dial opens connections to servers; nil selects upstream.Dial.
 	Dial upstream.Dialer
 	// SlotOwners returns the names of the instances that place calls at servers, this one
@@ -175,6 +178,7 @@
 		budgets: map[string]*retry.Window{}, queues: map[string]*ratelimit.Queue{}, peers: core.NewChooser(o.Zone)}
 	r.upstream = upstream.NewClient(o.Protocol, o.Dial)
 	r.upstream.OnDial(r.recordDial)
+	r.upstream.BoundMemory(o.AnswerMemory)
 	r.paths = &pathMonitor{count: r.countServers, servers: r.readyServers, open: r.openConnection, onPartition: o.OnPartition,
 		onChange: r.upstream.ForgetIdleLimit, // connections were reset by the partition, not for their idle time
 		pools:    map[string]*reachability.Detector{}, partitioned: map[string]bool{}}
--- a/daemon/router/stream.go
+++ b/daemon/router/stream.go
@@ -12,6 +12,8 @@
 
 	"cardamomwick.example/core/balance"
 	"cardamomwick.example/core/fleet"
+	"cardamomwick.example/core/membudget"
+	"cardamomwick.example/daemon/heldbody"
 	"cardamomwick.example/daemon/upstream"
 )
 
@@ -83,8 +85,10 @@
 	}
 	bound := c.origin.Load() != nil
 	events := bufio.NewReaderSize(resp.Body, eventBufferBytes)
+	holding := membudget.Holding{Pool: c.router.opt.AnswerMemory}
+	defer holding.Release()
 	for first := true; ; first = false {
-		event, err := readEvent(events)
+		event, err := readEvent(events, &holding)
 		if first {
 			c.router.recordFirstEvent(c)
 			if err == nil {
@@ -102,6 +106,7 @@
 		}
 		if err == nil {
 			err = c.forwardEvent(s, resp, event)
+			holding.Release()
 		}
 		if errors.Is(err, errCallerLeft) {
 			return callerGone
@@ -199,8 +204,9 @@
 }
 
 // readEvent returns the bytes of one event, including the empty line that ends it, maxEventBytes at
-// most. It returns io.EOF only if the stream ended between two events.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// most and as long as there is memory to hold it. It returns io.EOF only if the stream ended between
+// two events.
+func readEvent(r *bufio.Reader, h *membudget.Holding) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
@@ -208,6 +214,9 @@
 		if len(event) > maxEventBytes {
 			return nil, errEventTooLong
 		}
+		if len(event) > heldbody.FreeBytes && !h.GrowTo(int64(cap(event))) {
+			return nil, upstream.ErrAnswerMemory
+		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cardamomwick.example/core/httpresponse"
+	"cardamomwick.example/core/membudget"
 )
 
 // Timing of connections.
@@ -59,8 +60,12 @@
 	// headBytes is how many more bytes of heads may be read; it applies while readingHead is set.
 	headBytes   int
 	readingHead bool
-	// head collects what is read while readingHead is set.
-	head []byte
+	// head collects what is read while readingHead is set. headLength is the length of the head, 0 as
+	// long as it is not known, and headLines the number of its lines so far.
+	head                  []byte
+	headLength, headLines int
+	// memory is what the heads of an answer hold, from the call to its end.
+	memory membudget.Holding
 	// readErr is the error that ended reading. It is nil as long as only the bytes that were read can
 	// be the cause of a failure.
 	readErr error
@@ -77,10 +82,37 @@
 	}
 	n, err := c.readNetwork(p[:min(len(p), c.headBytes)])
 	c.headBytes -= n
-	c.head = append(c.head, p[:n]...)
+	if !c.addToHead(p[:n]) {
+		c.readErr = ErrAnswerMemory
+		return 0, ErrAnswerMemory
+	}
 	return n, err
 }
 
+// What a parsed head takes, and how much of that a call may hold anyway.
+const (
+	headByteCost  = 2
+	headLineCost  = 256
+	freeHeadBytes = 24 << 10
+)
+
+// addToHead adds bytes to the head, and reports whether there is memory for them.
+func (c *conn) addToHead(next []byte) bool {
+	before := len(c.head)
+	c.head = append(c.head, next...)
+	if c.headLength > 0 {
+		return true // they follow the head
+	}
+	c.headLength = httpresponse.HeadLength(c.head, before)
+	inHead := next
+	if c.headLength > 0 {
+		inHead = next[:c.headLength-before]
+	}
+	c.headLines += bytes.Count(inHead, []byte("\n"))
+	cost := headByteCost*(before+len(inHead)) + headLineCost*c.headLines
+	return cost <= freeHeadBytes || c.memory.GrowTo(int64(cost))
+}
+
 func (c *conn) readNetwork(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil {
@@ -95,8 +127,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c.head, c.readingHead = bytes.Clone(begin), true
+	c.readingHead, c.headLength, c.headLines = true, 0, 0
 	defer func() { c.head, c.readingHead = nil, false }()
+	if !c.addToHead(begin) {
+		return nil, ErrAnswerMemory
+	}
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
@@ -166,8 +201,8 @@
 	return d.Dial("tcp", address)
 }
 
-func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
+func newConn(raw net.Conn, memory *membudget.Pool) *conn {
+	c := &conn{Conn: raw, memory: membudget.Holding{Pool: memory}}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -21,6 +21,7 @@
 	"github.com/apex/log"
 
 	"cardamomwick.example/core/httpresponse"
+	"cardamomwick.example/core/membudget"
 )
 
 // Request is one attempt of one call.
@@ -70,7 +71,7 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Cause classifies the error for metrics: malformed, timeout, refused, reset, closed, cancelled,
-// connections (none is free) or other.
+// connections (none is free), memory (there is none for the answer) or other.
 func (e *Error) Cause() string {
 	var timeout interface{ Timeout() bool }
 	switch {
@@ -78,6 +79,8 @@
 		return "malformed"
 	case errors.Is(e.Err, ErrConnections):
 		return "connections"
+	case errors.Is(e.Err, ErrAnswerMemory):
+		return "memory"
 	case errors.Is(e.Err, syscall.ECONNREFUSED):
 		return "refused"
 	case errors.Is(e.Err, syscall.ECONNRESET), errors.Is(e.Err, syscall.EPIPE):
@@ -101,7 +104,9 @@
 // Causes of an *Error.
 var (
 	// ErrConnections means that this instance's share of the server's connections is in use.
-	ErrConnections    = errors.New("no connection is free")
+	ErrConnections = errors.New("no connection is free")
+	// ErrAnswerMemory means that the memory for answers is in use.
+	ErrAnswerMemory   = errors.New("there is no memory for the answer")
 	errForeignAnswers = errors.New("the connection carries answers of other calls")
 )
 
@@ -136,6 +141,7 @@
 	protocol Protocol
 	dial     Dialer
 	onDial   func(t Target, err error)
+	memory   *membudget.Pool
 	mu       sync.Mutex
 	servers  map[string]*server
 	dialled  int64
@@ -161,6 +167,9 @@
 // opens. Call it before the first call.
 func (c *Client) OnDial(f func(t Target, err error)) { c.onDial = f }
 
+// BoundMemory sets what the heads of all answers may hold together. Call it before the first call.
+func (c *Client) BoundMemory(p *membudget.Pool) { c.memory = p }
+
 // Dialled returns the number of connections that were dialled, failed ones included.
 func (c *Client) Dialled() int64 {
 	c.mu.Lock()
@@ -413,7 +422,7 @@
 		c.mu.Unlock()
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, c.memory), nil
 }
 
 func boundedDialTimeout(ctx context.Context) time.Duration {
@@ -435,12 +444,14 @@
 func (c *Client) release(t Target, cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	cn.memory.Release()
 	s := c.server(t.ID)
 	s.idle = append(s.idle, cn)
 }
 
 func (c *Client) discard(t Target, cn *conn) {
 	cn.Close()
+	cn.memory.Release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.server(t.ID).open--
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -325,7 +325,7 @@
 			far.Close()
 		}()
 		c := NewClient(plainProtocol{}, nil)
-		cn := newConn(near)
+		cn := newConn(near, nil)
 		resp, err := c.readHead(cn, Target{}, &Request{CallID: "a", Method: "GET"})
 		if err == nil && resp.Answer.CallID != "" && resp.Answer.CallID != "a" {
 			t.Errorf("call a got the answer of %q", resp.Answer.CallID)
