An instance that stops takes no call after it has seen none in flight

What callers saw elsewhere: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end.

Here, by reading: a stopping entry accepts all calls for three times to live of the address list, then those that end before its deadline, and goes on to stop its listener once no call is in flight. Two gaps: between that look and the listener's stop a call was still accepted, and had 200 ms; and with a time to live of 2 s, the default, all calls were accepted for 6 s of the 7.36 s after which calls are cut (deploy/settings.toml has 1 s, 3 s). Calls that come later were refused before they are passed on already, by the route's timeout; that stays.

Change: when no call is in flight, all further ones are refused, and then once more no call may be in flight; the refusal is true, since the call is not passed on. The time for any call ends with three eighths of the drain timeout at the latest: 3 s of 8 s.

--- a/daemon/routed.go
+++ b/daemon/routed.go
@@ -351,12 +351,29 @@
 	// addressGraceTTLs is how long callers may keep using an address that is no longer
 	// listed, in times to live of the address list.
 	addressGraceTTLs = 3
+	// maxGraceFraction bounds that time by a part of the drain timeout: what is accepted in it
+	// may be cut off.
+	maxGraceFraction = 0.375
 	// drainFraction is the part of the drain timeout after which calls in flight are cut
 	// off.
-	drainFraction     = 0.92
-	drainPollInterval = 20 * time.Millisecond
+	drainFraction = 0.92
 )
 
+// drainPlan are the times of a graceful shutdown.
+type drainPlan struct {
+	// Until graceEnd all calls are accepted, after it those that end before the deadline.
+	graceEnd time.Time
+	// earliestEnd and deadline are when the instance may and must stop.
+	earliestEnd, deadline time.Time
+}
+
+func planDrain(began time.Time, ttl, timeout time.Duration) drainPlan {
+	part := func(fraction float64) time.Duration { return time.Duration(fraction * float64(timeout)) }
+	p := drainPlan{graceEnd: began.Add(min(addressGraceTTLs*ttl, part(maxGraceFraction))), deadline: began.Add(part(drainFraction))}
+	p.earliestEnd = p.graceEnd.Add(ttl)
+	return p
+}
+
 // drain removes the instance from the address list and keeps serving while callers may
 // still use the address. Then it accepts only calls that end before the deadline, and
 // waits until no call is in flight or the deadline has passed.
@@ -366,15 +383,11 @@
 	if d.router == nil {
 		return nil
 	}
-	began := time.Now()
-	deadline := began.Add(time.Duration(drainFraction * float64(d.settings.Tuning().DrainTimeout)))
 	log.WithField("in_flight", d.router.InFlight()).Info("draining")
-	time.Sleep(addressGraceTTLs * d.TTL())
-	d.router.Drain(deadline)
-	earliestEnd := time.Now().Add(d.TTL())
-	for time.Now().Before(deadline) && (time.Now().Before(earliestEnd) || d.router.InFlight() > 0) {
-		time.Sleep(drainPollInterval)
-	}
+	p := planDrain(time.Now(), d.TTL(), d.settings.Tuning().DrainTimeout)
+	time.Sleep(time.Until(p.graceEnd))
+	d.router.Drain(p.deadline)
+	d.router.FinishCalls(p.earliestEnd, p.deadline)
 	log.WithField("in_flight", d.router.InFlight()).Info("drained")
 	return nil
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -241,6 +241,22 @@
 	r.stopAt = stopAt
 }
 
+// drainPollInterval is the time between two looks at the calls in flight.
+const drainPollInterval = 20 * time.Millisecond
+
+// FinishCalls waits until no call is in flight, at the earliest at one time and at the latest at
+// another. When it returns, all further calls are refused.
+func (r *Router) FinishCalls(earliest, latest time.Time) {
+	for time.Now().Before(latest) && (time.Now().Before(earliest) || r.InFlight() > 0) {
+		time.Sleep(drainPollInterval)
+	}
+	r.Drain(time.Now())
+	// A call that was accepted before is in flight by now.
+	for time.Now().Before(latest) && r.InFlight() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // ServerStates returns the balancer's state of each server, by pool.
 func (r *Router) ServerStates() map[string][]balance.ServerState {
 	r.mu.Lock()
