--- a/daemon/router/malformed_test.go
+++ b/daemon/router/malformed_test.go
@@ -207,3 +207,33 @@
 		t.Error("no failure with the cause malformed is counted")
 	}
 }
+
+// Guards against a stream that ends as complete, or anew, where its server has sent something invalid in
+// the middle.
+func TestStreamGoesOnAfterAMalformedPart(t *testing.T) {
+	const first, all = 4, 9
+	begin := pieces(first)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(begin), begin)
+	for _, rest := range []string{"zz\r\n", "-1\r\n\r\n", "0\r\nX Y: z\r\n\r\n"} {
+		for path, whole := range map[string]bool{"/stream/x": true, "/chat/x": false} {
+			var calls atomic.Int64
+			h := func(rw http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) > 1 {
+					events(all, all)(rw, r)
+					return
+				}
+				conn, _, err := http.NewResponseController(rw).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer conn.Close()
+				head := answerWith("HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+				_, _ = io.WriteString(conn, head(r.Header.Get("Call"))+chunk+rest) // the router may have closed it
+			}
+			got := newHarness(t, h, h, h).call(path)
+			if whole && (got.err != nil || got.body != pieces(all)) || !whole && (got.err == nil || got.body != begin) {
+				t.Errorf("%s, after %q: got %q, %v", path, rest, got.body, got.err)
+			}
+		}
+	}
+}
