--- a/daemon/backend/cut_head_test.go
+++ b/daemon/backend/cut_head_test.go
@@ -1,10 +1,7 @@
 package backend
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -35,14 +32,5 @@
 // cutServer answers each request with some bytes and closes the connection.
 func cutServer(t *testing.T, bytes string) *Target {
 	t.Helper()
-	address := testserver.Start(t, func(conn net.Conn, requests *bufio.Reader) {
-		req, err := http.ReadRequest(requests)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err == nil {
-			_, _ = io.WriteString(conn, bytes) // the caller may have left
-		}
-	})
-	return &Target{Server: "s", Address: address, RequestID: "r"}
+	return &Target{Server: "s", Address: testserver.StartFixed(t, bytes), RequestID: "r"}
 }
--- a/daemon/internal/testserver/testserver.go
+++ b/daemon/internal/testserver/testserver.go
@@ -3,7 +3,9 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 )
 
@@ -30,3 +32,17 @@
 	}()
 	return l.Addr().String()
 }
+
+// StartFixed answers the first request of each connection with some bytes and closes the connection.
+func StartFixed(t testing.TB, answer string) (address string) {
+	t.Helper()
+	return Start(t, func(conn net.Conn, requests *bufio.Reader) {
+		req, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+			_, _ = io.WriteString(conn, answer) // the caller may have left
+		}
+	})
+}
--- a/daemon/provider/malformed_test.go
+++ b/daemon/provider/malformed_test.go
@@ -1,9 +1,6 @@
 package provider
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -15,12 +12,7 @@
 func outcome(t *testing.T, answer string) Outcome {
 	t.Helper()
 	httpbound.BoundDefault()
-	address := testserver.Start(t, func(conn net.Conn, requests *bufio.Reader) {
-		if _, err := http.ReadRequest(requests); err == nil {
-			_, _ = io.WriteString(conn, answer) // the caller may have left
-		}
-	})
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", nil)
+	req, err := http.NewRequest(http.MethodPost, "http://"+testserver.StartFixed(t, answer)+"/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/router/early_answer_test.go
+++ b/daemon/router/early_answer_test.go
@@ -52,13 +52,7 @@
 	w.t.Helper()
 	req := w.request(path)
 	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", n))), int64(n)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{resp.StatusCode, resp.Header, string(body), err}
+	return do(req)
 }
 
 func reset(conn *net.TCPConn, _ io.Reader) error {
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -142,6 +142,11 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
+	return do(req)
+}
+
+// do sends a request and reads the whole answer.
+func do(req *http.Request) reply {
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return reply{err: err}
